Lay out the workspace of small libraries

Cause: the repository was empty. This lays the base (clock, ids, outcomes, settings, logs, metrics), HTTP over CivetWeb, and the interfaces of the other libraries, so that they can be built side by side. Conclusion: the interfaces stand; no path runs yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+BUILD ?= build
+ARGS ?=
+
+.PHONY: run check build deps format lint bench
+
+deps:
+	@scripts/install-packages
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+	@cmake --build $(BUILD)
+
+run: build
+	@scripts/run-demo $(BUILD) $(ARGS)
+
+check: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+format:
+	@git ls-files '*.h' '*.cc' ':!*_generated.h' | xargs clang-format -i
+
+lint: build
+	@scripts/check-format
+	@scripts/check-lint $(BUILD)
+
+bench: build
+	@ctest --test-dir $(BUILD) --output-on-failure -L bench
--- /dev/null
+++ b/include/knapweed/base/log.h
@@ -0,0 +1,55 @@
+#ifndef KNAPWEED_BASE_LOG_H_
+#define KNAPWEED_BASE_LOG_H_
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace knapweed {
+
+enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
+
+/// One `name=value` pair at the end of a log line.
+struct LogField {
+  std::string_view name;
+  std::string value;
+
+  LogField(std::string_view n, std::string_view v) : name(n), value(v) {}
+  LogField(std::string_view n, const std::string& v) : name(n), value(v) {}
+  LogField(std::string_view n, const char* v) : name(n), value(v) {}
+  template <std::integral T>
+  LogField(std::string_view n, T v) : name(n), value(std::to_string(v)) {}
+};
+
+/// Writes lines of one part of the program under its fixed prefix.
+///
+/// Example: `kLog.Info("Took over a partition.", {{"partition", 3}, {"epoch",
+/// 8}});` prints `2026-03-01T08:00:00.123 info [membership] Took over a
+/// partition. partition=3 epoch=8`.
+class Logger {
+ public:
+  constexpr explicit Logger(std::string_view part) : part_(part) {}
+
+  void Debug(std::string_view text,
+             std::initializer_list<LogField> fields = {}) const;
+  void Info(std::string_view text,
+            std::initializer_list<LogField> fields = {}) const;
+  void Warning(std::string_view text,
+               std::initializer_list<LogField> fields = {}) const;
+  void Error(std::string_view text,
+             std::initializer_list<LogField> fields = {}) const;
+
+ private:
+  std::string_view part_;
+};
+
+/// Starts logging to standard error; lines below `level` are dropped. Without
+/// this call lines at warning and above are written in the library's default
+/// format.
+void StartLog(LogLevel level);
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_BASE_LOG_H_
--- /dev/null
+++ b/src/base/metrics.cc
@@ -0,0 +1,81 @@
+#include "knapweed/base/metrics.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace knapweed {
+namespace {
+
+namespace bh = boost::histogram;
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Storage = bh::dense_storage<bh::accumulators::thread_safe<uint64_t>>;
+
+constexpr int kBuckets = 140;
+constexpr double kLowestMs = 0.1;
+constexpr double kHighestMs = 1e6;
+
+}  // namespace
+
+struct LatencyHistogram::Impl {
+  bh::histogram<std::tuple<LogAxis>, Storage> histogram{
+      std::make_tuple(LogAxis(kBuckets, kLowestMs, kHighestMs))};
+};
+
+LatencyHistogram::LatencyHistogram() : impl_(std::make_unique<Impl>()) {}
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::Record(double ms) {
+  impl_->histogram(std::clamp(ms, kLowestMs, kHighestMs * 0.999));
+}
+
+uint64_t LatencyHistogram::Count() const {
+  uint64_t n = 0;
+  for (auto&& cell : impl_->histogram) n += cell.load();
+  return n;
+}
+
+double LatencyHistogram::Quantile(double q) const {
+  const uint64_t total = Count();
+  if (total == 0) return 0;
+  const double wanted = q * static_cast<double>(total);
+  uint64_t below = 0;
+  for (auto&& cell : bh::indexed(impl_->histogram)) {
+    below += (*cell).load();
+    if (static_cast<double>(below) >= wanted) return cell.bin().upper();
+  }
+  return kHighestMs;
+}
+
+Counter& Metrics::GetCounter(std::string_view name) {
+  const std::lock_guard lock(mu_);
+  auto& slot = counters_[std::string(name)];
+  if (slot == nullptr) slot = std::make_unique<Counter>();
+  return *slot;
+}
+
+LatencyHistogram& Metrics::GetLatency(std::string_view name) {
+  const std::lock_guard lock(mu_);
+  auto& slot = latencies_[std::string(name)];
+  if (slot == nullptr) slot = std::make_unique<LatencyHistogram>();
+  return *slot;
+}
+
+std::string Metrics::ToJson() const {
+  const std::lock_guard lock(mu_);
+  nlohmann::json json = {{"counters", nlohmann::json::object()},
+                         {"latency_ms", nlohmann::json::object()}};
+  for (const auto& [name, counter] : counters_)
+    json["counters"][name] = counter->Value();
+  for (const auto& [name, latency] : latencies_) {
+    json["latency_ms"][name] = {{"count", latency->Count()},
+                                {"p50", latency->Quantile(0.5)},
+                                {"p95", latency->Quantile(0.95)},
+                                {"p99", latency->Quantile(0.99)}};
+  }
+  return json.dump();
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/base/settings.cc
@@ -0,0 +1,228 @@
+#include "knapweed/base/settings.h"
+
+#include <arpa/inet.h>
+#include <ini.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+namespace knapweed {
+namespace {
+
+std::string FullKey(std::string_view section, std::string_view key) {
+  std::string full(section);
+  full.append(".").append(key);
+  return full;
+}
+
+bool ParseInt(std::string_view text, int64_t* n) {
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, *n);
+  return ec == std::errc() && stop == end;
+}
+
+bool ParseSpan(std::string_view text, Ms* span) {
+  struct Unit {
+    std::string_view suffix;
+    int64_t ms;
+  };
+  static constexpr Unit kUnits[] = {{"ms", 1}, {"s", 1000}, {"m", 60000}};
+  for (const Unit& unit : kUnits) {
+    if (!text.ends_with(unit.suffix)) continue;
+    int64_t n = 0;
+    if (!ParseInt(text.substr(0, text.size() - unit.suffix.size()), &n) ||
+        n < 0)
+      return false;
+    *span = Ms{n * unit.ms};
+    return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+bool ParseAddress(std::string_view text, Address* address) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string host(text.substr(0, colon));
+  in_addr parsed{};
+  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) return false;
+  int64_t port = 0;
+  if (!ParseInt(text.substr(colon + 1), &port) || port < 1 || port > 65535)
+    return false;
+  *address = Address{host, static_cast<uint16_t>(port)};
+  return true;
+}
+
+Settings Settings::Load(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    Settings settings;
+    settings.name_ = path;
+    settings.Fault(0, std::string("can't be read: ") + std::strerror(errno));
+    return settings;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return Parse(text.str(), path);
+}
+
+Settings Settings::Parse(std::string_view text, std::string name) {
+  Settings settings;
+  settings.name_ = std::move(name);
+  IniSource source{&settings, text, 0};
+  const int line = ini_parse_stream(ReadLine, &source, OnValue, &source);
+  if (line > 0) settings.Fault(line, "expected 'key = value' or '[section]'");
+  return settings;
+}
+
+// The packaged inih passes no line numbers to its handler; counting the lines
+// as they are read gives the line that a value stands on.
+char* Settings::ReadLine(char* buf, int size, void* stream) {
+  IniSource& source = *static_cast<IniSource*>(stream);
+  if (source.rest.empty() || size < 2) return nullptr;
+  size_t n = std::min(source.rest.find('\n'), source.rest.size() - 1) + 1;
+  n = std::min(n, static_cast<size_t>(size) - 1);
+  std::memcpy(buf, source.rest.data(), n);
+  buf[n] = '\0';
+  source.rest.remove_prefix(n);
+  ++source.line;
+  return buf;
+}
+
+int Settings::OnValue(void* user, const char* section, const char* name,
+                      const char* value) {
+  IniSource& source = *static_cast<IniSource*>(user);
+  const std::string full = FullKey(section, name);
+  const auto [it, added] = source.settings->values_.try_emplace(
+      full, Value{value, source.line, false});
+  if (!added)
+    source.settings->Fault(source.line, "'" + full + "' is set twice");
+  return 1;
+}
+
+Settings::Value* Settings::Find(std::string_view section,
+                                std::string_view key) {
+  const auto it = values_.find(FullKey(section, key));
+  if (it == values_.end()) return nullptr;
+  it->second.used = true;
+  return &it->second;
+}
+
+void Settings::Fault(int line, std::string text) {
+  faults_.push_back(name_ + ":" + std::to_string(line) + ": " +
+                    std::move(text));
+}
+
+void Settings::AddFault(std::string_view section, std::string_view key,
+                        std::string_view fault) {
+  const Value* value = Find(section, key);
+  Fault(value == nullptr ? 0 : value->line,
+        "'" + FullKey(section, key) + "' " + std::string(fault));
+}
+
+std::string Settings::GetString(std::string_view section,
+                                std::string_view key) {
+  const Value* value = Find(section, key);
+  if (value != nullptr && !value->text.empty()) return value->text;
+  AddFault(section, key, "is missing; it must be set");
+  return "";
+}
+
+std::string Settings::GetString(std::string_view section, std::string_view key,
+                                std::string_view fallback) {
+  const Value* value = Find(section, key);
+  return value == nullptr ? std::string(fallback) : value->text;
+}
+
+std::vector<std::string> Settings::GetList(std::string_view section,
+                                           std::string_view key,
+                                           std::string_view fallback) {
+  const std::string text = GetString(section, key, fallback);
+  std::vector<std::string> words;
+  for (absl::string_view word :
+       absl::StrSplit(text, ',', absl::SkipWhitespace())) {
+    words.emplace_back(absl::StripAsciiWhitespace(word));
+  }
+  return words;
+}
+
+int64_t Settings::GetInt(std::string_view section, std::string_view key,
+                         int64_t fallback, int64_t low, int64_t high) {
+  const Value* value = Find(section, key);
+  if (value == nullptr) return fallback;
+  int64_t n = 0;
+  if (ParseInt(value->text, &n) && n >= low && n <= high) return n;
+  AddFault(section, key,
+           "is '" + value->text + "'; expected a whole number from " +
+               std::to_string(low) + " to " + std::to_string(high));
+  return fallback;
+}
+
+bool Settings::GetBool(std::string_view section, std::string_view key,
+                       bool fallback) {
+  const Value* value = Find(section, key);
+  if (value == nullptr) return fallback;
+  if (value->text == "true") return true;
+  if (value->text == "false") return false;
+  AddFault(section, key, "is '" + value->text + "'; expected true or false");
+  return fallback;
+}
+
+Ms Settings::GetMs(std::string_view section, std::string_view key,
+                   Ms fallback) {
+  const Value* value = Find(section, key);
+  if (value == nullptr) return fallback;
+  Ms span;
+  if (ParseSpan(value->text, &span)) return span;
+  AddFault(section, key,
+           "is '" + value->text +
+               "'; expected a number with its unit: ms, s or m, as in 250ms");
+  return fallback;
+}
+
+Address Settings::GetAddress(std::string_view section, std::string_view key) {
+  Address address;
+  const std::string text = GetString(section, key);
+  if (text.empty() || ParseAddress(text, &address)) return address;
+  AddFault(section, key,
+           "is '" + text +
+               "'; expected an IP number and port, as in 127.0.0.1:8080");
+  return address;
+}
+
+std::vector<Address> Settings::GetAddresses(std::string_view section,
+                                            std::string_view key,
+                                            std::string_view fallback) {
+  std::vector<Address> addresses;
+  for (const std::string& text : GetList(section, key, fallback)) {
+    Address address;
+    if (ParseAddress(text, &address)) {
+      addresses.push_back(address);
+      continue;
+    }
+    AddFault(section, key,
+             "holds '" + text +
+                 "'; expected IP numbers and ports, as in 127.0.0.1:8080");
+  }
+  return addresses;
+}
+
+absl::Status Settings::Check() const {
+  std::vector<std::string> faults = faults_;
+  for (const auto& [key, value] : values_) {
+    if (value.used) continue;
+    faults.push_back(name_ + ":" + std::to_string(value.line) + ": '" + key +
+                     "' is not a known setting");
+  }
+  if (faults.empty()) return absl::OkStatus();
+  return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
+}
+
+}  // namespace knapweed
