--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -5,6 +5,7 @@
 
 #include "knapweed/http/client.h"
 #include "knapweed/http/server.h"
+#include "standins/free_port.h"
 
 namespace knapweed {
 namespace {
@@ -28,7 +29,7 @@
 }
 
 TEST_CASE("the client and the server understand each other") {
-  const Address listen{"127.0.0.1", 18431};
+  const Address listen = FreeLoopbackAddress();
   HttpServerOptions options;
   options.listen = listen;
   options.threads = 4;
