--- /dev/null
+++ b/include/knapweed/entry/turn_runner.h
@@ -0,0 +1,58 @@
+#ifndef KNAPWEED_ENTRY_TURN_RUNNER_H_
+#define KNAPWEED_ENTRY_TURN_RUNNER_H_
+
+#include "knapweed/base/clock.h"
+#include "knapweed/base/metrics.h"
+#include "knapweed/base/outcome.h"
+#include "knapweed/entry/upstream_directory.h"
+#include "knapweed/membership/membership.h"
+#include "knapweed/program/program_table.h"
+#include "knapweed/rules/rules_holder.h"
+#include "knapweed/wire/rpc.h"
+
+namespace knapweed {
+
+/// What a turn runner works with; all outlive it.
+struct TurnRunnerParts {
+  const Clock& clock;
+  const RulesHolder& rules;
+  ProgramTable& programs;
+  UpstreamDirectory& upstreams;
+  RpcPool& rpc;
+  Metrics& metrics;
+  uint32_t partition_count;
+};
+
+/// Runs calls of the programs that this process owns: order and budget by the
+/// program table, placement, intent, dispatch, retries, and a durable outcome.
+/// Safe from any thread.
+class TurnRunner {
+ public:
+  explicit TurnRunner(TurnRunnerParts parts) : parts_(parts) {}
+
+  /// Blocks until the call has its final answer. Pieces of a model's answer go
+  /// to `sink` as they come; when it returns false the call is cancelled.
+  /// A failure stands in the result.
+  wire::ResultT Run(const wire::CallT& call, const ChunkSink& sink);
+
+  /// Ends a program and frees what it holds.
+  wire::ResultT EndProgram(const wire::CallT& call);
+
+ private:
+  struct Turn;
+
+  wire::ResultT RunHeld(Turn& turn, TurnHold hold);
+  /// Settles what became of an attempt whose owner died before its outcome.
+  bool ResolveOpenIntent(Turn& turn, const TurnHold& hold,
+                         wire::ResultT* result);
+  wire::ResultT DispatchWithRetries(Turn& turn, TurnHold& hold);
+  wire::ResultT DispatchOnce(Turn& turn, TurnHold& hold,
+                             const UpstreamPtr& upstream);
+  wire::ResultT Finish(Turn& turn, TurnHold hold, wire::ResultT result);
+
+  TurnRunnerParts parts_;
+};
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_ENTRY_TURN_RUNNER_H_
--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -828,6 +828,7 @@
   uint8_t hops = 0;
   uint64_t config_version = 0;
   std::string request_id{};
+  bool ends_program = false;
 };
 
 struct Call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -846,7 +847,8 @@
     VT_DEADLINE_MS = 20,
     VT_HOPS = 22,
     VT_CONFIG_VERSION = 24,
-    VT_REQUEST_ID = 26
+    VT_REQUEST_ID = 26,
+    VT_ENDS_PROGRAM = 28
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -884,6 +886,9 @@
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
   }
+  bool ends_program() const {
+    return GetField<uint8_t>(VT_ENDS_PROGRAM, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -906,6 +911,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
            verifier.VerifyString(request_id()) &&
+           VerifyField<uint8_t>(verifier, VT_ENDS_PROGRAM, 1) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -953,6 +959,9 @@
   void add_request_id(flatbuffers::Offset<flatbuffers::String> request_id) {
     fbb_.AddOffset(Call::VT_REQUEST_ID, request_id);
   }
+  void add_ends_program(bool ends_program) {
+    fbb_.AddElement<uint8_t>(Call::VT_ENDS_PROGRAM, static_cast<uint8_t>(ends_program), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -977,7 +986,8 @@
     int64_t deadline_ms = 0,
     uint8_t hops = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<flatbuffers::String> request_id = 0) {
+    flatbuffers::Offset<flatbuffers::String> request_id = 0,
+    bool ends_program = false) {
   CallBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_deadline_ms(deadline_ms);
@@ -989,6 +999,7 @@
   builder_.add_parent(parent);
   builder_.add_program(program);
   builder_.add_workspace(workspace);
+  builder_.add_ends_program(ends_program);
   builder_.add_hops(hops);
   builder_.add_stream(stream);
   return builder_.Finish();
@@ -1012,7 +1023,8 @@
     int64_t deadline_ms = 0,
     uint8_t hops = 0,
     uint64_t config_version = 0,
-    const char *request_id = nullptr) {
+    const char *request_id = nullptr,
+    bool ends_program = false) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto program__ = program ? _fbb.CreateString(program) : 0;
   auto parent__ = parent ? _fbb.CreateString(parent) : 0;
@@ -1034,7 +1046,8 @@
       deadline_ms,
       hops,
       config_version,
-      request_id__);
+      request_id__,
+      ends_program);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3239,6 +3252,7 @@
   { auto _e = hops(); _o->hops = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = request_id(); if (_e) _o->request_id = _e->str(); }
+  { auto _e = ends_program(); _o->ends_program = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3261,6 +3275,7 @@
   auto _hops = _o->hops;
   auto _config_version = _o->config_version;
   auto _request_id = _o->request_id.empty() ? 0 : _fbb.CreateString(_o->request_id);
+  auto _ends_program = _o->ends_program;
   return knapweed::wire::CreateCall(
       _fbb,
       _workspace,
@@ -3274,7 +3289,8 @@
       _deadline_ms,
       _hops,
       _config_version,
-      _request_id);
+      _request_id,
+      _ends_program);
 }
 
 inline DispatchT *Dispatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/src/entry/call_router.cc
@@ -0,0 +1,122 @@
+#include "knapweed/entry/call_router.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "knapweed/entry/caller_api.h"
+#include "knapweed/entry/stream_cursor.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Ms kFirstPause = Ms{50};
+constexpr Ms kLongestPause = Ms{500};
+constexpr Ms kOwnerRetryAfter = Seconds(1);
+
+wire::ResultT Failed(ErrorCode code, RunState run, Ms retry_after,
+                     std::string message) {
+  wire::ResultT result;
+  result.status = HttpStatusOf(code);
+  result.failure = std::make_unique<wire::FailureT>(
+      ToFailure({code, run, retry_after, std::move(message)}));
+  return result;
+}
+
+// Whether another try may find an owner that can answer.
+bool OwnerMayChange(const wire::ResultT& result) {
+  if (result.failure == nullptr) return false;
+  const auto code = static_cast<ErrorCode>(result.failure->code);
+  return code == ErrorCode::kNotOwner || code == ErrorCode::kFenced;
+}
+
+wire::ResultT FromRpcError(const absl::Status& status) {
+  if (absl::IsCancelled(status)) {
+    return Failed(ErrorCode::kCancelled, RunState::kUnknown, Ms{0},
+                  "The caller is gone.");
+  }
+  if (absl::IsDeadlineExceeded(status)) {
+    return Failed(ErrorCode::kDeadlineExceeded, RunState::kUnknown, Ms{0},
+                  "The program's owner did not answer before the deadline.");
+  }
+  const RunState run =
+      absl::IsUnavailable(status) ? RunState::kNotRun : RunState::kUnknown;
+  return Failed(ErrorCode::kNotOwner, run, kOwnerRetryAfter,
+                "The program's owner can't be reached.");
+}
+
+// A later failure says "not run" only if no earlier try may have run.
+void KeepDoubt(bool doubt, wire::ResultT* result) {
+  if (!doubt || result->failure == nullptr) return;
+  if (result->failure->run == static_cast<uint8_t>(RunState::kNotRun)) {
+    result->failure->run = static_cast<uint8_t>(RunState::kUnknown);
+  }
+}
+
+bool IsUnknown(const wire::ResultT& result) {
+  return result.failure != nullptr &&
+         result.failure->run == static_cast<uint8_t>(RunState::kUnknown);
+}
+
+}  // namespace
+
+wire::ResultT CallRouter::RouteOnce(const wire::CallT& call,
+                                    const ChunkSink& sink) {
+  const ProgramKey key{WorkspaceId(call.workspace), ProgramId(call.program)};
+  const std::optional<PartitionOwner> owner =
+      parts_.membership.OwnerOf(PartitionOf(key, parts_.partition_count));
+  if (!owner.has_value()) {
+    return Failed(ErrorCode::kNotOwner, RunState::kNotRun, kOwnerRetryAfter,
+                  "The program has no owner at the moment.");
+  }
+  if (owner->self) {
+    return call.ends_program ? parts_.runner.EndProgram(call)
+                             : parts_.runner.Run(call, sink);
+  }
+  parts_.metrics.GetCounter("call.forwarded").Add();
+  absl::StatusOr<wire::BodyUnion> answer =
+      parts_.rpc.Get(owner->member.rpc)
+          ->Call(Wrap(call), Ms{call.deadline_ms}, sink);
+  if (!answer.ok()) return FromRpcError(answer.status());
+  wire::ResultT* result = answer->AsResult();
+  if (result != nullptr) return std::move(*result);
+  return Failed(ErrorCode::kInternal, RunState::kUnknown, Ms{0},
+                "The program's owner answered out of protocol.");
+}
+
+wire::ResultT CallRouter::Route(wire::CallT call, const ChunkSink& sink) {
+  const Ms deadline = parts_.clock.Now() + Ms{call.deadline_ms};
+  StreamCursor cursor(sink);
+  const ChunkSink merged = [&](std::string_view piece) {
+    return cursor.Push(piece);
+  };
+  bool doubt = false;
+  Ms pause = kFirstPause;
+  while (true) {
+    cursor.Restart();
+    wire::ResultT result = RouteOnce(call, merged);
+    if (cursor.diverged()) {
+      return Failed(ErrorCode::kUpstreamFailed, RunState::kUnknown, Ms{0},
+                    "The upstream failed in the middle of the answer.");
+    }
+    const bool late = parts_.clock.Now() + pause >= deadline;
+    if (!OwnerMayChange(result) || late) {
+      KeepDoubt(doubt, &result);
+      if (result.failure == nullptr && call.stream &&
+          !cursor.PushRest(result.body) && cursor.diverged()) {
+        return Failed(ErrorCode::kUpstreamFailed, RunState::kRan, Ms{0},
+                      "The kept answer differs from what was streamed.");
+      }
+      return result;
+    }
+    doubt = doubt || IsUnknown(result);
+    parts_.metrics.GetCounter("call.owner_retries").Add();
+    parts_.membership.Poke();
+    SleepFor(pause);
+    pause = std::min(pause * 2, kLongestPause);
+    call.deadline_ms = (deadline - parts_.clock.Now()).count;
+  }
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/entry/entry.cc
@@ -0,0 +1,229 @@
+#include "knapweed/entry/entry.h"
+
+#include <atomic>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "knapweed/base/log.h"
+#include "knapweed/entry/call_router.h"
+#include "knapweed/entry/caller_front.h"
+#include "knapweed/entry/peer_service.h"
+#include "knapweed/entry/rate_gate.h"
+#include "knapweed/entry/sidecar_watch.h"
+#include "knapweed/entry/turn_runner.h"
+#include "knapweed/entry/upstream_directory.h"
+#include "knapweed/http/server.h"
+#include "knapweed/membership/membership.h"
+#include "knapweed/platform/object_store.h"
+#include "knapweed/platform/table_service.h"
+#include "knapweed/program/program_table.h"
+#include "knapweed/rules/rules_holder.h"
+#include "knapweed/rules/rules_watcher.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Logger kLog("entry");
+constexpr Ms kDrainPoll = Ms{50};
+constexpr int kControlThreads = 4;
+
+using Json = nlohmann::json;
+
+MembershipOptions MembershipOptionsOf(const EntryConfig& config,
+                                      const std::string& incarnation) {
+  MembershipOptions options;
+  options.self.id = config.name;
+  options.self.incarnation = incarnation;
+  options.self.rpc = config.rpc;
+  options.self.domain = config.domain;
+  options.lease = config.lease;
+  options.renew_every = config.renew_every;
+  options.partition_count = config.partition_count;
+  return options;
+}
+
+}  // namespace
+
+// Members stand in the order in which they start; they end in reverse.
+struct Entry::Impl {
+  explicit Impl(EntryConfig c);
+
+  absl::Status Start();
+  absl::Status StartServers();
+  void HandleControl(const HttpRequest& request, HttpResponder& responder);
+  std::string DumpJson() const;
+  bool Idle() const;
+
+  const EntryConfig config;
+  const std::string incarnation = config.name.value + "-" + RandomHexId();
+  const Clock clock = Clock::Steady();
+  Metrics metrics;
+  TableService table;
+  ObjectStore objects;
+  RulesHolder rules;
+  RulesWatcher watcher;
+  RpcPool rpc;
+  UpstreamDirectory upstreams;
+  ProgramTable programs;
+  Membership membership;
+  SidecarWatch sidecar_watch;
+  TurnRunner runner;
+  RateGate rates;
+  CallRouter router;
+  CallerFront front;
+  PeerService peers;
+  std::unique_ptr<RpcServer> rpc_server;
+  std::unique_ptr<HttpServer> control_server;
+  std::unique_ptr<HttpServer> caller_server;
+  std::atomic<bool> drain_requested{false};
+};
+
+Entry::Impl::Impl(EntryConfig c)
+    : config(std::move(c)),
+      table(ConnectTableService(config.table, config.platform_timeout)),
+      objects(ConnectObjectStore(config.objects, config.platform_timeout)),
+      watcher(table, objects, rules, clock,
+              RulesWatcherOptions{config.config_poll, config.config_confirm}),
+      upstreams(clock, config.domain),
+      programs(table, objects, clock, incarnation),
+      membership(
+          table, clock, MembershipOptionsOf(config, incarnation),
+          [this](PartitionId partition, Epoch epoch,
+                 const std::string& old_owner) {
+            return programs.Gain(partition, epoch, old_owner);
+          },
+          [this](PartitionId partition) { programs.Lose(partition); }),
+      sidecar_watch(membership, upstreams),
+      runner(TurnRunnerParts{clock, rules, programs, upstreams, rpc, metrics,
+                             config.partition_count}),
+      rates(clock, rules, membership, rpc, config.partition_count),
+      router(CallRouterParts{clock, membership, runner, rpc, metrics,
+                             config.partition_count}),
+      front(CallerFrontParts{config, clock, rules, watcher, rates, router,
+                             metrics}),
+      peers(PeerServiceParts{runner, rates, upstreams, watcher, membership,
+                             config.forwarded_threads}) {}
+
+absl::Status Entry::Impl::Start() {
+  const absl::Status refreshed = watcher.Refresh();
+  if (!refreshed.ok()) {
+    kLog.Warning("No configuration yet.",
+                 {{"error", std::string(refreshed.message())}});
+  }
+  absl::Status status = programs.Start();
+  if (!status.ok()) return status;
+  status = StartServers();
+  if (!status.ok()) return status;
+  status = membership.Start();
+  if (!status.ok()) return status;
+  sidecar_watch.Start();
+  kLog.Info("Serving.", {{"listen", config.listen.ToString()},
+                         {"rpc", config.rpc.ToString()},
+                         {"incarnation", incarnation},
+                         {"failure_domain", config.domain.value}});
+  return absl::OkStatus();
+}
+
+absl::Status Entry::Impl::StartServers() {
+  auto peer_server = RpcServer::Start(
+      config.rpc, [this](wire::BodyUnion request, const ReplyHandle& reply) {
+        peers.Handle(std::move(request), reply);
+      });
+  if (!peer_server.ok()) return peer_server.status();
+  rpc_server = std::move(*peer_server);
+  HttpServerOptions options;
+  options.listen = config.control;
+  options.threads = kControlThreads;
+  auto control = HttpServer::Start(
+      options, [this](const HttpRequest& request, HttpResponder& responder) {
+        HandleControl(request, responder);
+      });
+  if (!control.ok()) return control.status();
+  control_server = std::move(*control);
+  options.listen = config.listen;
+  options.threads = config.caller_threads;
+  options.max_body = config.max_body_bytes;
+  auto callers = HttpServer::Start(
+      options, [this](const HttpRequest& request, HttpResponder& responder) {
+        front.Handle(request, responder);
+      });
+  if (!callers.ok()) return callers.status();
+  caller_server = std::move(*callers);
+  return absl::OkStatus();
+}
+
+void Entry::Impl::HandleControl(const HttpRequest& request,
+                                HttpResponder& responder) {
+  const std::vector<HttpHeader> json = {{"Content-Type", "application/json"}};
+  if (request.path == "/state") {
+    responder.Send({200, json, DumpJson()});
+  } else if (request.path == "/metrics") {
+    responder.Send({200, json, metrics.ToJson()});
+  } else if (request.path == "/healthz") {
+    responder.Send({200, {}, "ok\n"});
+  } else if (request.path == "/drain" && request.method == "POST") {
+    drain_requested = true;
+    // The main thread waits for signals only; a stop by request is one too.
+    std::raise(SIGTERM);
+    responder.Send({202, json, R"({"draining":true})"});
+  } else {
+    responder.Send(
+        {404, json,
+         R"({"error":"GET /state, /metrics, /healthz or POST /drain"})"});
+  }
+}
+
+std::string Entry::Impl::DumpJson() const {
+  const Json dump = {
+      {"role", "entry"},
+      {"name", config.name.value},
+      {"incarnation", incarnation},
+      {"failure_domain", config.domain.value},
+      {"config_version", rules.version()},
+      {"config_confirmed", watcher.Confirmed()},
+      {"lease_holds", membership.LeaseHolds()},
+      {"in_flight", front.in_flight()},
+      {"forwarded_in_flight", peers.in_flight()},
+      {"membership", Json::parse(membership.DumpJson(), nullptr, false)},
+      {"programs", Json::parse(programs.DumpJson(), nullptr, false)},
+      {"upstreams", Json::parse(upstreams.DumpJson(), nullptr, false)},
+  };
+  return dump.dump(2, ' ', false, Json::error_handler_t::replace);
+}
+
+bool Entry::Impl::Idle() const {
+  return front.in_flight() == 0 && peers.in_flight() == 0;
+}
+
+absl::StatusOr<std::unique_ptr<Entry>> Entry::Start(EntryConfig config) {
+  auto impl = std::make_unique<Impl>(std::move(config));
+  const absl::Status status = impl->Start();
+  if (!status.ok()) return status;
+  return std::unique_ptr<Entry>(new Entry(std::move(impl)));
+}
+
+Entry::Entry(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Entry::~Entry() = default;
+
+void Entry::Stop() {
+  Impl& impl = *impl_;
+  kLog.Info("Leaving.");
+  impl.front.SetLeaving();
+  SleepFor(impl.config.balancer_delay);
+  const Ms give_up = impl.clock.Now() + impl.config.drain_limit;
+  const absl::Status left = impl.membership.Leave(impl.config.drain_limit);
+  if (!left.ok()) {
+    kLog.Warning("Not everything was handed over.",
+                 {{"error", std::string(left.message())}});
+  }
+  while (!impl.Idle() && impl.clock.Now() < give_up) SleepFor(kDrainPoll);
+  impl.caller_server.reset();
+  kLog.Info("Left.", {{"requests_cut_off", impl.front.in_flight()}});
+}
+
+bool Entry::drain_requested() const { return impl_->drain_requested; }
+
+std::string Entry::DumpJson() const { return impl_->DumpJson(); }
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/entry/peer_service.cc
@@ -0,0 +1,78 @@
+#include "knapweed/entry/peer_service.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <utility>
+
+#include "knapweed/entry/caller_api.h"
+
+namespace knapweed {
+
+struct PeerService::Impl {
+  explicit Impl(const PeerServiceParts& p)
+      : parts(p), pool(static_cast<size_t>(p.threads)), control_pool(2) {}
+
+  void RunCall(const wire::CallT& call, const ReplyHandle& reply);
+
+  PeerServiceParts parts;
+  std::atomic<int> in_flight{0};
+  boost::asio::thread_pool pool;
+  /// Short work that must not wait behind calls.
+  boost::asio::thread_pool control_pool;
+};
+
+void PeerService::Impl::RunCall(const wire::CallT& call,
+                                const ReplyHandle& reply) {
+  const ChunkSink sink = [&](std::string_view piece) {
+    wire::ChunkT chunk;
+    chunk.data = piece;
+    return reply.Send(Wrap(std::move(chunk)));
+  };
+  wire::ResultT result = call.ends_program ? parts.runner.EndProgram(call)
+                                           : parts.runner.Run(call, sink);
+  reply.Send(Wrap(std::move(result)));
+  in_flight.fetch_sub(1);
+}
+
+PeerService::PeerService(const PeerServiceParts& parts)
+    : impl_(std::make_unique<Impl>(parts)) {}
+
+PeerService::~PeerService() {
+  impl_->pool.join();
+  impl_->control_pool.join();
+}
+
+int PeerService::in_flight() const { return impl_->in_flight; }
+
+void PeerService::Handle(wire::BodyUnion request, const ReplyHandle& reply) {
+  if (const wire::CallT* call = request.AsCall()) {
+    impl_->in_flight.fetch_add(1);
+    boost::asio::post(impl_->pool, [impl = impl_.get(), reply, call = *call] {
+      impl->RunCall(call, reply);
+    });
+    return;
+  }
+  if (const wire::BucketAskT* ask = request.AsBucketAsk()) {
+    reply.Send(Wrap(impl_->parts.rates.Answer(*ask)));
+    return;
+  }
+  if (request.AsConfigPush() != nullptr) {
+    reply.Send(Wrap(wire::AckT{}));
+    boost::asio::post(impl_->control_pool, [impl = impl_.get()] {
+      impl->parts.watcher.Refresh().IgnoreError();
+    });
+    return;
+  }
+  if (const wire::LeavingT* leaving = request.AsLeaving()) {
+    impl_->parts.upstreams.OnLeaving(leaving->name);
+    impl_->parts.membership.Poke();
+    reply.Send(Wrap(wire::AckT{}));
+    return;
+  }
+  const CallError error{ErrorCode::kBadRequest, RunState::kNotRun, Ms{0},
+                        "An entry takes no such message."};
+  reply.Send(Wrap(ToFailure(error)));
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/entry/turn_runner.cc
@@ -0,0 +1,335 @@
+#include "knapweed/entry/turn_runner.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "knapweed/base/log.h"
+#include "knapweed/entry/caller_api.h"
+#include "knapweed/entry/prompt.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Logger kLog("turn");
+constexpr int kMaxDispatches = 4;
+constexpr Ms kResolvePause = Ms{200};
+constexpr Ms kQueryTimeout = Seconds(2);
+constexpr Ms kNoUpstreamRetryAfter = Seconds(2);
+constexpr Ms kOwnerRetryAfter = Ms{500};
+/// How long an engine keeps a program's cache past a turn unless renewed.
+constexpr Ms kPinLease = Seconds(30);
+/// AttemptReply.state of an attempt that has not ended.
+constexpr uint8_t kAttemptRunning = 3;
+
+wire::ResultT FailureResult(const CallError& error) {
+  wire::ResultT result;
+  result.status = HttpStatusOf(error.code);
+  result.failure = std::make_unique<wire::FailureT>(ToFailure(error));
+  return result;
+}
+
+bool IsNotRun(const wire::ResultT& result) {
+  return result.failure != nullptr &&
+         result.failure->run == static_cast<uint8_t>(RunState::kNotRun);
+}
+
+// Why a dispatch that brought no answer failed. Only a request that certainly
+// was not sent is said not to have run.
+CallError DispatchError(const absl::Status& status) {
+  switch (status.code()) {
+    case absl::StatusCode::kUnavailable:
+      return {ErrorCode::kUpstreamFailed, RunState::kNotRun,
+              kNoUpstreamRetryAfter, "The upstream can't be reached."};
+    case absl::StatusCode::kDeadlineExceeded:
+      return {ErrorCode::kDeadlineExceeded, RunState::kUnknown, Ms{0},
+              "The upstream did not answer before the deadline."};
+    case absl::StatusCode::kCancelled:
+      return {ErrorCode::kCancelled, RunState::kUnknown, Ms{0},
+              "The caller is gone."};
+    default:
+      return {ErrorCode::kUpstreamFailed, RunState::kUnknown, Ms{0},
+              "The connection to the upstream broke."};
+  }
+}
+
+uint64_t DigestOf(const wire::CallT& call) {
+  return HashBytes(call.body, HashBytes(call.route));
+}
+
+ProgramBudget BudgetOf(const Rules& rules, const WorkspaceId& workspace) {
+  const BudgetRule* rule = FindBudget(rules, workspace);
+  if (rule == nullptr) return {};
+  return {rule->tokens, rule->turns, rule->time};
+}
+
+double WeightOf(const Rules& rules, const WorkspaceId& workspace) {
+  const WorkspaceRule* rule = FindWorkspace(rules, workspace);
+  return rule == nullptr ? 1.0 : rule->weight;
+}
+
+CallOutcome ToOutcome(const wire::ResultT& result) {
+  CallOutcome outcome;
+  outcome.status = result.status;
+  outcome.body = result.body;
+  outcome.prompt_tokens = result.prompt_tokens;
+  outcome.completion_tokens = result.completion_tokens;
+  outcome.run = RunState::kRan;
+  if (result.failure != nullptr) {
+    outcome.error = ToCallError(*result.failure);
+    outcome.run = outcome.error.run;
+  }
+  return outcome;
+}
+
+wire::ResultT ToResult(const CallOutcome& outcome) {
+  if (outcome.run != RunState::kRan) return FailureResult(outcome.error);
+  wire::ResultT result;
+  result.status = outcome.status;
+  result.body = outcome.body;
+  result.prompt_tokens = outcome.prompt_tokens;
+  result.completion_tokens = outcome.completion_tokens;
+  return result;
+}
+
+}  // namespace
+
+struct TurnRunner::Turn {
+  const wire::CallT& call;
+  const ChunkSink& sink;
+  ProgramKey key;
+  PartitionId partition;
+  Ms deadline;
+  RouteRule route;
+  double weight = 1;
+  ModelRequest request;
+  std::string body;
+  uint64_t prompt_tokens = 0;
+  bool intent_recorded = false;
+  std::vector<UpstreamPtr> tried;
+};
+
+wire::ResultT TurnRunner::Run(const wire::CallT& call, const ChunkSink& sink) {
+  Turn turn{.call = call, .sink = sink};
+  turn.key = {WorkspaceId(call.workspace), ProgramId(call.program)};
+  turn.partition = PartitionOf(turn.key, parts_.partition_count);
+  turn.deadline = parts_.clock.Now() + Ms{call.deadline_ms};
+  ProgramBudget budget;
+  {
+    const RulesHolder::ReadGuard rules = parts_.rules.Read();
+    const RouteRule* route = FindRoute(*rules, call.route);
+    if (route == nullptr) {
+      return FailureResult({ErrorCode::kNotFound, RunState::kNotRun, Ms{0},
+                            "The route is no longer configured."});
+    }
+    turn.route = *route;
+    turn.weight = WeightOf(*rules, turn.key.workspace);
+    budget = BudgetOf(*rules, turn.key.workspace);
+  }
+  const CallIdentity identity{turn.key, ProgramId(call.parent),
+                              call.idempotency_key, DigestOf(call)};
+  BeginResult begun = parts_.programs.Begin(identity, budget, turn.deadline);
+  if (const auto* error = std::get_if<CallError>(&begun)) {
+    return FailureResult(*error);
+  }
+  if (const auto* outcome = std::get_if<CallOutcome>(&begun)) {
+    parts_.metrics.GetCounter("turn.repeated").Add();
+    return ToResult(*outcome);
+  }
+  return RunHeld(turn, std::get<TurnHold>(std::move(begun)));
+}
+
+wire::ResultT TurnRunner::RunHeld(Turn& turn, TurnHold hold) {
+  if (hold.open_intent() != nullptr) {
+    wire::ResultT resolved;
+    if (ResolveOpenIntent(turn, hold, &resolved)) {
+      return Finish(turn, std::move(hold), std::move(resolved));
+    }
+  }
+  if (turn.route.kind == RouteKind::kModel) {
+    turn.request = ReadModelRequest(turn.call.body);
+    turn.body = BuildEngineBody(turn.request, hold.history());
+    turn.prompt_tokens = EstimateTokens(hold.history(), turn.request.messages);
+  } else {
+    turn.body = turn.call.body;
+  }
+  wire::ResultT result = DispatchWithRetries(turn, hold);
+  const bool retryable_model =
+      turn.route.kind == RouteKind::kModel && result.failure != nullptr;
+  if (retryable_model || (IsNotRun(result) && !turn.intent_recorded)) {
+    return result;  // Nothing that must last: the hold ends without a record.
+  }
+  return Finish(turn, std::move(hold), std::move(result));
+}
+
+bool TurnRunner::ResolveOpenIntent(Turn& turn, const TurnHold& hold,
+                                   wire::ResultT* result) {
+  const Intent& intent = *hold.open_intent();
+  wire::AttemptQueryT query;
+  query.attempt = intent.attempt.value;
+  query.partition = turn.partition.n;
+  query.epoch = hold.epoch().n;
+  const std::shared_ptr<RpcClient> client = parts_.rpc.Get(intent.sidecar);
+  while (parts_.clock.Now() < turn.deadline) {
+    absl::StatusOr<wire::BodyUnion> answer =
+        client->Call(Wrap(query), kQueryTimeout);
+    const wire::AttemptReplyT* reply =
+        answer.ok() ? answer->AsAttemptReply() : nullptr;
+    if (reply == nullptr || reply->incarnation != intent.sidecar_incarnation) {
+      break;
+    }
+    if (reply->state == static_cast<uint8_t>(RunState::kNotRun)) return false;
+    if (reply->state == static_cast<uint8_t>(RunState::kRan) && reply->result) {
+      *result = *reply->result;
+      return true;
+    }
+    if (reply->state != kAttemptRunning) break;
+    SleepFor(kResolvePause);
+  }
+  kLog.Warning("The outcome of a non-idempotent call is unknown.",
+               {{"workspace", turn.key.workspace.value},
+                {"attempt", intent.attempt.value}});
+  *result =
+      FailureResult({ErrorCode::kOutcomeUnknown, RunState::kUnknown, Ms{0},
+                     "The call may have run; its upstream's record is "
+                     "gone. It is never run again by itself."});
+  return true;
+}
+
+wire::ResultT TurnRunner::DispatchWithRetries(Turn& turn, TurnHold& hold) {
+  wire::ResultT last = FailureResult(
+      {ErrorCode::kNoUpstream, RunState::kNotRun, kNoUpstreamRetryAfter,
+       "No upstream of this route takes work at the moment."});
+  for (int i = 0; i < kMaxDispatches; ++i) {
+    PlacementQuery query;
+    query.pool = turn.route.pool;
+    query.model = turn.request.model;
+    query.program = turn.key;
+    query.parent = ProgramId(turn.call.parent);
+    query.prompt_tokens = turn.prompt_tokens;
+    query.expected_output_tokens = turn.request.max_tokens;
+    query.tried = turn.tried;
+    query.random = HashBytes(turn.call.request_id, static_cast<uint64_t>(i));
+    const UpstreamPtr upstream = parts_.upstreams.Place(query);
+    if (upstream == nullptr) return last;
+    last = DispatchOnce(turn, hold, upstream);
+    if (last.failure == nullptr) return last;
+    const auto code = static_cast<ErrorCode>(last.failure->code);
+    const bool final_code =
+        code == ErrorCode::kCancelled || code == ErrorCode::kQuarantined ||
+        code == ErrorCode::kFenced || code == ErrorCode::kStoreUnavailable ||
+        code == ErrorCode::kDeadlineExceeded;
+    const bool may_retry = !turn.route.non_idempotent || IsNotRun(last);
+    if (final_code || !may_retry || parts_.clock.Now() >= turn.deadline) {
+      return last;
+    }
+    parts_.metrics.GetCounter("turn.retries").Add();
+    turn.tried.push_back(upstream);
+  }
+  return last;
+}
+
+wire::ResultT TurnRunner::DispatchOnce(Turn& turn, TurnHold& hold,
+                                       const UpstreamPtr& upstream) {
+  const SidecarRecord& record = upstream->record;
+  wire::DispatchT dispatch;
+  dispatch.attempt = RandomHexId();
+  if (turn.route.non_idempotent) {
+    const Intent intent{AttemptId(dispatch.attempt), record.upstream,
+                        record.incarnation, record.rpc};
+    const absl::Status recorded = parts_.programs.RecordIntent(hold, intent);
+    if (!recorded.ok()) {
+      return FailureResult({ErrorCode::kStoreUnavailable, RunState::kNotRun,
+                            kNoUpstreamRetryAfter,
+                            "The call can't be made safe at the moment."});
+    }
+    turn.intent_recorded = true;
+  }
+  const Ms left = turn.deadline - parts_.clock.Now();
+  if (left <= Ms{0}) {
+    return FailureResult({ErrorCode::kDeadlineExceeded, RunState::kNotRun,
+                          Ms{0}, "The deadline passed before the dispatch."});
+  }
+  dispatch.workspace = turn.call.workspace;
+  dispatch.program = turn.call.program;
+  dispatch.partition = turn.partition.n;
+  dispatch.epoch = hold.epoch().n;
+  dispatch.path = turn.route.path;
+  dispatch.model = turn.request.model;
+  dispatch.body = turn.body;
+  dispatch.digest = DigestOf(turn.call);
+  dispatch.non_idempotent = turn.route.non_idempotent;
+  dispatch.stream = turn.call.stream;
+  dispatch.deadline_ms = left.count;
+  dispatch.weight = turn.weight;
+  dispatch.attained_tokens = hold.attained_tokens();
+  dispatch.prompt_tokens = turn.prompt_tokens;
+  if (turn.route.kind == RouteKind::kModel) dispatch.pin_ms = kPinLease.count;
+  parts_.upstreams.OnDispatch(*upstream, turn.prompt_tokens);
+  absl::StatusOr<wire::BodyUnion> answer =
+      parts_.rpc.Get(record.rpc)
+          ->Call(Wrap(std::move(dispatch)), left, turn.sink);
+  wire::ResultT* result = answer.ok() ? answer->AsResult() : nullptr;
+  parts_.upstreams.OnAnswer(*upstream, turn.prompt_tokens,
+                            result == nullptr ? nullptr : result->load.get());
+  if (result != nullptr) {
+    result->upstream = record.upstream.value;
+    return std::move(*result);
+  }
+  if (!answer.ok() && absl::IsUnavailable(answer.status())) {
+    parts_.upstreams.OnUnreachable(*upstream);
+  }
+  return FailureResult(DispatchError(answer.status()));
+}
+
+wire::ResultT TurnRunner::Finish(Turn& turn, TurnHold hold,
+                                 wire::ResultT result) {
+  CallOutcome outcome = ToOutcome(result);
+  if (turn.route.kind == RouteKind::kModel && result.failure == nullptr) {
+    outcome.added = turn.request.messages;
+    outcome.added.push_back(AssistantMessage(result.body));
+    parts_.upstreams.RememberHome(
+        turn.key, UpstreamId(result.upstream),
+        result.prompt_tokens + result.completion_tokens);
+  }
+  parts_.metrics.GetCounter("turn.prompt_tokens").Add(result.prompt_tokens);
+  parts_.metrics.GetCounter("turn.cached_tokens").Add(result.cached_tokens);
+  const absl::Status kept = parts_.programs.Finish(std::move(hold), outcome);
+  if (kept.ok()) return result;
+  kLog.Warning("An outcome could not be kept.",
+               {{"workspace", turn.key.workspace.value},
+                {"program", turn.key.program.value},
+                {"error", std::string(kept.message())}});
+  const bool lost = absl::IsAborted(kept) || absl::IsFailedPrecondition(kept);
+  const RunState run =
+      outcome.run == RunState::kNotRun ? RunState::kNotRun : RunState::kUnknown;
+  return FailureResult(
+      {lost ? ErrorCode::kNotOwner : ErrorCode::kStoreUnavailable, run,
+       kOwnerRetryAfter,
+       "The answer could not be kept; ask again with the same "
+       "Idempotency-Key."});
+}
+
+wire::ResultT TurnRunner::EndProgram(const wire::CallT& call) {
+  const ProgramKey key{WorkspaceId(call.workspace), ProgramId(call.program)};
+  const absl::Status ended = parts_.programs.End(key);
+  parts_.upstreams.ForgetHome(key);
+  wire::ResultT result;
+  result.status = 200;
+  if (ended.ok()) return result;
+  if (absl::IsNotFound(ended)) {
+    return FailureResult({ErrorCode::kNotFound, RunState::kNotRun, Ms{0},
+                          "There is no such program."});
+  }
+  if (absl::IsAborted(ended) || absl::IsFailedPrecondition(ended)) {
+    return FailureResult({ErrorCode::kNotOwner, RunState::kNotRun,
+                          kOwnerRetryAfter, "The program's owner changes."});
+  }
+  return FailureResult({ErrorCode::kStoreUnavailable, RunState::kUnknown,
+                        kOwnerRetryAfter,
+                        "The end could not be kept; ask again."});
+}
+
+}  // namespace knapweed
