Compile the entry against the interfaces

Cause: a missing include and a stop request that only one thread could see. Conclusion: every file of the entry compiles alone.

--- a/include/knapweed/entry/caller_front.h
+++ b/include/knapweed/entry/caller_front.h
@@ -6,6 +6,7 @@
 #include "knapweed/base/clock.h"
 #include "knapweed/base/metrics.h"
 #include "knapweed/entry/call_router.h"
+#include "knapweed/entry/caller_api.h"
 #include "knapweed/entry/entry_config.h"
 #include "knapweed/entry/rate_gate.h"
 #include "knapweed/http/server.h"
--- a/include/knapweed/entry/entry.h
+++ b/include/knapweed/entry/entry.h
@@ -21,9 +21,6 @@
   /// A graceful shutdown: fails the health check, waits until the balancer has
   /// seen it, hands programs over, and lets running requests end.
   void Stop();
-  /// Blocks until an operator asked for a stop by POST /drain on the control
-  /// address. Returns at once after `Stop`.
-  bool drain_requested() const;
   std::string DumpJson() const;
 
  private:
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -1,11 +1,10 @@
 #include "knapweed/entry/caller_front.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <variant>
 
-#include "knapweed/entry/caller_api.h"
-
 namespace knapweed {
 namespace {
 
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -1,7 +1,8 @@
 #include "knapweed/entry/entry.h"
 
-#include <atomic>
-#include <csignal>
+#include <signal.h>
+#include <unistd.h>
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -76,7 +77,6 @@
   std::unique_ptr<RpcServer> rpc_server;
   std::unique_ptr<HttpServer> control_server;
   std::unique_ptr<HttpServer> caller_server;
-  std::atomic<bool> drain_requested{false};
 };
 
 Entry::Impl::Impl(EntryConfig c)
@@ -163,9 +163,8 @@
   } else if (request.path == "/healthz") {
     responder.Send({200, {}, "ok\n"});
   } else if (request.path == "/drain" && request.method == "POST") {
-    drain_requested = true;
-    // The main thread waits for signals only; a stop by request is one too.
-    std::raise(SIGTERM);
+    // The main thread waits for signals; a stop by request is one too.
+    kill(getpid(), SIGTERM);
     responder.Send({202, json, R"({"draining":true})"});
   } else {
     responder.Send(
@@ -222,8 +221,6 @@
   kLog.Info("Left.", {{"requests_cut_off", impl.front.in_flight()}});
 }
 
-bool Entry::drain_requested() const { return impl_->drain_requested; }
-
 std::string Entry::DumpJson() const { return impl_->DumpJson(); }
 
 }  // namespace knapweed
--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -97,6 +97,8 @@
 }  // namespace
 
 struct TurnRunner::Turn {
+  Turn(const wire::CallT& c, const ChunkSink& s) : call(c), sink(s) {}
+
   const wire::CallT& call;
   const ChunkSink& sink;
   ProgramKey key;
@@ -112,7 +114,7 @@
 };
 
 wire::ResultT TurnRunner::Run(const wire::CallT& call, const ChunkSink& sink) {
-  Turn turn{.call = call, .sink = sink};
+  Turn turn(call, sink);
   turn.key = {WorkspaceId(call.workspace), ProgramId(call.program)};
   turn.partition = PartitionOf(turn.key, parts_.partition_count);
   turn.deadline = parts_.clock.Now() + Ms{call.deadline_ms};
