--- /dev/null
+++ b/standins/memory_store.cc
@@ -0,0 +1,223 @@
+#include "standins/memory_store.h"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace knapweed {
+namespace {
+
+// What becomes of one write.
+enum class WriteFate : uint8_t { kApply, kFail, kLoseRequest, kLoseAnswer };
+
+bool TakeOne(uint32_t* left) {
+  if (*left == 0) return false;
+  --*left;
+  return true;
+}
+
+absl::Status Refused() {
+  return absl::UnavailableError("the store refused; nothing was applied");
+}
+
+absl::Status Lost() { return absl::UnknownError("the answer was lost"); }
+
+}  // namespace
+
+struct MemoryStore::State {
+  struct StoredRow {
+    std::string value;
+    uint64_t version = 0;
+  };
+
+  // Counts one operation and sleeps the latency. False in an outage.
+  bool Enter(uint64_t StoreCounts::*count) {
+    Ms latency;
+    {
+      const std::lock_guard lock(mu);
+      ++(counts.*count);
+      latency = faults.latency;
+    }
+    if (latency.count > 0) SleepFor(latency);
+    const std::lock_guard lock(mu);
+    return !faults.outage;
+  }
+
+  // Needs the lock, as do the following.
+  WriteFate FateOf(const Transaction& transaction) {
+    const std::string& prefix = faults.commit_key_prefix;
+    const bool hit =
+        prefix.empty() ||
+        std::any_of(
+            transaction.writes.begin(), transaction.writes.end(),
+            [&](const RowWrite& it) { return it.key.starts_with(prefix); });
+    if (!hit) return WriteFate::kApply;
+    if (TakeOne(&faults.fail_commits)) return WriteFate::kFail;
+    if (TakeOne(&faults.lose_commits)) return WriteFate::kLoseRequest;
+    if (TakeOne(&faults.lose_commit_answers)) return WriteFate::kLoseAnswer;
+    return WriteFate::kApply;
+  }
+
+  uint64_t VersionOf(const std::string& key) const {
+    const auto it = rows.find(key);
+    return it == rows.end() ? 0 : it->second.version;
+  }
+
+  void Apply(const RowWrite& write) {
+    if (!write.value) {
+      rows.erase(write.key);
+      return;
+    }
+    StoredRow& row = rows[write.key];
+    row.value = *write.value;
+    ++row.version;
+  }
+
+  absl::Status Apply(const Transaction& transaction) {
+    for (const RowCondition& it : transaction.conditions) {
+      const uint64_t version = VersionOf(it.key);
+      if (version == it.version) continue;
+      return absl::AbortedError(absl::StrCat("row ", it.key, " is at version ",
+                                             version, ", not ", it.version));
+    }
+    for (const RowWrite& it : transaction.writes) Apply(it);
+    return absl::OkStatus();
+  }
+
+  absl::StatusOr<Row> Get(std::string_view key);
+  absl::StatusOr<std::vector<Row>> Scan(std::string_view prefix);
+  absl::Status Commit(const Transaction& transaction);
+  absl::Status Put(std::string_view name, std::string_view bytes);
+  absl::StatusOr<std::string> GetObject(std::string_view name);
+  absl::Status Remove(std::string_view name);
+  absl::StatusOr<std::vector<std::string>> List(std::string_view prefix);
+
+  mutable std::mutex mu;
+  StoreFaults faults;
+  StoreCounts counts;
+  std::map<std::string, StoredRow, std::less<>> rows;
+  std::map<std::string, std::string, std::less<>> objects;
+};
+
+absl::StatusOr<Row> MemoryStore::State::Get(std::string_view key) {
+  if (!Enter(&StoreCounts::reads)) return Refused();
+  const std::lock_guard lock(mu);
+  const auto it = rows.find(key);
+  if (it == rows.end()) return absl::NotFoundError("no such row");
+  return Row{it->first, it->second.value, it->second.version};
+}
+
+absl::StatusOr<std::vector<Row>> MemoryStore::State::Scan(
+    std::string_view prefix) {
+  if (!Enter(&StoreCounts::scans)) return Refused();
+  const std::lock_guard lock(mu);
+  std::vector<Row> found;
+  for (auto it = rows.lower_bound(prefix);
+       it != rows.end() && it->first.starts_with(prefix); ++it) {
+    found.push_back({it->first, it->second.value, it->second.version});
+  }
+  return found;
+}
+
+absl::Status MemoryStore::State::Commit(const Transaction& transaction) {
+  if (!Enter(&StoreCounts::commits)) return Refused();
+  const std::lock_guard lock(mu);
+  const WriteFate fate = FateOf(transaction);
+  if (fate == WriteFate::kFail) return Refused();
+  if (fate == WriteFate::kLoseRequest) return Lost();
+  absl::Status applied = Apply(transaction);
+  return fate == WriteFate::kLoseAnswer ? Lost() : applied;
+}
+
+absl::Status MemoryStore::State::Put(std::string_view name,
+                                     std::string_view bytes) {
+  if (!Enter(&StoreCounts::puts)) return Refused();
+  const std::lock_guard lock(mu);
+  if (TakeOne(&faults.fail_puts)) return Refused();
+  objects[std::string(name)] = std::string(bytes);
+  return TakeOne(&faults.lose_put_answers) ? Lost() : absl::OkStatus();
+}
+
+absl::StatusOr<std::string> MemoryStore::State::GetObject(
+    std::string_view name) {
+  if (!Enter(&StoreCounts::gets)) return Refused();
+  const std::lock_guard lock(mu);
+  const auto it = objects.find(name);
+  if (it == objects.end()) return absl::NotFoundError("no such object");
+  return it->second;
+}
+
+absl::Status MemoryStore::State::Remove(std::string_view name) {
+  if (!Enter(&StoreCounts::removes)) return Refused();
+  const std::lock_guard lock(mu);
+  const auto it = objects.find(name);
+  if (it == objects.end()) return absl::NotFoundError("no such object");
+  objects.erase(it);
+  return absl::OkStatus();
+}
+
+absl::StatusOr<std::vector<std::string>> MemoryStore::State::List(
+    std::string_view prefix) {
+  if (!Enter(&StoreCounts::lists)) return Refused();
+  const std::lock_guard lock(mu);
+  std::vector<std::string> names;
+  for (auto it = objects.lower_bound(prefix);
+       it != objects.end() && it->first.starts_with(prefix); ++it) {
+    names.push_back(it->first);
+  }
+  return names;
+}
+
+MemoryStore::MemoryStore() : state_(std::make_shared<State>()) {}
+
+TableService MemoryStore::Table() const {
+  TableService table;
+  table.get = [state = state_](std::string_view key) {
+    return state->Get(key);
+  };
+  table.scan = [state = state_](std::string_view prefix) {
+    return state->Scan(prefix);
+  };
+  table.commit = [state = state_](const Transaction& transaction) {
+    return state->Commit(transaction);
+  };
+  return table;
+}
+
+ObjectStore MemoryStore::Objects() const {
+  ObjectStore objects;
+  objects.put = [state = state_](std::string_view name,
+                                 std::string_view bytes) {
+    return state->Put(name, bytes);
+  };
+  objects.get = [state = state_](std::string_view name) {
+    return state->GetObject(name);
+  };
+  objects.remove = [state = state_](std::string_view name) {
+    return state->Remove(name);
+  };
+  objects.list = [state = state_](std::string_view prefix) {
+    return state->List(prefix);
+  };
+  return objects;
+}
+
+void MemoryStore::SetFaults(const StoreFaults& faults) {
+  const std::lock_guard lock(state_->mu);
+  state_->faults = faults;
+}
+
+StoreFaults MemoryStore::Faults() const {
+  const std::lock_guard lock(state_->mu);
+  return state_->faults;
+}
+
+StoreCounts MemoryStore::Counts() const {
+  const std::lock_guard lock(state_->mu);
+  return state_->counts;
+}
+
+}  // namespace knapweed
