Place calls by expected finish and queue them fairly

Entry and sidecar need both decisions before they can route. PlaceCall weighs queue wait, prefill of what is not cached and decode at the batch; CallQueue orders workspaces by virtual time and programs by attained service. Leftist heaps inside the items keep thousands of workspaces free of allocations.

--- /dev/null
+++ b/src/policy/call_queue.cc
@@ -0,0 +1,268 @@
+#include "knapweed/policy/call_queue.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "indexed_heap.h"
+#include "leftist_heap.h"
+
+namespace knapweed {
+namespace {
+
+struct CallSlot {
+  QueuedCall call;
+  uint32_t workspace = 0;
+  LeftistNode order;
+  HeapNode deadline;
+};
+
+struct OrderNodeOf {
+  std::vector<CallSlot>* calls;
+  LeftistNode& operator()(uint32_t item) const {
+    return (*calls)[item].order;
+  }
+};
+
+struct DeadlineNodeOf {
+  std::vector<CallSlot>* calls;
+  HeapNode& operator()(uint32_t item) const { return (*calls)[item].deadline; }
+};
+
+/// One workspace's account. `node.key` is its virtual time: the service tokens
+/// that it was given, per unit of weight.
+struct WorkspaceSlot {
+  uint64_t hash = 0;
+  double weight = 1;
+  HeapNode node;
+  /// Fleet-wide counter when first seen, and what this queue served since.
+  uint64_t fleet_base = 0;
+  uint64_t served_here = 0;
+  /// Tokens served elsewhere that the virtual time already holds.
+  uint64_t charged_elsewhere = 0;
+  /// Root of the heap of its calls.
+  uint32_t calls = kNoItem;
+  bool used = true;
+};
+
+struct WorkspaceNodeOf {
+  std::vector<WorkspaceSlot>* workspaces;
+  HeapNode& operator()(uint32_t item) const { return (*workspaces)[item].node; }
+};
+
+double PositiveWeight(double weight) { return std::max(weight, 1e-3); }
+
+}  // namespace
+
+struct CallQueue::Impl {
+  explicit Impl(const CallQueueOptions& opts)
+      : options(opts),
+        order(OrderNodeOf{&calls}),
+        backlogged(WorkspaceNodeOf{&workspaces}),
+        deadlines(DeadlineNodeOf{&calls}) {
+    // Twice the need lets the table clear erased entries in place.
+    ticket_to_call.reserve(2 * options.reserve_calls);
+    calls.reserve(options.reserve_calls);
+    free_calls.reserve(options.reserve_calls);
+    deadlines.reserve(options.reserve_calls);
+    hash_to_workspace.reserve(2 * options.reserve_workspaces);
+    workspaces.reserve(options.reserve_workspaces);
+    free_workspaces.reserve(options.reserve_workspaces);
+    backlogged.reserve(options.reserve_workspaces);
+  }
+
+  uint32_t NewCall(const QueuedCall& call);
+  uint32_t WorkspaceOf(uint64_t hash);
+  void ForgetIdleWorkspaces();
+  void ChargeElsewhere(WorkspaceSlot& workspace, const QueuedCall& call) const;
+  void Charge(uint32_t item, double tokens);
+  QueuedCall Take(uint32_t item);
+
+  CallQueueOptions options;
+  std::vector<CallSlot> calls;
+  std::vector<uint32_t> free_calls;
+  std::vector<WorkspaceSlot> workspaces;
+  std::vector<uint32_t> free_workspaces;
+  absl::flat_hash_map<uint64_t, uint32_t> ticket_to_call;
+  absl::flat_hash_map<uint64_t, uint32_t> hash_to_workspace;
+  LeftistHeaps<OrderNodeOf> order;
+  IndexedHeap<WorkspaceNodeOf> backlogged;
+  IndexedHeap<DeadlineNodeOf> deadlines;
+  /// Virtual time of the last workspace served; one that was idle starts here.
+  double virtual_time = 0;
+  uint64_t next_tie = 0;
+  uint64_t tokens = 0;
+};
+
+uint32_t CallQueue::Impl::NewCall(const QueuedCall& call) {
+  uint32_t item = static_cast<uint32_t>(calls.size());
+  if (free_calls.empty()) {
+    calls.emplace_back();
+  } else {
+    item = free_calls.back();
+    free_calls.pop_back();
+  }
+  CallSlot& slot = calls[item];
+  slot.call = call;
+  // Ageing by a fixed rate keeps the order of two calls the same at any time,
+  // so the key needs no update.
+  slot.order.key =
+      options.ageing_tokens_per_ms * static_cast<double>(call.queued_at.count);
+  if (options.fair) {
+    slot.order.key += static_cast<double>(call.attained_tokens);
+  }
+  slot.order.tie = next_tie++;
+  slot.deadline.key = static_cast<double>(call.deadline.count);
+  slot.deadline.tie = slot.order.tie;
+  return item;
+}
+
+uint32_t CallQueue::Impl::WorkspaceOf(uint64_t hash) {
+  if (!options.fair) hash = 0;
+  const auto it = hash_to_workspace.find(hash);
+  if (it != hash_to_workspace.end()) return it->second;
+  if (hash_to_workspace.size() >= options.max_workspaces) {
+    ForgetIdleWorkspaces();
+  }
+  uint32_t item = static_cast<uint32_t>(workspaces.size());
+  if (free_workspaces.empty()) {
+    workspaces.emplace_back();
+  } else {
+    item = free_workspaces.back();
+    free_workspaces.pop_back();
+  }
+  WorkspaceSlot& workspace = workspaces[item];
+  workspace = WorkspaceSlot{};
+  workspace.hash = hash;
+  workspace.node.key = virtual_time;
+  workspace.node.tie = hash;
+  hash_to_workspace.emplace(hash, item);
+  return item;
+}
+
+void CallQueue::Impl::ForgetIdleWorkspaces() {
+  for (uint32_t item = 0; item < workspaces.size(); ++item) {
+    WorkspaceSlot& workspace = workspaces[item];
+    if (!workspace.used || workspace.calls != kNoItem) continue;
+    hash_to_workspace.erase(workspace.hash);
+    workspace.used = false;
+    free_workspaces.push_back(item);
+  }
+}
+
+void CallQueue::Impl::ChargeElsewhere(WorkspaceSlot& workspace,
+                                      const QueuedCall& call) const {
+  const bool first = workspace.fleet_base == 0;
+  if (first || call.workspace_tokens < workspace.fleet_base) {
+    workspace.fleet_base = call.workspace_tokens;
+    workspace.served_here = 0;
+    workspace.charged_elsewhere = 0;
+    return;
+  }
+  const uint64_t since = call.workspace_tokens - workspace.fleet_base;
+  if (since <= workspace.served_here) return;
+  const uint64_t elsewhere = since - workspace.served_here;
+  if (elsewhere <= workspace.charged_elsewhere) return;
+  const auto extra =
+      static_cast<double>(elsewhere - workspace.charged_elsewhere);
+  workspace.charged_elsewhere = elsewhere;
+  const double limit =
+      std::max(workspace.node.key, virtual_time + options.max_lead_tokens);
+  workspace.node.key =
+      std::min(workspace.node.key + extra / workspace.weight, limit);
+}
+
+void CallQueue::Impl::Charge(uint32_t item, double amount) {
+  WorkspaceSlot& workspace = workspaces[item];
+  workspace.node.key += amount / workspace.weight;
+  if (workspace.node.pos != kNotInHeap) backlogged.Update(item);
+}
+
+QueuedCall CallQueue::Impl::Take(uint32_t item) {
+  const QueuedCall call = calls[item].call;
+  const uint32_t owner = calls[item].workspace;
+  WorkspaceSlot& workspace = workspaces[owner];
+  workspace.calls = order.Erase(workspace.calls, item);
+  if (workspace.calls == kNoItem) backlogged.Erase(owner);
+  if (calls[item].deadline.pos != kNotInHeap) deadlines.Erase(item);
+  ticket_to_call.erase(call.ticket);
+  free_calls.push_back(item);
+  tokens -= call.cost_tokens;
+  return call;
+}
+
+CallQueue::CallQueue(const CallQueueOptions& options)
+    : impl_(std::make_unique<Impl>(options)) {}
+CallQueue::~CallQueue() = default;
+CallQueue::CallQueue(CallQueue&&) noexcept = default;
+CallQueue& CallQueue::operator=(CallQueue&&) noexcept = default;
+
+void CallQueue::Push(const QueuedCall& call) {
+  Impl& q = *impl_;
+  if (q.ticket_to_call.contains(call.ticket)) return;
+  const uint32_t owner = q.WorkspaceOf(call.workspace_hash);
+  const uint32_t item = q.NewCall(call);
+  q.calls[item].workspace = owner;
+  q.ticket_to_call.emplace(call.ticket, item);
+  WorkspaceSlot& workspace = q.workspaces[owner];
+  workspace.weight = PositiveWeight(call.weight);
+  const bool idle = workspace.calls == kNoItem;
+  if (idle) {
+    workspace.node.key = std::max(workspace.node.key, q.virtual_time);
+  }
+  q.ChargeElsewhere(workspace, call);
+  workspace.calls = q.order.Push(workspace.calls, item);
+  if (idle) {
+    q.backlogged.Push(owner);
+  } else {
+    q.backlogged.Update(owner);
+  }
+  if (call.deadline > Ms{0}) q.deadlines.Push(item);
+  q.tokens += call.cost_tokens;
+}
+
+std::optional<QueuedCall> CallQueue::Pop(Ms /*now*/) {
+  Impl& q = *impl_;
+  if (q.backlogged.empty()) return std::nullopt;
+  const uint32_t owner = q.backlogged.Top();
+  WorkspaceSlot& workspace = q.workspaces[owner];
+  q.virtual_time = std::max(q.virtual_time, workspace.node.key);
+  const QueuedCall call = q.Take(workspace.calls);
+  workspace.served_here += call.cost_tokens;
+  q.Charge(owner, static_cast<double>(call.cost_tokens));
+  return call;
+}
+
+std::optional<QueuedCall> CallQueue::PopExpired(Ms now) {
+  Impl& q = *impl_;
+  if (q.deadlines.empty()) return std::nullopt;
+  const uint32_t item = q.deadlines.Top();
+  if (q.calls[item].call.deadline > now) return std::nullopt;
+  return q.Take(item);
+}
+
+bool CallQueue::Remove(uint64_t ticket) {
+  Impl& q = *impl_;
+  const auto it = q.ticket_to_call.find(ticket);
+  if (it == q.ticket_to_call.end()) return false;
+  q.Take(it->second);
+  return true;
+}
+
+void CallQueue::Settle(uint64_t workspace_hash, double weight,
+                       int64_t extra_tokens) {
+  Impl& q = *impl_;
+  const uint32_t owner = q.WorkspaceOf(workspace_hash);
+  WorkspaceSlot& workspace = q.workspaces[owner];
+  workspace.weight = PositiveWeight(weight);
+  // A refund never takes back more than what was served here.
+  const int64_t served = static_cast<int64_t>(workspace.served_here);
+  const int64_t extra = std::max(extra_tokens, -served);
+  workspace.served_here = static_cast<uint64_t>(served + extra);
+  q.Charge(owner, static_cast<double>(extra));
+}
+
+size_t CallQueue::size() const { return impl_->ticket_to_call.size(); }
+uint64_t CallQueue::queued_tokens() const { return impl_->tokens; }
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/policy/leftist_heap.h
@@ -0,0 +1,93 @@
+#ifndef KNAPWEED_POLICY_LEFTIST_HEAP_H_
+#define KNAPWEED_POLICY_LEFTIST_HEAP_H_
+
+#include <cstdint>
+#include <utility>
+
+namespace knapweed {
+
+inline constexpr uint32_t kNoItem = UINT32_MAX;
+
+/// Links of an item in a leftist heap; every path down the right is at most
+/// log2(n) long.
+struct LeftistNode {
+  double key = 0;
+  uint64_t tie = 0;
+  uint32_t left = kNoItem;
+  uint32_t right = kNoItem;
+  uint32_t parent = kNoItem;
+  uint32_t rank = 1;
+};
+
+/// Operations on min-heaps whose nodes live in the items themselves, so that
+/// thousands of small heaps need no memory of their own. A heap is the number
+/// of its root item, kNoItem when empty. `node_of(item)` gives the item's
+/// LeftistNode&.
+template <typename NodeOf>
+class LeftistHeaps {
+ public:
+  explicit LeftistHeaps(NodeOf node_of) : node_of_(node_of) {}
+
+  /// Returns the root of both heaps together.
+  uint32_t Merge(uint32_t a, uint32_t b) {
+    if (a == kNoItem) return b;
+    if (b == kNoItem) return a;
+    if (Before(b, a)) std::swap(a, b);
+    const uint32_t right = Merge(node_of_(a).right, b);
+    node_of_(a).right = right;
+    node_of_(right).parent = a;
+    Balance(a);
+    return a;
+  }
+
+  uint32_t Push(uint32_t root, uint32_t item) {
+    LeftistNode& node = node_of_(item);
+    node.left = node.right = node.parent = kNoItem;
+    node.rank = 1;
+    return Merge(root, item);
+  }
+
+  uint32_t Erase(uint32_t root, uint32_t item) {
+    const LeftistNode node = node_of_(item);
+    const uint32_t below = Merge(node.left, node.right);
+    if (below != kNoItem) node_of_(below).parent = node.parent;
+    if (item == root) return below;
+    LeftistNode& parent = node_of_(node.parent);
+    (parent.left == item ? parent.left : parent.right) = below;
+    // Ranks change along at most log2(n) ancestors.
+    for (uint32_t it = node.parent; it != kNoItem; it = node_of_(it).parent) {
+      if (!Balance(it)) break;
+    }
+    return root;
+  }
+
+ private:
+  bool Before(uint32_t a, uint32_t b) const {
+    const LeftistNode& x = node_of_(a);
+    const LeftistNode& y = node_of_(b);
+    if (x.key != y.key) return x.key < y.key;
+    return x.tie < y.tie;
+  }
+
+  uint32_t RankOf(uint32_t item) const {
+    return item == kNoItem ? 0 : node_of_(item).rank;
+  }
+
+  /// Puts the deeper side left. False when the rank stayed as it was.
+  bool Balance(uint32_t item) {
+    LeftistNode& node = node_of_(item);
+    if (RankOf(node.left) < RankOf(node.right)) {
+      std::swap(node.left, node.right);
+    }
+    const uint32_t rank = RankOf(node.right) + 1;
+    const bool changed = rank != node.rank;
+    node.rank = rank;
+    return changed;
+  }
+
+  NodeOf node_of_;
+};
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_POLICY_LEFTIST_HEAP_H_
--- /dev/null
+++ b/src/policy/placement.cc
@@ -0,0 +1,116 @@
+#include "knapweed/policy/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace knapweed {
+namespace {
+
+/// Candidates whose mean is taken; of more, only every n-th is read.
+constexpr size_t kMeanSample = 64;
+
+/// The usable candidates' mean, for views too old to go by.
+struct MeanLoad {
+  double wait_s = 0;
+  uint64_t n = 0;
+};
+
+double BatchFactor(const UpstreamView& up, uint32_t batch) {
+  return 1 + up.batch_slowdown * (batch > 0 ? batch - 1 : 0);
+}
+
+/// Time until a slot is free: the calls that must end first, at the mean length
+/// of what is there, through all slots.
+double SlotWait(const UpstreamView& up) {
+  const uint32_t there = up.running + up.queued;
+  if (there < up.slots) return 0;
+  const double ahead = there - up.slots + 1;
+  const double tokens = ahead * static_cast<double>(up.queued_decode_tokens);
+  return tokens * BatchFactor(up, up.slots) /
+         (up.decode_tokens_per_s * there * up.slots);
+}
+
+double WaitOf(const UpstreamView& up) {
+  return static_cast<double>(up.queued_prefill_tokens) /
+             up.prefill_tokens_per_s +
+         SlotWait(up);
+}
+
+MeanLoad MeanOf(std::span<const UpstreamView> candidates) {
+  MeanLoad mean;
+  const size_t step = candidates.size() / kMeanSample + 1;
+  for (size_t i = 0; i < candidates.size(); i += step) {
+    const UpstreamView& up = candidates[i];
+    if (!up.usable) continue;
+    mean.wait_s += WaitOf(up);
+    ++mean.n;
+  }
+  if (mean.n > 0) mean.wait_s /= static_cast<double>(mean.n);
+  return mean;
+}
+
+/// Weight of a view: 1 when fresh, 1/2 at the half-life.
+double Trust(Ms age, Ms half_life) {
+  if (age <= Ms{0}) return 1;
+  return half_life.Seconds() / (half_life.Seconds() + age.Seconds());
+}
+
+/// Mixes the random number with an index, so that each call sees its own order.
+uint64_t TieRank(uint64_t random, uint32_t index) {
+  uint64_t x = random ^ (index + 0x9E3779B97F4A7C15ULL);
+  x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  x = (x ^ (x >> 27)) * 0x94D049BB133111EBULL;
+  return x ^ (x >> 31);
+}
+
+}  // namespace
+
+FinishEstimate EstimateFinish(const PlacementCall& call,
+                              const UpstreamView& upstream) {
+  const uint64_t cached = std::min(upstream.cached_tokens, call.prompt_tokens);
+  const uint32_t batch =
+      std::min(upstream.running + upstream.queued + 1, upstream.slots);
+  FinishEstimate estimate;
+  estimate.wait_s = WaitOf(upstream);
+  estimate.prefill_s = static_cast<double>(call.prompt_tokens - cached) /
+                       upstream.prefill_tokens_per_s;
+  estimate.decode_s = static_cast<double>(call.expected_output_tokens) *
+                      BatchFactor(upstream, batch) /
+                      upstream.decode_tokens_per_s;
+  return estimate;
+}
+
+Placement PlaceCall(const PlacementCall& call,
+                    std::span<const UpstreamView> candidates,
+                    const PlacementOptions& options) {
+  const MeanLoad mean = MeanOf(candidates);
+  Placement best;
+  double best_s = 0;
+  for (const UpstreamView& up : candidates) {
+    if (!up.usable) continue;
+    FinishEstimate estimate = EstimateFinish(call, up);
+    const double trust = Trust(up.view_age, options.view_half_life);
+    estimate.wait_s = trust * estimate.wait_s + (1 - trust) * mean.wait_s;
+    const double finish = estimate.Total();
+    const uint32_t held_up = std::min(up.running, up.slots);
+    double cost =
+        finish + options.held_up_weight * held_up * estimate.prefill_s;
+    if (up.domain != call.domain) cost += options.cross_domain.Seconds();
+    if (up.index == call.home) {
+      cost -= options.stay.Seconds() + options.stay_share * finish;
+    }
+    if (best.index != kNoUpstream) {
+      const bool tie = std::abs(cost - best_s) < 1e-9;
+      const bool better = tie ? TieRank(call.random, up.index) <
+                                    TieRank(call.random, best.index)
+                              : cost < best_s;
+      if (!better) continue;
+    }
+    best.index = up.index;
+    best.expected_finish = Ms{std::llround(finish * 1000)};
+    best_s = cost;
+  }
+  return best;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,256 @@
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "knapweed/policy/call_queue.h"
+#include "knapweed/policy/placement.h"
+#include "tests/allocation_count.h"
+
+namespace knapweed {
+namespace {
+
+UpstreamView Engine(uint32_t index) {
+  UpstreamView up;
+  up.index = index;
+  up.slots = 8;
+  up.prefill_tokens_per_s = 10000;
+  up.decode_tokens_per_s = 50;
+  return up;
+}
+
+UpstreamView Cached(uint32_t index, uint64_t tokens) {
+  UpstreamView up = Engine(index);
+  up.cached_tokens = tokens;
+  return up;
+}
+
+UpstreamView Busy(uint32_t index, uint64_t prefill_tokens) {
+  UpstreamView up = Engine(index);
+  up.queued_prefill_tokens = prefill_tokens;
+  return up;
+}
+
+UpstreamView With(UpstreamView up, uint32_t domain, bool usable, Ms age) {
+  up.domain = domain;
+  up.usable = usable;
+  up.view_age = age;
+  return up;
+}
+
+UpstreamView Full(uint32_t index) {
+  UpstreamView up = Engine(index);
+  up.running = 8;
+  up.queued_decode_tokens = 1600;
+  return up;
+}
+
+TEST_CASE("a call goes where it should finish first") {
+  struct Row {
+    std::string name;
+    std::vector<UpstreamView> candidates;
+    uint32_t home;
+    uint32_t picked;
+  };
+  const std::vector<Row> rows = {
+      {"none", {}, kNoUpstream, kNoUpstream},
+      {"none usable",
+       {With(Engine(0), 0, false, Ms{0})},
+       kNoUpstream,
+       kNoUpstream},
+      {"the cached prefix", {Engine(0), Cached(1, 9000)}, kNoUpstream, 1},
+      {"the shorter backlog",
+       {Busy(0, 30000), Busy(1, 20000)},
+       kNoUpstream,
+       1},
+      {"a free slot", {Full(0), Engine(1)}, kNoUpstream, 1},
+      {"the cached home although a little busier",
+       {Engine(0), Cached(1, 9000)},
+       1,
+       1},
+      {"home within the hysteresis", {Engine(0), Busy(1, 1000)}, 1, 1},
+      {"away from an overloaded home", {Engine(0), Busy(1, 90000)}, 1, 0},
+      {"the own domain",
+       {With(Engine(0), 1, true, Ms{0}), Engine(1)},
+       kNoUpstream,
+       1},
+      {"a cached prefix in another domain",
+       {With(Cached(0, 9000), 1, true, Ms{0}), Engine(1)},
+       kNoUpstream,
+       0},
+      {"not the one that merely looked idle long ago",
+       {With(Engine(0), 0, true, Seconds(60)), Busy(1, 100), Busy(2, 20000)},
+       kNoUpstream,
+       1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    PlacementCall call;
+    call.prompt_tokens = 10000;
+    call.expected_output_tokens = 200;
+    call.home = row.home;
+    CHECK(PlaceCall(call, row.candidates).index == row.picked);
+  }
+}
+
+TEST_CASE("equal upstreams share the calls") {
+  const std::vector<UpstreamView> candidates = {Engine(0), Engine(1),
+                                                Engine(2)};
+  std::map<uint32_t, int> picked;
+  for (uint64_t i = 0; i < 300; ++i) {
+    PlacementCall call;
+    call.prompt_tokens = 1000;
+    call.random = i;
+    ++picked[PlaceCall(call, candidates).index];
+  }
+  for (uint32_t index = 0; index < 3; ++index) CHECK(picked[index] > 60);
+}
+
+struct Want {
+  uint64_t ticket;
+  uint64_t workspace;
+  uint64_t attained = 0;
+  uint64_t cost = 100;
+  int64_t queued_at = 0;
+  double weight = 1;
+  uint64_t workspace_tokens = 0;
+  int64_t deadline = 0;
+};
+
+QueuedCall CallOf(const Want& want) {
+  QueuedCall call;
+  call.ticket = want.ticket;
+  call.workspace_hash = want.workspace;
+  call.program_hash = want.ticket;
+  call.weight = want.weight;
+  call.attained_tokens = want.attained;
+  call.workspace_tokens = want.workspace_tokens;
+  call.cost_tokens = want.cost;
+  call.queued_at = Ms{want.queued_at};
+  call.deadline = Ms{want.deadline};
+  return call;
+}
+
+TEST_CASE("calls leave the queue in a fair order") {
+  struct Row {
+    std::string name;
+    std::vector<Want> calls;
+    std::vector<uint64_t> order;
+  };
+  const std::vector<Row> rows = {
+      {"empty", {}, {}},
+      {"workspaces in turn", {{1, 1}, {2, 1}, {3, 2}, {4, 2}}, {1, 3, 2, 4}},
+      {"by tokens, not by calls",
+       {{1, 1, 0, 1000}, {2, 1, 0, 1000}, {3, 2}, {4, 2}, {5, 2}},
+       {1, 3, 4, 5, 2}},
+      {"by weight",
+       {{1, 1, 0, 100, 0, 2},
+        {2, 1, 0, 100, 0, 2},
+        {3, 1, 0, 100, 0, 2},
+        {4, 2, 0, 100},
+        {5, 2, 0, 100}},
+       {1, 4, 2, 3, 5}},
+      {"least attained program first",
+       {{1, 1, 9000}, {2, 1, 100}, {3, 1, 500}},
+       {2, 3, 1}},
+      {"a long program that waited goes first",
+       {{1, 1, 9000, 100, 0}, {2, 1, 100, 100, 9500}},
+       {1, 2}},
+      {"a ticket counts once", {{1, 1}, {1, 1}}, {1}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CallQueue queue;
+    for (const Want& want : row.calls) queue.Push(CallOf(want));
+    std::vector<uint64_t> order;
+    while (std::optional<QueuedCall> call = queue.Pop(Ms{10000})) {
+      order.push_back(call->ticket);
+    }
+    CHECK(order == row.order);
+    CHECK(queue.size() == 0);
+    CHECK(queue.queued_tokens() == 0);
+  }
+}
+
+TEST_CASE("service elsewhere in the fleet counts, within a bound") {
+  CallQueue queue;
+  queue.Push(CallOf({1, 1, 0, 100, 0, 1, 1000}));
+  queue.Push(CallOf({2, 2}));
+  queue.Push(CallOf({3, 1, 0, 100, 0, 1, 1000000000}));
+  for (uint64_t i = 0; i < 2000; ++i) queue.Push(CallOf({10 + i, 2}));
+  int before = 0;
+  while (queue.Pop(Ms{0})->ticket != 1) ++before;
+  CHECK(before > 500);
+  CHECK(before <= 1002);
+}
+
+TEST_CASE("a workspace that was idle gets no credit for it") {
+  CallQueue queue;
+  for (uint64_t i = 0; i < 20; ++i) queue.Push(CallOf({i, 1}));
+  for (int i = 0; i < 10; ++i) queue.Pop(Ms{0});
+  for (uint64_t i = 20; i < 40; ++i) queue.Push(CallOf({i, 2}));
+  int newcomer = 0;
+  for (int i = 0; i < 10; ++i) {
+    newcomer += queue.Pop(Ms{0})->workspace_hash == 2 ? 1 : 0;
+  }
+  CHECK(newcomer >= 5);
+  CHECK(newcomer <= 6);
+}
+
+TEST_CASE("settling moves a workspace back or forth") {
+  CallQueue queue;
+  for (uint64_t i = 0; i < 4; ++i) queue.Push(CallOf({i, 1 + i % 2}));
+  const uint64_t first = queue.Pop(Ms{0})->workspace_hash;
+  queue.Settle(first, 1, 1000);
+  CHECK(queue.Pop(Ms{0})->workspace_hash != first);
+  CHECK(queue.Pop(Ms{0})->workspace_hash != first);
+  CHECK(queue.Pop(Ms{0})->workspace_hash == first);
+}
+
+TEST_CASE("cancelled and expired calls leave the queue") {
+  CallQueue queue;
+  queue.Push(CallOf({1, 1, 0, 100, 0, 1, 0, 50}));
+  queue.Push(CallOf({2, 1, 0, 100, 0, 1, 0, 20}));
+  queue.Push(CallOf({3, 1}));
+  CHECK_FALSE(queue.PopExpired(Ms{19}));
+  CHECK(queue.PopExpired(Ms{20})->ticket == 2);
+  CHECK_FALSE(queue.PopExpired(Ms{49}));
+  CHECK(queue.Remove(1));
+  CHECK_FALSE(queue.Remove(1));
+  CHECK_FALSE(queue.PopExpired(Ms{60}));
+  CHECK(queue.Pop(Ms{60})->ticket == 3);
+  CHECK_FALSE(queue.Pop(Ms{60}));
+}
+
+TEST_CASE("no call starves behind newer ones") {
+  CallQueue queue;
+  queue.Push(CallOf({0, 1, 5000}));
+  uint64_t ticket = 1;
+  for (int64_t now = 0;; now += 10) {
+    queue.Push(CallOf({ticket++, 1, 0, 100, now}));
+    if (queue.Pop(Ms{now})->ticket == 0) break;
+    REQUIRE(now <= 5010);
+  }
+}
+
+TEST_CASE("placement and queue allocate nothing on the path of a request") {
+  std::vector<UpstreamView> candidates;
+  for (uint32_t i = 0; i < 730; ++i) candidates.push_back(Busy(i, i));
+  CallQueue queue;
+  for (uint64_t i = 0; i < 500; ++i) queue.Push(CallOf({i, i % 40}));
+  const uint64_t before = AllocationCount();
+  for (uint64_t i = 500; i < 5000; ++i) {
+    PlacementCall call;
+    call.random = i;
+    PlaceCall(call, candidates);
+    queue.Push(CallOf({i, i % 40}));
+    queue.Pop(Ms{0});
+  }
+  CHECK(AllocationCount() - before == 0);
+}
+
+}  // namespace
+}  // namespace knapweed
