--- a/include/knapweed/entry/prompt.h
+++ b/include/knapweed/entry/prompt.h
@@ -12,7 +12,7 @@
 namespace knapweed {
 
 /// Bytes of JSON text that count as one token where no engine has counted yet.
-inline constexpr uint64_t kBytesPerToken = 4;
+inline constexpr uint64_t kEstimatedBytesPerToken = 4;
 inline constexpr uint64_t kDefaultMaxTokens = 256;
 
 /// The parts of a caller's body that the owner works with.
--- a/src/entry/prompt.cc
+++ b/src/entry/prompt.cc
@@ -58,7 +58,7 @@
 
 uint64_t EstimateTokens(std::span<const HistoryMessage> history,
                         std::span<const HistoryMessage> added) {
-  return (BytesOf(history) + BytesOf(added)) / kBytesPerToken + 1;
+  return (BytesOf(history) + BytesOf(added)) / kEstimatedBytesPerToken + 1;
 }
 
 }  // namespace knapweed
--- /dev/null
+++ b/tools/knapweed_demo.cc
@@ -0,0 +1,269 @@
+// Drives a few programs through a running fleet, as a caller would, and checks
+// each answer against what an engine must say to that program's own history.
+
+#include <popt.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "knapweed/base/daemon_args.h"
+#include "knapweed/base/ids.h"
+#include "knapweed/http/client.h"
+#include "standins/engine_answer.h"
+
+namespace knapweed {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr uint64_t kMaxTokens = 48;
+constexpr Ms kToolPause = Ms{150};
+constexpr Ms kCallTimeout = Seconds(30);
+constexpr std::string_view kModelPath = "/v1/chat/completions";
+constexpr std::string_view kBookingPath = "/book";
+
+struct DemoOptions {
+  std::vector<Address> entries;
+  Address booking_service;
+  std::string key;
+  std::string model;
+};
+
+struct Totals {
+  int calls = 0;
+  int faults = 0;
+  uint64_t prompt_tokens = 0;
+  uint64_t cached_tokens = 0;
+};
+
+/// A program as its caller keeps it, for checking only: calls carry new
+/// messages alone.
+struct DemoProgram {
+  std::string name;
+  std::string parent;
+  std::vector<ChatMessage> history;
+};
+
+class Demo {
+ public:
+  explicit Demo(DemoOptions options) : options_(std::move(options)) {
+    for (const Address& entry : options_.entries) {
+      clients_.push_back(std::make_unique<HttpClient>(entry));
+    }
+  }
+
+  /// Runs everything. Returns the number of wrong answers.
+  int Run();
+
+ private:
+  void Turn(DemoProgram& program, const std::string& text, bool stream);
+  void Book(const std::string& reference);
+  void Expect(bool good, const std::string& what);
+  void CheckAnswer(DemoProgram& program, const std::string& text,
+                   const Json& usage, const std::string& upstream, Ms took);
+  HttpRequest MakeRequest(std::string_view path, const Json& body) const;
+  /// Each call goes in at the next entry, so that most are forwarded.
+  HttpClient& NextClient() {
+    return *clients_[static_cast<size_t>(totals_.calls++) % clients_.size()];
+  }
+
+  DemoOptions options_;
+  Clock clock_ = Clock::Steady();
+  std::vector<std::unique_ptr<HttpClient>> clients_;
+  Totals totals_;
+};
+
+void Demo::Expect(bool good, const std::string& what) {
+  if (good) return;
+  ++totals_.faults;
+  std::printf("  WRONG: %s\n", what.c_str());
+}
+
+HttpRequest Demo::MakeRequest(std::string_view path, const Json& body) const {
+  HttpRequest request;
+  request.method = "POST";
+  request.path = path;
+  request.headers = {{"Authorization", "Bearer " + options_.key},
+                     {"Content-Type", "application/json"}};
+  request.body = body.dump();
+  return request;
+}
+
+// Joins the deltas of a stream; the last event carries the usage.
+std::string JoinStream(const std::string& body, Json* last, bool* done) {
+  std::string text;
+  size_t at = 0;
+  constexpr std::string_view kData = "data: ";
+  while (at < body.size()) {
+    const size_t end = std::min(body.find("\n\n", at), body.size());
+    std::string event = body.substr(at, end - at);
+    at = end + 2;
+    if (!event.starts_with(kData)) continue;
+    event.erase(0, kData.size());
+    if (event == "[DONE]") {
+      *done = true;
+      continue;
+    }
+    const Json json = Json::parse(event, nullptr, false);
+    if (!json.is_object() || !json.contains("choices")) continue;
+    text += json["choices"][0]["delta"].value("content", "");
+    *last = json;
+  }
+  return text;
+}
+
+void Demo::CheckAnswer(DemoProgram& program, const std::string& text,
+                       const Json& usage, const std::string& upstream,
+                       Ms took) {
+  const std::string expected =
+      EngineAnswer(options_.model, program.history, kMaxTokens);
+  Expect(text == expected, "not the answer to this program's own history");
+  const uint64_t prompt = usage.value("prompt_tokens", uint64_t{0});
+  const uint64_t cached = usage.value("cached_tokens", uint64_t{0});
+  totals_.prompt_tokens += prompt;
+  totals_.cached_tokens += cached;
+  std::printf("%-14s turn %zu  %5lld ms  %5llu cached %5llu computed  on %s\n",
+              program.name.c_str(), program.history.size() / 2 + 1,
+              static_cast<long long>(took.count),                // NOLINT
+              static_cast<unsigned long long>(cached),           // NOLINT
+              static_cast<unsigned long long>(prompt - cached),  // NOLINT
+              upstream.c_str());
+  std::printf("    %.72s...\n", text.c_str());
+  program.history.push_back({"assistant", text});
+}
+
+void Demo::Turn(DemoProgram& program, const std::string& text, bool stream) {
+  const Json message = {{"role", "user"}, {"content", text}};
+  HttpRequest request =
+      MakeRequest(kModelPath, {{"model", options_.model},
+                               {"messages", Json::array({message})},
+                               {"max_tokens", kMaxTokens},
+                               {"stream", stream}});
+  request.headers.push_back({"X-Knapweed-Program", program.name});
+  if (!program.parent.empty()) {
+    request.headers.push_back({"X-Knapweed-Parent", program.parent});
+  }
+  const Ms start = clock_.Now();
+  HttpCallOptions call;
+  call.timeout = kCallTimeout;
+  absl::StatusOr<HttpReply> reply = NextClient().Call(request, call);
+  const Ms took = clock_.Now() - start;
+  if (!reply.ok() || reply->status != 200) {
+    Expect(false,
+           reply.ok() ? reply->body : std::string(reply.status().message()));
+    return;
+  }
+  program.history.push_back({"user", text});
+  if (stream) {
+    Json last;
+    bool done = false;
+    const std::string answer = JoinStream(reply->body, &last, &done);
+    Expect(done, "the stream has no end marker");
+    const Json usage = last.value("usage", Json::object());
+    CheckAnswer(program, answer, usage, last.value("upstream", "?"), took);
+    return;
+  }
+  const Json json = Json::parse(reply->body, nullptr, false);
+  const std::string answer = json["choices"][0]["message"].value("content", "");
+  CheckAnswer(program, answer, json["usage"],
+              std::string(FindHeader(reply->headers, "X-Knapweed-Upstream")),
+              took);
+}
+
+void Demo::Book(const std::string& reference) {
+  HttpRequest request =
+      MakeRequest(kBookingPath, {{"reference", reference}, {"seats", 2}});
+  request.headers.push_back({"Idempotency-Key", reference});
+  request.headers.push_back({"X-Knapweed-Program", "booking-" + reference});
+  const absl::StatusOr<HttpReply> first = NextClient().Call(request);
+  const absl::StatusOr<HttpReply> again = NextClient().Call(request);
+  Expect(first.ok() && first->status == 200, "the booking failed");
+  Expect(first.ok() && again.ok() && first->body == again->body,
+         "the re-sent booking got another answer");
+  HttpClient service(options_.booking_service);
+  const absl::StatusOr<HttpReply> record =
+      service.Call({"GET", "/record", "", {}, ""});
+  int runs = 0;
+  const Json list =
+      record.ok() ? Json::parse(record->body, nullptr, false) : Json::array();
+  for (const Json& run : list) {
+    if (run.value("reference", "") == reference) ++runs;
+  }
+  Expect(runs == 1, "the booking ran " + std::to_string(runs) + " times");
+  std::printf("%-14s sent twice, ran %d time(s): %.60s\n", reference.c_str(),
+              runs, first.ok() ? first->body.c_str() : "");
+}
+
+int Demo::Run() {
+  const std::string run = RandomHexId().substr(0, 6);
+  DemoProgram order{"layout-" + run, "", {}};
+  Turn(order, "Which coupling fits the V100 and the Rh 2043?", false);
+  SleepFor(kToolPause);
+  Turn(order, "The stock tool says 14 of the first. Reserve six.", true);
+  DemoProgram helper{"detail-" + run, order.name, {}};
+  Turn(helper, "List the brass details for a V100.", false);
+  Turn(helper, "Only those in stock.", false);
+  SleepFor(kToolPause);
+  Turn(order, "Add what the other agent found, then sum up.", false);
+  Turn(order, "Write it as a dealer's order.", true);
+  Book("order-" + run);
+  const uint64_t computed = totals_.prompt_tokens - totals_.cached_tokens;
+  std::printf(
+      "%d calls, %llu prompt tokens: %llu cached, %llu computed; %d wrong\n",
+      totals_.calls,
+      static_cast<unsigned long long>(totals_.prompt_tokens),      // NOLINT
+      static_cast<unsigned long long>(totals_.cached_tokens),      // NOLINT
+      static_cast<unsigned long long>(computed), totals_.faults);  // NOLINT
+  return totals_.faults;
+}
+
+/// Reads the command line. False when something is missing or wrong.
+bool ReadOptions(int argc, const char** argv, DemoOptions* options) {
+  char* entries = nullptr;
+  char* service = nullptr;
+  char* key = nullptr;
+  char* model = nullptr;
+  const poptOption table[] = {
+      {"entries", 0, POPT_ARG_STRING, &entries, 0, "entries to call",
+       "IP:PORT,..."},
+      {"service", 0, POPT_ARG_STRING, &service, 0, "the booking stand-in",
+       "IP:PORT"},
+      {"key", 0, POPT_ARG_STRING, &key, 0, "a workspace's key", "KEY"},
+      {"model", 0, POPT_ARG_STRING, &model, 0, "model to ask", "NAME"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
+  const bool read = poptGetNextOpt(context) == -1;
+  poptFreeContext(context);
+  if (!read || entries == nullptr || service == nullptr || key == nullptr) {
+    return false;
+  }
+  options->key = key;
+  options->model = model == nullptr ? "small" : model;
+  Settings settings =
+      Settings::Parse("[demo]\nentries = " + std::string(entries) +
+                          "\nservice = " + std::string(service) + "\n",
+                      "command line");
+  options->entries = settings.GetAddresses("demo", "entries", "");
+  options->booking_service = settings.GetAddress("demo", "service");
+  return settings.Check().ok() && !options->entries.empty();
+}
+
+}  // namespace
+}  // namespace knapweed
+
+int main(int argc, const char** argv) {
+  knapweed::DemoOptions options;
+  if (!knapweed::ReadOptions(argc, argv, &options)) {
+    std::fprintf(stderr,
+                 "usage: knapweed-demo --entries IP:PORT,... --service IP:PORT "
+                 "--key KEY [--model NAME]\n");
+    return knapweed::kExitUsage;
+  }
+  knapweed::Demo demo(std::move(options));
+  return demo.Run() == 0 ? knapweed::kExitOk : knapweed::kExitFailed;
+}
