--- a/include/knapweed/rules/rules.h
+++ b/include/knapweed/rules/rules.h
@@ -78,9 +78,6 @@
 /// null when the key is unknown or withdrawn. A key reads "kw_KEYID_SECRET".
 const KeyRecord* FindKey(const Rules& rules, std::string_view presented);
 
-/// The record of a key's id, withdrawn or not; null when it is unknown.
-const KeyRecord* FindKeyById(const Rules& rules, std::string_view id);
-
 }  // namespace knapweed
 
 #endif  // KNAPWEED_RULES_RULES_H_
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -181,7 +181,7 @@
   if (caller.key_id.empty()) return true;
   if (parts_.rules.version() == *seen_version) return true;
   const RulesHolder::ReadGuard rules = parts_.rules.Read();
-  const KeyRecord* key = FindKeyById(*rules, caller.key_id);
+  const KeyRecord* key = FindKeyRecord(*rules, caller.key_id);
   if (key == nullptr || key->withdrawn) return false;
   *seen_version = rules->version;
   return true;
