Read rules files, keys and the configuration in force

Cause: nothing yet turned an operator's rules file into lookups for the path of a request, and there was no way to hold one configuration while another replaces it. A parser now reports every fault with line and column, keys are kept as salted digests, and RulesHolder publishes by read-copy-update with call_rcu, so that a publisher never waits for readers. Before: no parser. Conclusion: the entry daemon can be written against these.

--- a/include/knapweed/limits/rate_bucket.h
+++ b/include/knapweed/limits/rate_bucket.h
@@ -28,6 +28,16 @@
 /// Takes `want` tokens if they are there at `now`.
 BucketTake TakeTokens(RateBucket& bucket, double want, Ms now);
 
+/// Adds what was earned since the last fill. An earlier `now` changes nothing.
+void FillBucket(RateBucket& bucket, Ms now);
+
+/// How long after the last fill the bucket holds `tokens`; a minute when it
+/// never will.
+Ms TimeUntil(const RateBucket& bucket, double tokens);
+
+/// Gives back tokens that were taken and not used, up to the burst.
+void ReturnTokens(RateBucket& bucket, double tokens, Ms now);
+
 }  // namespace knapweed
 
 #endif  // KNAPWEED_LIMITS_RATE_BUCKET_H_
--- a/include/knapweed/rules/rules.h
+++ b/include/knapweed/rules/rules.h
@@ -15,7 +15,8 @@
 /// plain service.
 enum class RouteKind : uint8_t { kModel, kService };
 
-/// `path` is the path that callers use; `pool` names the upstreams behind it.
+/// `path` is the path that callers use, matched whole; `pool` names the
+/// upstreams behind it. Only a service route can be open or non-idempotent.
 struct RouteRule {
   std::string path;
   RouteKind kind = RouteKind::kModel;
@@ -40,7 +41,8 @@
   double weight = 1;
 };
 
-/// Limits of one program; a zero means no limit.
+/// Limits of one program; a zero means no limit. The workspace "*" stands for
+/// every workspace without a budget of its own.
 struct BudgetRule {
   WorkspaceId workspace;
   uint64_t tokens = 0;
@@ -48,6 +50,13 @@
   Ms time;
 };
 
+/// The part of each rate and burst that a failure domain may spend while it
+/// can't reach the other domains. The shares sum to at most one.
+struct DomainRule {
+  FailureDomain id;
+  double share = 0;
+};
+
 /// A caller's key as kept: never the key itself.
 struct KeyRecord {
   std::string id;
@@ -55,27 +64,39 @@
   std::string salt;
   std::string digest;
   bool withdrawn = false;
+
+  bool operator==(const KeyRecord&) const = default;
 };
 
-/// One accepted configuration; immutable once published.
+/// One accepted configuration; immutable once published. Each list is sorted by
+/// its name, path or id, which the lookups below rely on.
 struct Rules {
   uint64_t version = 0;
   std::vector<RouteRule> routes;
   std::vector<PoolRule> pools;
   std::vector<WorkspaceRule> workspaces;
   std::vector<BudgetRule> budgets;
+  std::vector<DomainRule> domains;
   std::vector<KeyRecord> keys;
 };
 
+/// Puts every list into the order that the lookups need. Call it on rules that
+/// were filled by hand.
+void SortRules(Rules& rules);
+
 /// Null when there is none. Valid as long as the rules are.
 const RouteRule* FindRoute(const Rules& rules, std::string_view path);
 const PoolRule* FindPool(const Rules& rules, std::string_view name);
 const WorkspaceRule* FindWorkspace(const Rules& rules, const WorkspaceId& id);
+const DomainRule* FindDomain(const Rules& rules, const FailureDomain& id);
 /// The workspace's own budget, or the one for all workspaces, or null.
 const BudgetRule* FindBudget(const Rules& rules, const WorkspaceId& id);
+/// The record with that id, withdrawn or not; null when there is none.
+const KeyRecord* FindKeyRecord(const Rules& rules, std::string_view id);
 
 /// The record whose digest matches a presented key, compared in constant time;
-/// null when the key is unknown or withdrawn. A key reads "kw_KEYID_SECRET".
+/// null when the key is unknown or withdrawn, or its workspace has no rule. A
+/// key reads "kw_KEYID_SECRET".
 const KeyRecord* FindKey(const Rules& rules, std::string_view presented);
 
 }  // namespace knapweed
--- /dev/null
+++ b/src/rules/rule_line.cc
@@ -0,0 +1,196 @@
+#include "rule_line.h"
+
+#include <charconv>
+#include <cmath>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
+
+namespace knapweed {
+namespace {
+
+constexpr std::string_view kBlanks = " \t\r";
+
+template <typename T>
+bool ParseWhole(std::string_view text, T* n) {
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, *n);
+  return ec == std::errc() && stop == end;
+}
+
+bool ParseSpan(std::string_view text, Ms* span) {
+  struct Unit {
+    std::string_view suffix;
+    uint32_t ms;
+  };
+  static constexpr Unit kUnits[] = {
+      {"ms", 1}, {"s", 1000}, {"m", 60'000}, {"h", 3'600'000}};
+  for (const Unit& unit : kUnits) {
+    if (!text.ends_with(unit.suffix)) continue;
+    uint32_t n = 0;
+    text.remove_suffix(unit.suffix.size());
+    if (!ParseWhole(text, &n) || n == 0) return false;
+    *span = Ms{static_cast<int64_t>(n) * unit.ms};
+    return true;
+  }
+  return false;
+}
+
+bool IsBlank(std::string_view text) {
+  return text.find_first_not_of(kBlanks) == std::string_view::npos;
+}
+
+std::string Quoted(std::string_view text) {
+  return "'" + std::string(text) + "'";
+}
+
+}  // namespace
+
+RuleLine::RuleLine(int number, std::string_view line,
+                   std::vector<RulesFault>& faults)
+    : number_(number), faults_(faults) {
+  const size_t hash = line.find('#');
+  const std::string_view rule = line.substr(0, hash);
+  end_column_ = static_cast<int>(rule.size()) + 1;
+  if (hash != std::string_view::npos)
+    comment_ = RuleWord{line.substr(hash + 1), end_column_, false};
+  Split(rule);
+}
+
+void RuleLine::Split(std::string_view text) {
+  size_t at = text.find_first_not_of(kBlanks);
+  while (at != std::string_view::npos) {
+    const size_t end = std::min(text.find_first_of(kBlanks, at), text.size());
+    words_.push_back({text.substr(at, end - at), static_cast<int>(at) + 1});
+    at = text.find_first_not_of(kBlanks, end);
+  }
+}
+
+const RuleWord& RuleLine::Kind() {
+  words_.front().used = true;
+  return words_.front();
+}
+
+void RuleLine::CheckComment() {
+  if (!comment_) {
+    Fault(end_column_,
+          "the rule has no comment; end it with '# who asked: why'");
+    return;
+  }
+  const size_t colon = comment_->text.find(':');
+  const bool whole = colon != std::string_view::npos &&
+                     !IsBlank(comment_->text.substr(0, colon)) &&
+                     !IsBlank(comment_->text.substr(colon + 1));
+  if (!whole) {
+    Fault(comment_->column,
+          "the comment does not say who asked and why; write "
+          "'# who asked: why'");
+  }
+}
+
+RuleWord RuleLine::Name(std::string_view what) {
+  if (words_.size() > 1 && words_[1].text.find('=') == std::string_view::npos) {
+    words_[1].used = true;
+    return words_[1];
+  }
+  const int column = words_.size() > 1 ? words_[1].column : end_column_;
+  Fault(column, "expected " + std::string(what) + " after " +
+                    Quoted(words_.front().text));
+  return {};
+}
+
+bool RuleLine::Flag(std::string_view name) {
+  for (RuleWord& word : words_) {
+    if (word.used || word.text != name) continue;
+    word.used = true;
+    return true;
+  }
+  return false;
+}
+
+std::optional<RuleWord> RuleLine::Value(std::string_view key) {
+  for (RuleWord& word : words_) {
+    const size_t equals = word.text.find('=');
+    if (word.used || equals == std::string_view::npos) continue;
+    if (word.text.substr(0, equals) != key) continue;
+    word.used = true;
+    const int column = word.column + static_cast<int>(equals) + 1;
+    return RuleWord{word.text.substr(equals + 1), column};
+  }
+  return std::nullopt;
+}
+
+RuleWord RuleLine::Needed(std::string_view key) {
+  const std::optional<RuleWord> value = Value(key);
+  if (value && !value->text.empty()) return *value;
+  const int column = value ? value->column : end_column_;
+  Fault(column, "the rule needs " + std::string(key) + "=VALUE");
+  return {};
+}
+
+double RuleLine::Number(std::string_view key, double fallback) {
+  const std::optional<RuleWord> value = Value(key);
+  if (!value) return fallback;
+  double n = 0;
+  if (ParseWhole(value->text, &n) && std::isfinite(n)) return n;
+  Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
+                           "; expected a number, as in 2.5");
+  return fallback;
+}
+
+uint64_t RuleLine::Count(std::string_view key) {
+  const std::optional<RuleWord> value = Value(key);
+  if (!value) return 0;
+  uint64_t n = 0;
+  if (ParseWhole(value->text, &n) && n > 0) return n;
+  Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
+                           "; expected a whole number from 1");
+  return 0;
+}
+
+Ms RuleLine::Span(std::string_view key) {
+  const std::optional<RuleWord> value = Value(key);
+  Ms span;
+  if (!value || ParseSpan(value->text, &span)) return span;
+  Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
+                           "; expected a number with its unit: ms, s, m or h, "
+                           "as in 30m");
+  return span;
+}
+
+std::vector<std::string> RuleLine::List(std::string_view key) {
+  const std::optional<RuleWord> value = Value(key);
+  if (!value) return {};
+  const absl::string_view text(value->text.data(), value->text.size());
+  std::vector<std::string> words = absl::StrSplit(text, ',');
+  for (const std::string& word : words) {
+    if (!word.empty()) continue;
+    Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
+                             "; expected names with one comma between them");
+    return {};
+  }
+  return words;
+}
+
+void RuleLine::Fault(int column, std::string message) {
+  faults_.push_back({number_, column, std::move(message)});
+}
+
+void RuleLine::Finish() {
+  for (size_t i = 0; i < words_.size(); ++i) {
+    if (words_[i].used) continue;
+    const std::string_view key =
+        words_[i].text.substr(0, words_[i].text.find('='));
+    bool doubled = false;
+    for (size_t j = 0; j < i; ++j) {
+      const std::string_view other = words_[j].text;
+      doubled |= words_[j].used && other.substr(0, other.find('=')) == key;
+    }
+    Fault(words_[i].column,
+          Quoted(words_[i].text) +
+              (doubled ? " is given twice"
+                       : " is not known for " + Quoted(words_[0].text)));
+  }
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/rules/rules_holder.cc
@@ -0,0 +1,126 @@
+#include "knapweed/rules/rules_holder.h"
+
+#include <urcu/urcu-memb.h>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace knapweed {
+namespace {
+
+/// Registers a reader thread with the library once, and ends that with the
+/// thread.
+struct ThreadRegistration {
+  ThreadRegistration() { urcu_memb_register_thread(); }
+  ~ThreadRegistration() { urcu_memb_unregister_thread(); }
+};
+
+void EnsureRegistered() {
+  thread_local ThreadRegistration registration;
+  (void)registration;
+}
+
+/// One published configuration. `head` comes first, so that the library's
+/// callback finds the whole by its address.
+struct Node {
+  rcu_head head{};
+  std::shared_ptr<const Rules> rules;
+};
+
+void FreeNode(rcu_head* head) { delete reinterpret_cast<Node*>(head); }
+
+}  // namespace
+
+struct RulesHolder::Impl {
+  std::atomic<Node*> current{nullptr};
+  /// One publisher at a time; readers never take it.
+  std::mutex publish_mu;
+  /// The newest configuration as committed, without denials.
+  std::shared_ptr<const Rules> committed;
+  std::set<std::string, std::less<>> denied;
+
+  void Swap(std::shared_ptr<const Rules> rules);
+  bool PublishWithDenials();
+};
+
+void RulesHolder::Impl::Swap(std::shared_ptr<const Rules> rules) {
+  Node* node = new Node;
+  node->rules = std::move(rules);
+  Node* old = current.exchange(node, std::memory_order_acq_rel);
+  if (old == nullptr) return;
+  EnsureRegistered();
+  urcu_memb_call_rcu(&old->head, FreeNode);
+}
+
+bool RulesHolder::Impl::PublishWithDenials() {
+  if (denied.empty()) {
+    Swap(committed);
+    return false;
+  }
+  auto copy = std::make_shared<Rules>(*committed);
+  bool found = false;
+  for (KeyRecord& key : copy->keys) {
+    if (!denied.contains(key.digest)) continue;
+    key.withdrawn = true;
+    found = true;
+  }
+  Swap(std::move(copy));
+  return found;
+}
+
+RulesHolder::ReadGuard::ReadGuard(const RulesHolder& holder) {
+  EnsureRegistered();
+  urcu_memb_read_lock();
+  const Node* node = holder.impl_->current.load(std::memory_order_acquire);
+  rules_ = node->rules.get();
+}
+
+RulesHolder::ReadGuard::~ReadGuard() { urcu_memb_read_unlock(); }
+
+RulesHolder::RulesHolder() : impl_(std::make_unique<Impl>()) {
+  impl_->committed = std::make_shared<const Rules>();
+  impl_->Swap(impl_->committed);
+}
+
+RulesHolder::~RulesHolder() {
+  urcu_memb_barrier();
+  delete impl_->current.load();
+}
+
+std::shared_ptr<const Rules> RulesHolder::Snapshot() const {
+  EnsureRegistered();
+  urcu_memb_read_lock();
+  std::shared_ptr<const Rules> rules =
+      impl_->current.load(std::memory_order_acquire)->rules;
+  urcu_memb_read_unlock();
+  return rules;
+}
+
+bool RulesHolder::Publish(std::unique_ptr<const Rules> rules) {
+  const std::scoped_lock lock(impl_->publish_mu);
+  if (rules->version <= impl_->committed->version) return false;
+  impl_->committed = std::move(rules);
+  impl_->PublishWithDenials();
+  return true;
+}
+
+uint64_t RulesHolder::version() const { return Read()->version; }
+
+bool RulesHolder::Deny(std::string_view key_digest) {
+  const std::scoped_lock lock(impl_->publish_mu);
+  impl_->denied.emplace(key_digest);
+  return impl_->PublishWithDenials();
+}
+
+void RulesHolder::LiftDenial(std::string_view key_digest) {
+  const std::scoped_lock lock(impl_->publish_mu);
+  const auto it = impl_->denied.find(key_digest);
+  if (it == impl_->denied.end()) return;
+  impl_->denied.erase(it);
+  impl_->PublishWithDenials();
+}
+
+}  // namespace knapweed
