--- /dev/null
+++ b/tests/entry_test.cc
@@ -0,0 +1,318 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "knapweed/entry/caller_api.h"
+#include "knapweed/entry/entry_config.h"
+#include "knapweed/entry/prompt.h"
+#include "knapweed/entry/stream_cursor.h"
+#include "knapweed/rules/keys.h"
+#include "knapweed/rules/parse_rules.h"
+
+namespace knapweed {
+namespace {
+
+constexpr std::string_view kRules = R"(
+pool chat models=small  # Sato: t
+pool desk  # Sato: t
+route /v1/chat/completions pool=chat  # Sato: t
+route /book pool=desk kind=service non_idempotent  # Sato: t
+route /catalogue pool=desk kind=service open  # Sato: t
+workspace cannery rate=1 burst=1  # Sato: t
+)";
+
+struct Fixture {
+  Fixture() : rules(ParseRules(kRules).rules) {
+    const IssuedKey key = MakeKey(WorkspaceId("cannery"));
+    text = key.text;
+    rules.keys = {key.record};
+    SortRules(rules);
+  }
+  Rules rules;
+  std::string text;
+};
+
+constexpr char kGoodBody[] =
+    R"({"model":"small","messages":[{"role":"user","content":"hi"}]})";
+
+TEST_CASE("bad requests are refused before anything runs") {
+  struct Row {
+    std::string path;
+    std::string body;
+    std::vector<HttpHeader> headers;
+    std::string method;
+    ErrorCode code;
+    std::string text;
+  };
+  const std::string model = "/v1/chat/completions";
+  const std::string long_name(kMaxNameBytes + 1, 'p');
+  const std::vector<Row> rows = {
+      {model, "", {}, "POST", ErrorCode::kBadRequest, "JSON object"},
+      {model, "[1]", {}, "POST", ErrorCode::kBadRequest, "JSON object"},
+      {model, "{\"model\":", {}, "POST", ErrorCode::kBadRequest, "JSON"},
+      {model, "{}", {}, "POST", ErrorCode::kBadRequest, "'model'"},
+      {model,
+       R"({"model":"small"})",
+       {},
+       "POST",
+       ErrorCode::kBadRequest,
+       "'messages'"},
+      {model,
+       R"({"model":"small","messages":[]})",
+       {},
+       "POST",
+       ErrorCode::kBadRequest,
+       "'messages'"},
+      {model,
+       R"({"model":"small","messages":[{"role":"user"}]})",
+       {},
+       "POST",
+       ErrorCode::kBadRequest,
+       "'content'"},
+      {model,
+       R"({"model":"small","messages":[7]})",
+       {},
+       "POST",
+       ErrorCode::kBadRequest,
+       "Each message"},
+      {model,
+       R"({"model":"small","stream":1,"messages":[{"role":"u","content":"h"}]})",
+       {},
+       "POST",
+       ErrorCode::kBadRequest,
+       "'stream'"},
+      {model,
+       R"({"model":"small","max_tokens":-1,"messages":[{"role":"u","content":""}]})",
+       {},
+       "POST",
+       ErrorCode::kBadRequest,
+       "'max_tokens'"},
+      {model,
+       R"({"model":"huge","messages":[{"role":"user","content":"hi"}]})",
+       {},
+       "POST",
+       ErrorCode::kUnknownModel,
+       "'huge'"},
+      {model, kGoodBody, {}, "GET", ErrorCode::kBadRequest, "POST"},
+      {model,
+       kGoodBody,
+       {{"X-Knapweed-Program", "a b"}},
+       "POST",
+       ErrorCode::kBadRequest,
+       "X-Knapweed-Program"},
+      {model,
+       kGoodBody,
+       {{"X-Knapweed-Program", long_name}},
+       "POST",
+       ErrorCode::kBadRequest,
+       "X-Knapweed-Program"},
+      {model,
+       kGoodBody,
+       {{"X-Knapweed-Parent", "\x01"}},
+       "POST",
+       ErrorCode::kBadRequest,
+       "X-Knapweed-Parent"},
+      {model,
+       kGoodBody,
+       {{"X-Knapweed-Deadline-Ms", "soon"}},
+       "POST",
+       ErrorCode::kBadRequest,
+       "milliseconds"},
+      {model,
+       kGoodBody,
+       {{"X-Knapweed-Deadline-Ms", "0"}},
+       "POST",
+       ErrorCode::kBadRequest,
+       "milliseconds"},
+      {"/book", "{}", {}, "POST", ErrorCode::kBadRequest, "Idempotency-Key"},
+  };
+  const Fixture fixture;
+  const CallerIdentity caller{WorkspaceId("cannery"), "id"};
+  for (const Row& row : rows) {
+    CAPTURE(row.body);
+    CAPTURE(row.text);
+    const RouteRule* route = FindRoute(fixture.rules, row.path);
+    REQUIRE(route != nullptr);
+    const HttpRequest request{row.method, row.path, "", row.headers, row.body};
+    const auto parsed = ParseCall(fixture.rules, *route, caller, request, {});
+    const auto* error = std::get_if<CallError>(&parsed);
+    REQUIRE(error != nullptr);
+    CHECK(error->code == row.code);
+    CHECK(error->run == RunState::kNotRun);
+    CHECK(error->message.find(row.text) != std::string::npos);
+  }
+}
+
+TEST_CASE("a call without a program is a program of its own") {
+  struct Row {
+    std::vector<HttpHeader> headers;
+    std::string program;
+    std::string key;
+  };
+  const std::vector<Row> rows = {
+      {{{"X-Knapweed-Program", "p"}, {"Idempotency-Key", "k"}}, "p", "k"},
+      {{{"Idempotency-Key", "k"}}, "call-k", "k"},
+      {{{"X-Knapweed-Program", "p"}}, "p", ""},
+  };
+  const Fixture fixture;
+  const RouteRule* route = FindRoute(fixture.rules, "/v1/chat/completions");
+  for (const Row& row : rows) {
+    CAPTURE(row.program);
+    const HttpRequest request{"POST", route->path, "", row.headers, kGoodBody};
+    const auto parsed = ParseCall(fixture.rules, *route,
+                                  {WorkspaceId("cannery"), "id"}, request, {});
+    const auto* call = std::get_if<wire::CallT>(&parsed);
+    REQUIRE(call != nullptr);
+    CHECK(call->workspace == "cannery");
+    CHECK(call->program == row.program);
+    if (row.key.empty()) {
+      CHECK(call->idempotency_key == "request-" + call->request_id);
+    } else {
+      CHECK(call->idempotency_key == row.key);
+    }
+  }
+}
+
+TEST_CASE("a request runs only for the workspace of its key") {
+  const Fixture fixture;
+  struct Row {
+    std::string path;
+    std::string header;
+    bool confirmed;
+    std::string workspace;
+    ErrorCode code;
+  };
+  const std::vector<Row> rows = {
+      {"/book", "Bearer " + fixture.text, true, "cannery", {}},
+      {"/book", fixture.text, true, "", ErrorCode::kUnauthorized},
+      {"/book", "Bearer kw_x_y", true, "", ErrorCode::kUnauthorized},
+      {"/book", "", true, "", ErrorCode::kUnauthorized},
+      {"/book", "Bearer " + fixture.text, false, "",
+       ErrorCode::kStoreUnavailable},
+      {"/catalogue", "", true, "open", {}},
+      {"/catalogue", "", false, "open", {}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.path);
+    CAPTURE(row.header);
+    HttpRequest request;
+    if (!row.header.empty()) request.headers = {{"Authorization", row.header}};
+    const auto who =
+        Authorize(fixture.rules, *FindRoute(fixture.rules, row.path), request,
+                  row.confirmed);
+    if (const auto* caller = std::get_if<CallerIdentity>(&who)) {
+      CHECK(caller->workspace.value == row.workspace);
+    } else {
+      CHECK(row.workspace.empty());
+      CHECK(std::get<CallError>(who).code == row.code);
+    }
+  }
+}
+
+TEST_CASE("every error has the one shape") {
+  for (int i = 0; i < kErrorCodeCount; ++i) {
+    const CallError error{static_cast<ErrorCode>(i), RunState::kUnknown,
+                          Ms{1500}, "why \xff"};
+    const HttpReply reply = ErrorReply(error, "r1");
+    const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    REQUIRE(json.is_object());
+    CHECK(json["error"]["code"] == ErrorCodeName(error.code));
+    CHECK(json["error"]["run"] == "unknown");
+    CHECK(json["error"]["retry_after_ms"] == 1500);
+    CHECK(json["error"]["request_id"] == "r1");
+    CHECK(FindHeader(reply.headers, "Retry-After") == "2");
+    CHECK(reply.status == HttpStatusOf(error.code));
+  }
+}
+
+TEST_CASE("a repeated answer reaches the caller once") {
+  struct Row {
+    std::string name;
+    // "<" starts the answer over.
+    std::vector<std::string> pieces;
+    std::string whole;
+    std::string seen;
+    bool diverged;
+  };
+  const std::vector<Row> rows = {
+      {"plain", {"ab", "cd"}, "abcd", "abcd", false},
+      {"again from the start",
+       {"ab", "<", "a", "bc", "d"},
+       "abcd",
+       "abcd",
+       false},
+      {"again twice", {"abc", "<", "ab", "<", "abcd"}, "abcd", "abcd", false},
+      {"another text", {"ab", "<", "ax"}, "", "ab", true},
+      {"kept whole", {"ab"}, "abcd", "abcd", false},
+      {"kept whole, different", {"ab"}, "xbcd", "ab", true},
+      {"empty pieces", {"", "ab", ""}, "ab", "ab", false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::string seen;
+    const ChunkSink sink = [&](std::string_view piece) {
+      seen += piece;
+      return true;
+    };
+    StreamCursor cursor(sink);
+    for (const std::string& piece : row.pieces) {
+      if (piece == "<") {
+        cursor.Restart();
+      } else {
+        cursor.Push(piece);
+      }
+    }
+    if (!row.whole.empty()) cursor.PushRest(row.whole);
+    CHECK(seen == row.seen);
+    CHECK(cursor.diverged() == row.diverged);
+  }
+}
+
+TEST_CASE("a prompt is the history and then the new messages") {
+  const ModelRequest request = ReadModelRequest(
+      R"({"model":"m","max_tokens":9,"messages":[{"role":"user","content":"c"}]})");
+  const std::vector<HistoryMessage> history = {
+      R"({"content":"a","role":"user"})", AssistantMessage("b\n\"q\"")};
+  const auto body = nlohmann::json::parse(BuildEngineBody(request, history));
+  CHECK(body["model"] == "m");
+  CHECK(body["max_tokens"] == 9);
+  REQUIRE(body["messages"].size() == 3);
+  CHECK(body["messages"][0]["content"] == "a");
+  CHECK(body["messages"][1]["content"] == "b\n\"q\"");
+  CHECK(body["messages"][2]["content"] == "c");
+}
+
+TEST_CASE("entry settings are checked whole") {
+  const std::string good =
+      "[entry]\nname = a\nfailure_domain = d\nlisten = 127.0.0.1:1\n"
+      "rpc = 127.0.0.1:2\ncontrol = 127.0.0.1:3\n"
+      "[platform]\ntable = 127.0.0.1:4\nobjects = 127.0.0.1:4\n";
+  struct Row {
+    std::string more;
+    std::string fault;
+  };
+  const std::vector<Row> rows = {
+      {"", ""},
+      {"[membership]\nlease = 2s\n", "'membership.renew_every' must be"},
+      {"[membership]\nlease = 2\n", "f:11: 'membership.lease' is '2'"},
+      {"[membership]\npartitions = 0\n", "from 1 to 65536"},
+      {"[log]\nlevel = loud\n", "expected debug, info"},
+      {"[entry]\nthreads = many\n", "'entry.threads' is 'many'"},
+      {"[entri]\nthreads = 1\n", "'entri.threads' is not a known"},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.more);
+    const auto config = ReadEntryConfig(Settings::Parse(good + row.more, "f"));
+    const std::string message(config.status().message());
+    CAPTURE(message);
+    CHECK(config.ok() == row.fault.empty());
+    CHECK(message.find(row.fault) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace knapweed
