Carry FlatBuffers frames over TCP between our processes

Cause: entries and sidecars had a protocol but nothing that speaks it. Frames go over Boost.Asio on a few event loops, are verified before use, and many calls share one connection; a bad frame closes only its own connection. Conclusion: the entry can be built on it.

--- a/include/knapweed/wire/rpc.h
+++ b/include/knapweed/wire/rpc.h
@@ -1,8 +1,6 @@
 #ifndef KNAPWEED_WIRE_RPC_H_
 #define KNAPWEED_WIRE_RPC_H_
 
-#include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -11,14 +9,11 @@
 #include "absl/status/statusor.h"
 #include "knapweed/base/clock.h"
 #include "knapweed/base/settings.h"
+#include "knapweed/wire/frame.h"
 #include "knapweed/wire/wire_generated.h"
 
 namespace knapweed {
 
-inline constexpr uint16_t kProtocolVersion = 1;
-/// A frame over this size closes its connection.
-inline constexpr size_t kMaxFrameBytes = 16 << 20;
-
 /// Wraps a message for sending. Example: `Wrap(wire::FenceT{{}, 3, 8})`.
 template <typename T>
 wire::BodyUnion Wrap(T message) {
@@ -37,7 +32,8 @@
       : state_(std::move(state)) {}
 
   /// Sends a Chunk, or the last message of the answer. False when the peer is
-  /// gone.
+  /// gone. A message over kMaxFrameBytes is replaced by a Failure of kTooLarge
+  /// whose run state is unknown.
   bool Send(const wire::BodyUnion& body) const;
   bool PeerGone() const;
 
@@ -52,7 +48,8 @@
 
 /// Accepts connections and hands every frame to the handler. A malformed or
 /// oversized frame closes its connection with one log line and touches nothing
-/// else.
+/// else. The destructor waits for running handlers, so no handler may destroy
+/// its server.
 class RpcServer {
  public:
   static absl::StatusOr<std::unique_ptr<RpcServer>> Start(const Address& listen,
@@ -74,9 +71,10 @@
 /// One connection to one peer, with many calls in flight; made on first use and
 /// made again after it broke, with jittered back-off. Safe from any thread.
 ///
-/// Errors of `Call`: Unavailable when the request was certainly not sent;
-/// Unknown when the connection broke after sending; DeadlineExceeded;
-/// Cancelled.
+/// Errors of `Call`: Unavailable when the request was certainly not sent, at
+/// once while the back-off lasts; InvalidArgument when it is over
+/// kMaxFrameBytes; Unknown when the connection broke after sending;
+/// DeadlineExceeded; Cancelled.
 class RpcClient {
  public:
   explicit RpcClient(Address peer);
--- /dev/null
+++ b/src/wire/io_threads.h
@@ -0,0 +1,46 @@
+#ifndef KNAPWEED_SRC_WIRE_IO_THREADS_H_
+#define KNAPWEED_SRC_WIRE_IO_THREADS_H_
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace knapweed {
+
+/// A few network threads, each with an event loop of its own. A connection
+/// stays on one loop, so that its handlers need no lock against each other.
+class IoThreads {
+ public:
+  using Loop = std::shared_ptr<boost::asio::io_context>;
+
+  explicit IoThreads(int count);
+  ~IoThreads();
+  IoThreads(const IoThreads&) = delete;
+  IoThreads& operator=(const IoThreads&) = delete;
+
+  /// Waits until every loop has run out of work; connections must be closed
+  /// before. The destructor does it too.
+  void Join();
+
+  /// The loop for the next connection, in turn.
+  const Loop& Next();
+
+  /// The threads that all clients of this process share while there are any.
+  static std::shared_ptr<IoThreads> ForClients();
+
+ private:
+  using WorkGuard =
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+  std::vector<Loop> loops_;
+  std::vector<WorkGuard> guards_;
+  std::vector<std::thread> threads_;
+  std::atomic<size_t> next_{0};
+};
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_SRC_WIRE_IO_THREADS_H_
--- /dev/null
+++ b/src/wire/rpc_client.cc
@@ -0,0 +1,296 @@
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <random>
+#include <unordered_map>
+
+#include "absl/strings/str_cat.h"
+#include "connection.h"
+#include "dial.h"
+#include "knapweed/wire/rpc.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Ms kConnectTimeout = Seconds(1);
+constexpr Ms kFirstBackoff{50};
+constexpr Ms kLongestBackoff = Seconds(2);
+constexpr int kMaxBackoffDoublings = 6;
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+TimePoint After(Ms span) {
+  return std::chrono::steady_clock::now() +
+         std::chrono::milliseconds(span.count);
+}
+
+// Between half and the whole of a span that doubles with each failure, so that
+// clients that lost a peer together don't come back together.
+Ms Backoff(int failures) {
+  static thread_local std::minstd_rand random{std::random_device{}()};
+  const int doublings = std::min(failures - 1, kMaxBackoffDoublings);
+  const Ms span = std::min(kLongestBackoff, kFirstBackoff * (1LL << doublings));
+  std::uniform_int_distribution<int64_t> jitter(span.count / 2, span.count);
+  return Ms{jitter(random)};
+}
+
+/// One call that waits for its answer.
+class PendingCall {
+ public:
+  void Add(wire::BodyUnion body) {
+    const std::lock_guard lock(mu_);
+    if (wire::ChunkT* chunk = body.AsChunk()) {
+      chunks_.push_back(std::move(chunk->data));
+    } else if (!done_) {
+      done_ = true;
+      answer_ = std::move(body);
+    }
+    changed_.notify_one();
+  }
+
+  void Fail(absl::Status status) {
+    const std::lock_guard lock(mu_);
+    if (done_) return;
+    done_ = true;
+    answer_ = std::move(status);
+    changed_.notify_one();
+  }
+
+  absl::StatusOr<wire::BodyUnion> Wait(TimePoint deadline,
+                                       const ChunkSink& on_chunk) {
+    std::unique_lock lock(mu_);
+    while (true) {
+      const bool woken = changed_.wait_until(
+          lock, deadline, [this] { return done_ || !chunks_.empty(); });
+      if (!woken) {
+        return absl::DeadlineExceededError("no answer before the deadline");
+      }
+      if (chunks_.empty()) return std::move(answer_);
+      const std::string chunk = std::move(chunks_.front());
+      chunks_.pop_front();
+      lock.unlock();
+      if (on_chunk && !on_chunk(chunk)) {
+        return absl::CancelledError("the caller stopped listening");
+      }
+      lock.lock();
+    }
+  }
+
+  const Connection::SentFlag sent = std::make_shared<std::atomic<bool>>(false);
+
+ private:
+  std::mutex mu_;
+  std::condition_variable changed_;
+  std::deque<std::string> chunks_;
+  bool done_ = false;
+  absl::StatusOr<wire::BodyUnion> answer_ = absl::UnknownError("");
+};
+
+/// What a client shares with its handlers on the loop, which may outlive it by
+/// a moment.
+struct ClientState : std::enable_shared_from_this<ClientState> {
+  ClientState(Address address, IoThreads::Loop l)
+      : peer(std::move(address)), loop(std::move(l)) {}
+
+  /// The open connection, made if need be. Unavailable when there is none.
+  absl::StatusOr<std::shared_ptr<Connection>> Connected(TimePoint deadline) {
+    std::unique_lock lock(mu);
+    if (connection != nullptr) return connection;
+    if (dial == nullptr) {
+      if (std::chrono::steady_clock::now() < retry_at) return Unreachable();
+      StartDial();
+    }
+    const uint64_t wanted = dials;
+    dial_ended.wait_until(lock, deadline, [&] {
+      return connection != nullptr || dials != wanted || dial == nullptr;
+    });
+    if (connection == nullptr) return Unreachable();
+    return connection;
+  }
+
+  absl::Status Unreachable() const {
+    return absl::UnavailableError(
+        absl::StrCat("can't connect to ", peer.ToString()));
+  }
+
+  void StartDial() {
+    ++dials;
+    dial = std::make_shared<Dial>(
+        loop, [self = shared_from_this()](boost::system::error_code ec,
+                                          Connection::Socket socket) {
+          self->OnDialed(ec, std::move(socket));
+        });
+    dial->Start(peer, kConnectTimeout);
+  }
+
+  void OnDialed(boost::system::error_code ec, Connection::Socket socket) {
+    std::shared_ptr<Connection> made;
+    {
+      const std::lock_guard lock(mu);
+      dial = nullptr;
+      if (!ec && !stopped) {
+        made = std::make_shared<Connection>(loop, std::move(socket));
+        connection = made;
+        heard = false;
+      } else {
+        BackOff();
+      }
+    }
+    if (made != nullptr) StartReading(made);
+    dial_ended.notify_all();
+  }
+
+  void StartReading(const std::shared_ptr<Connection>& made) {
+    made->Start({[self = shared_from_this()](Message message) {
+                   self->OnMessage(std::move(message));
+                 },
+                 [self = shared_from_this(), raw = made.get()] {
+                   self->OnClosed(raw);
+                 }});
+  }
+
+  void OnMessage(Message message) {
+    std::shared_ptr<PendingCall> call;
+    {
+      const std::lock_guard lock(mu);
+      heard = true;
+      failures = 0;
+      const auto it = pending.find(message.correlation);
+      // An answer that comes after its deadline finds nobody.
+      if (it == pending.end()) return;
+      call = it->second;
+    }
+    call->Add(std::move(message.body));
+  }
+
+  void OnClosed(const Connection* closed) {
+    std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> broken;
+    {
+      const std::lock_guard lock(mu);
+      if (connection.get() != closed) return;
+      connection = nullptr;
+      broken.swap(pending);
+      // A peer that accepts and hangs up at once is not asked in a tight loop.
+      if (!heard) BackOff();
+    }
+    for (const auto& [id, call] : broken) {
+      call->Fail(call->sent->load()
+                     ? absl::UnknownError(
+                           "the connection broke after the request was sent")
+                     : Unreachable());
+    }
+  }
+
+  void BackOff() {
+    ++failures;
+    retry_at = After(Backoff(failures));
+  }
+
+  /// Sends a request on a connection; false when it certainly was not sent.
+  bool Send(const std::shared_ptr<Connection>& open, uint64_t correlation,
+            const std::shared_ptr<PendingCall>& call,
+            flatbuffers::DetachedBuffer frame) {
+    {
+      const std::lock_guard lock(mu);
+      if (connection != open) return false;
+      pending.emplace(correlation, call);
+    }
+    if (open->Send(std::move(frame), call->sent)) return true;
+    Forget(correlation);
+    return false;
+  }
+
+  void Forget(uint64_t correlation) {
+    const std::lock_guard lock(mu);
+    pending.erase(correlation);
+  }
+
+  void Stop() {
+    const std::lock_guard lock(mu);
+    stopped = true;
+    if (dial != nullptr) dial->Cancel();
+    if (connection != nullptr) connection->Close();
+  }
+
+  const Address peer;
+  const IoThreads::Loop loop;
+  std::atomic<uint64_t> next_correlation{1};
+
+  mutable std::mutex mu;
+  std::condition_variable dial_ended;
+  std::shared_ptr<Dial> dial;
+  uint64_t dials = 0;
+  std::shared_ptr<Connection> connection;
+  std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> pending;
+  bool heard = false;
+  bool stopped = false;
+  int failures = 0;
+  TimePoint retry_at;
+};
+
+}  // namespace
+
+struct RpcClient::Impl {
+  explicit Impl(Address peer)
+      : threads(IoThreads::ForClients()),
+        state(std::make_shared<ClientState>(std::move(peer), threads->Next())) {
+  }
+
+  // Only the client holds the threads: a handler that dropped them last would
+  // have to wait for itself.
+  const std::shared_ptr<IoThreads> threads;
+  const std::shared_ptr<ClientState> state;
+};
+
+RpcClient::RpcClient(Address peer)
+    : impl_(std::make_unique<Impl>(std::move(peer))) {}
+
+RpcClient::~RpcClient() { impl_->state->Stop(); }
+
+absl::StatusOr<wire::BodyUnion> RpcClient::Call(const wire::BodyUnion& request,
+                                                Ms timeout,
+                                                const ChunkSink& on_chunk) {
+  ClientState& state = *impl_->state;
+  const TimePoint deadline = After(timeout);
+  const uint64_t correlation = state.next_correlation.fetch_add(1);
+  flatbuffers::DetachedBuffer frame = EncodeFrame(correlation, request);
+  if (frame.size() > kMaxFrameBytes + kFrameLengthBytes) {
+    return absl::InvalidArgumentError("the request is over the frame limit");
+  }
+  absl::StatusOr<std::shared_ptr<Connection>> open = state.Connected(deadline);
+  if (!open.ok()) return open.status();
+  auto call = std::make_shared<PendingCall>();
+  if (!state.Send(*open, correlation, call, std::move(frame))) {
+    return state.Unreachable();
+  }
+  absl::StatusOr<wire::BodyUnion> answer = call->Wait(deadline, on_chunk);
+  state.Forget(correlation);
+  return answer;
+}
+
+bool RpcClient::connected() const {
+  const std::lock_guard lock(impl_->state->mu);
+  return impl_->state->connection != nullptr;
+}
+
+const Address& RpcClient::peer() const { return impl_->state->peer; }
+
+struct RpcPool::Impl {
+  std::mutex mu;
+  std::map<Address, std::shared_ptr<RpcClient>> clients;
+};
+
+RpcPool::RpcPool() : impl_(std::make_unique<Impl>()) {}
+RpcPool::~RpcPool() = default;
+
+std::shared_ptr<RpcClient> RpcPool::Get(const Address& peer) {
+  const std::lock_guard lock(impl_->mu);
+  std::shared_ptr<RpcClient>& client = impl_->clients[peer];
+  if (client == nullptr) client = std::make_shared<RpcClient>(peer);
+  return client;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/wire/rpc_server.cc
@@ -0,0 +1,162 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <future>
+#include <mutex>
+#include <unordered_set>
+
+#include "absl/strings/str_cat.h"
+#include "connection.h"
+#include "knapweed/base/log.h"
+#include "knapweed/base/outcome.h"
+#include "knapweed/wire/rpc.h"
+
+namespace knapweed {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr Logger kLog("wire");
+constexpr int kServerThreads = 2;
+/// How long to wait before accepting again after the system refused to.
+constexpr std::chrono::milliseconds kAcceptRetry{100};
+
+flatbuffers::DetachedBuffer TooLargeFrame(uint64_t correlation) {
+  wire::FailureT failure;
+  failure.code = static_cast<uint8_t>(ErrorCode::kTooLarge);
+  failure.run = static_cast<uint8_t>(RunState::kUnknown);
+  failure.message = "the answer is over the frame limit";
+  return EncodeFrame(correlation, Wrap(std::move(failure)));
+}
+
+}  // namespace
+
+struct ReplyHandle::State {
+  std::shared_ptr<Connection> connection;
+  uint64_t correlation = 0;
+};
+
+bool ReplyHandle::Send(const wire::BodyUnion& body) const {
+  if (PeerGone()) return false;
+  flatbuffers::DetachedBuffer frame = EncodeFrame(state_->correlation, body);
+  if (frame.size() > kMaxFrameBytes + kFrameLengthBytes) {
+    frame = TooLargeFrame(state_->correlation);
+  }
+  return state_->connection->Send(std::move(frame));
+}
+
+bool ReplyHandle::PeerGone() const { return state_->connection->closed(); }
+
+struct RpcServer::Impl {
+  explicit Impl(RpcHandler h)
+      : handler(std::move(h)),
+        accept_loop(threads.Next()),
+        acceptor(*accept_loop),
+        retry(*accept_loop) {}
+
+  absl::Status Listen(const Address& listen) {
+    boost::system::error_code ec;
+    const tcp::endpoint endpoint(asio::ip::make_address_v4(listen.host, ec),
+                                 listen.port);
+    if (!ec) acceptor.open(tcp::v4(), ec);
+    if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec) acceptor.bind(endpoint, ec);
+    if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (!ec) return absl::OkStatus();
+    return absl::UnavailableError(absl::StrCat(
+        "can't listen on ", listen.ToString(), ": ", ec.message()));
+  }
+
+  void Accept() {
+    const IoThreads::Loop loop = threads.Next();
+    acceptor.async_accept(
+        *loop, [this, loop](boost::system::error_code ec, tcp::socket socket) {
+          if (stopping) return;
+          if (ec) return AcceptLater(ec);
+          Adopt(loop, std::move(socket));
+          Accept();
+        });
+  }
+
+  void AcceptLater(boost::system::error_code ec) {
+    kLog.Warning("Can't accept a connection.", {{"reason", ec.message()}});
+    retry.expires_after(kAcceptRetry);
+    retry.async_wait([this](boost::system::error_code) {
+      if (!stopping) Accept();
+    });
+  }
+
+  void Adopt(const IoThreads::Loop& loop, tcp::socket socket) {
+    auto connection = std::make_shared<Connection>(loop, std::move(socket));
+    {
+      const std::lock_guard lock(mu);
+      connections.insert(connection);
+    }
+    asio::post(*loop, [this, connection] {
+      const std::weak_ptr<Connection> weak = connection;
+      connection->Start(
+          {[this, weak](Message message) { Receive(weak, std::move(message)); },
+           [this, weak] { Forget(weak); }});
+    });
+  }
+
+  void Receive(const std::weak_ptr<Connection>& weak, Message message) {
+    auto state = std::make_shared<ReplyHandle::State>();
+    state->connection = weak.lock();
+    state->correlation = message.correlation;
+    handler(std::move(message.body), ReplyHandle(std::move(state)));
+  }
+
+  void Forget(const std::weak_ptr<Connection>& weak) {
+    const std::lock_guard lock(mu);
+    connections.erase(weak.lock());
+  }
+
+  // Returns when no connection can come any more and all were told to close.
+  void Stop() {
+    std::promise<void> stopped;
+    asio::post(*accept_loop, [this, &stopped] {
+      stopping = true;
+      boost::system::error_code ec;
+      acceptor.close(ec);
+      retry.cancel();
+      CloseAll();
+      stopped.set_value();
+    });
+    stopped.get_future().wait();
+  }
+
+  void CloseAll() {
+    const std::lock_guard lock(mu);
+    for (const auto& connection : connections) connection->Close();
+  }
+
+  RpcHandler handler;
+  std::mutex mu;
+  std::unordered_set<std::shared_ptr<Connection>> connections;
+  // Of the accept loop only.
+  bool stopping = false;
+  IoThreads threads{kServerThreads};
+  IoThreads::Loop accept_loop;
+  tcp::acceptor acceptor;
+  asio::steady_timer retry;
+};
+
+absl::StatusOr<std::unique_ptr<RpcServer>> RpcServer::Start(
+    const Address& listen, RpcHandler handler) {
+  auto impl = std::make_unique<Impl>(std::move(handler));
+  absl::Status status = impl->Listen(listen);
+  if (!status.ok()) return status;
+  asio::post(*impl->accept_loop, [raw = impl.get()] { raw->Accept(); });
+  return std::unique_ptr<RpcServer>(new RpcServer(std::move(impl)));
+}
+
+RpcServer::RpcServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+RpcServer::~RpcServer() {
+  impl_->Stop();
+  impl_->threads.Join();
+}
+
+}  // namespace knapweed
