Tell the peer when a waiting caller has gone

Cause: a call that waited for its answer could not end early, so a withdrawn key kept its queued calls until their deadline. Conclusion: empty pieces carry the question; a Cancel frame carries the answer.

--- a/include/knapweed/wire/rpc.h
+++ b/include/knapweed/wire/rpc.h
@@ -64,8 +64,10 @@
   std::unique_ptr<Impl> impl_;
 };
 
-/// Takes the data of Chunk messages in order. Called on the thread that waits
-/// in `Call`; false stops listening, and `Call` returns Cancelled.
+/// Takes the data of Chunk messages in order, and now and then an empty piece
+/// that only asks whether anyone still listens. Called on the thread that waits
+/// in `Call`; false stops listening: `Call` returns Cancelled, and the peer's
+/// ReplyHandle finds its peer gone.
 using ChunkSink = std::function<bool(std::string_view)>;
 
 /// One connection to one peer, with many calls in flight; made on first use and
--- a/src/wire/rpc_client.cc
+++ b/src/wire/rpc_client.cc
@@ -15,6 +15,8 @@
 namespace knapweed {
 namespace {
 
+/// How often a call that waits asks whether its caller is still there.
+constexpr Ms kWaitTick{250};
 constexpr Ms kConnectTimeout = Seconds(1);
 constexpr Ms kFirstBackoff{50};
 constexpr Ms kLongestBackoff = Seconds(2);
@@ -63,14 +65,18 @@
                                        const ChunkSink& on_chunk) {
     std::unique_lock lock(mu_);
     while (true) {
-      const bool woken = changed_.wait_until(
-          lock, deadline, [this] { return done_ || !chunks_.empty(); });
-      if (!woken) {
+      const bool woken =
+          changed_.wait_until(lock, std::min(deadline, After(kWaitTick)),
+                              [this] { return done_ || !chunks_.empty(); });
+      if (!woken && std::chrono::steady_clock::now() >= deadline) {
         return absl::DeadlineExceededError("no answer before the deadline");
       }
-      if (chunks_.empty()) return std::move(answer_);
-      const std::string chunk = std::move(chunks_.front());
-      chunks_.pop_front();
+      if (woken && chunks_.empty()) return std::move(answer_);
+      std::string chunk;
+      if (woken) {
+        chunk = std::move(chunks_.front());
+        chunks_.pop_front();
+      }
       lock.unlock();
       if (on_chunk && !on_chunk(chunk)) {
         return absl::CancelledError("the caller stopped listening");
@@ -268,6 +274,12 @@
   }
   absl::StatusOr<wire::BodyUnion> answer = call->Wait(deadline, on_chunk);
   state.Forget(correlation);
+  const bool given_up = absl::IsCancelled(answer.status()) ||
+                        absl::IsDeadlineExceeded(answer.status());
+  // The peer learns that nobody waits, so that it can stop the work.
+  if (given_up) {
+    (*open)->Send(EncodeFrame(correlation, Wrap(wire::CancelT{})));
+  }
   return answer;
 }
 
--- a/src/wire/rpc_server.cc
+++ b/src/wire/rpc_server.cc
@@ -1,7 +1,9 @@
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <future>
+#include <map>
 #include <mutex>
 #include <unordered_set>
 
@@ -32,9 +34,50 @@
 
 }  // namespace
 
+/// The requests of one server that somebody may still answer, so that a notice
+/// from the peer finds them.
+class OpenRequests {
+ public:
+  struct Key {
+    const Connection* connection;
+    uint64_t correlation;
+    auto operator<=>(const Key&) const = default;
+  };
+
+  void Add(Key key, const std::shared_ptr<std::atomic<bool>>& abandoned) {
+    const std::lock_guard lock(mu_);
+    open_[key] = abandoned;
+  }
+  void Remove(Key key) {
+    const std::lock_guard lock(mu_);
+    open_.erase(key);
+  }
+  void Abandon(Key key) {
+    const std::lock_guard lock(mu_);
+    const auto it = open_.find(key);
+    if (it != open_.end()) it->second->store(true);
+  }
+
+ private:
+  std::mutex mu_;
+  std::map<Key, std::shared_ptr<std::atomic<bool>>> open_;
+};
+
 struct ReplyHandle::State {
-  std::shared_ptr<Connection> connection;
-  uint64_t correlation = 0;
+  State(std::shared_ptr<Connection> c, uint64_t id,
+        std::shared_ptr<OpenRequests> r)
+      : connection(std::move(c)), correlation(id), requests(std::move(r)) {
+    requests->Add({connection.get(), correlation}, abandoned);
+  }
+  ~State() { requests->Remove({connection.get(), correlation}); }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  const std::shared_ptr<Connection> connection;
+  const uint64_t correlation;
+  const std::shared_ptr<OpenRequests> requests;
+  const std::shared_ptr<std::atomic<bool>> abandoned =
+      std::make_shared<std::atomic<bool>>(false);
 };
 
 bool ReplyHandle::Send(const wire::BodyUnion& body) const {
@@ -46,7 +89,9 @@
   return state_->connection->Send(std::move(frame));
 }
 
-bool ReplyHandle::PeerGone() const { return state_->connection->closed(); }
+bool ReplyHandle::PeerGone() const {
+  return *state_->abandoned || state_->connection->closed();
+}
 
 struct RpcServer::Impl {
   explicit Impl(RpcHandler h)
@@ -102,9 +147,14 @@
   }
 
   void Receive(const std::weak_ptr<Connection>& weak, Message message) {
-    auto state = std::make_shared<ReplyHandle::State>();
-    state->connection = weak.lock();
-    state->correlation = message.correlation;
+    std::shared_ptr<Connection> connection = weak.lock();
+    const wire::CancelT* cancel = message.body.AsCancel();
+    if (cancel != nullptr && cancel->attempt.empty()) {
+      requests->Abandon({connection.get(), message.correlation});
+      return;
+    }
+    auto state = std::make_shared<ReplyHandle::State>(
+        std::move(connection), message.correlation, requests);
     handler(std::move(message.body), ReplyHandle(std::move(state)));
   }
 
@@ -133,6 +183,8 @@
   }
 
   RpcHandler handler;
+  const std::shared_ptr<OpenRequests> requests =
+      std::make_shared<OpenRequests>();
   std::mutex mu;
   std::unordered_set<std::shared_ptr<Connection>> connections;
   // Of the accept loop only.
