Reach the platform's services over HTTP, and fake them in a daemon

The HTTP library gains percent encoding and closing a connection unanswered; both are additive. Conclusion: one table of tests holds for the fake in memory and over HTTP; object names that a path can't carry are refused instead of altered.

--- a/include/knapweed/http/server.h
+++ b/include/knapweed/http/server.h
@@ -27,6 +27,8 @@
   /// False when the peer is gone; nothing more need be written.
   bool Write(std::string_view chunk);
   void End();
+  /// Closes the connection once the handler returns, with nothing more sent.
+  void Drop();
   bool started() const { return started_; }
 
  private:
--- a/include/knapweed/platform/object_store.h
+++ b/include/knapweed/platform/object_store.h
@@ -14,8 +14,9 @@
 
 /// The platform's object store as functions. Objects are written whole; a name
 /// is written once by convention, so that writing it again after a lost answer
-/// changes nothing. Errors: NotFound; Unavailable when nothing was applied;
-/// Unknown and DeadlineExceeded otherwise.
+/// changes nothing. Errors: InvalidArgument for a bad name; NotFound;
+/// Unavailable when nothing was applied; Unknown and DeadlineExceeded
+/// otherwise.
 struct ObjectStore {
   std::function<absl::Status(std::string_view name, std::string_view bytes)>
       put;
@@ -26,6 +27,10 @@
       list;
 };
 
+/// Whether a name can stand in a path: segments between single slashes, none of
+/// them empty, "." or "..", without control characters and backslashes.
+bool IsObjectName(std::string_view name);
+
 /// A client of the object store's HTTP interface: PUT, GET and DELETE
 /// /objects/NAME, and GET /objects?prefix=P -> {"names":[...]}.
 ObjectStore ConnectObjectStore(const Address& server, Ms timeout);
--- a/include/knapweed/platform/table_service.h
+++ b/include/knapweed/platform/table_service.h
@@ -15,7 +15,7 @@
 namespace knapweed {
 
 /// A row's version rises by one with each write; the first write makes
-/// version 1.
+/// version 1. Keys and values are UTF-8 text.
 struct Row {
   std::string key;
   std::string value;
@@ -43,9 +43,10 @@
 /// The platform's transactional table service as functions, so that tests put a
 /// fake in its place.
 ///
-/// Errors: NotFound; Aborted when a condition did not hold; Unavailable when
-/// nothing was applied; Unknown and DeadlineExceeded when a commit may or may
-/// not have been applied.
+/// Errors: NotFound; InvalidArgument for text that is not UTF-8; Aborted when a
+/// condition did not hold; Unavailable when nothing was applied; Unknown and
+/// DeadlineExceeded when a commit may or may not have been applied. A read
+/// fails as Unavailable or DeadlineExceeded.
 struct TableService {
   std::function<absl::StatusOr<Row>(std::string_view key)> get;
   /// All rows whose key starts with the prefix, in key order.
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -27,4 +27,13 @@
   return buf;
 }
 
+std::string PercentEncode(std::string_view text) {
+  // Each byte becomes three at the most.
+  std::string buf(text.size() * 3 + 1, '\0');
+  const int n =
+      mg_url_encode(std::string(text).c_str(), buf.data(), buf.size());
+  buf.resize(n < 0 ? 0 : static_cast<size_t>(n));
+  return buf;
+}
+
 }  // namespace knapweed
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -53,6 +53,11 @@
 
 void HttpResponder::End() { mg_send_chunk(connection_, "", 0); }
 
+void HttpResponder::Drop() {
+  started_ = true;
+  mg_disable_connection_keep_alive(connection_);
+}
+
 struct HttpServer::Impl {
   HttpHandler handler;
   size_t max_body = 0;
--- /dev/null
+++ b/src/platform/object_store.cc
@@ -0,0 +1,78 @@
+#include "knapweed/platform/object_store.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "store_http.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+std::string PathOf(std::string_view name) {
+  return "/objects/" + PercentEncode(name);
+}
+
+absl::Status BadName(std::string_view name) {
+  return absl::InvalidArgumentError(
+      absl::StrCat("bad object name \"", std::string(name), "\""));
+}
+
+absl::StatusOr<std::vector<std::string>> ReadNames(std::string_view text) {
+  const absl::Status bad = absl::UnavailableError(
+      "the object store's list of names is not understood");
+  const json parsed = json::parse(text, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("names")) return bad;
+  std::vector<std::string> names;
+  for (const json& it : parsed["names"]) {
+    if (!it.is_string()) return bad;
+    names.push_back(it.get<std::string>());
+  }
+  return names;
+}
+
+}  // namespace
+
+bool IsObjectName(std::string_view name) {
+  for (const char it : name) {
+    if (static_cast<unsigned char>(it) < ' ' || it == '\\') return false;
+  }
+  const absl::string_view text(name.data(), name.size());
+  for (const absl::string_view segment : absl::StrSplit(text, '/')) {
+    if (segment.empty() || segment == "." || segment == "..") return false;
+  }
+  return true;
+}
+
+ObjectStore ConnectObjectStore(const Address& server, Ms timeout) {
+  const auto client = std::make_shared<HttpClient>(server);
+  ObjectStore store;
+  store.put = [client, timeout](std::string_view name, std::string_view bytes) {
+    if (!IsObjectName(name)) return BadName(name);
+    const HttpRequest request{"PUT", PathOf(name), "", {}, std::string(bytes)};
+    return WriteOverHttp(*client, request, timeout).status();
+  };
+  store.get = [client, timeout](std::string_view name) {
+    const HttpRequest request{"GET", PathOf(name), "", {}, ""};
+    return ReadOverHttp(*client, request, timeout);
+  };
+  store.remove = [client, timeout](std::string_view name) {
+    const HttpRequest request{"DELETE", PathOf(name), "", {}, ""};
+    return WriteOverHttp(*client, request, timeout).status();
+  };
+  store.list =
+      [client, timeout](
+          std::string_view prefix) -> absl::StatusOr<std::vector<std::string>> {
+    const HttpRequest request{
+        "GET", "/objects", "prefix=" + PercentEncode(prefix), {}, ""};
+    absl::StatusOr<std::string> body = ReadOverHttp(*client, request, timeout);
+    if (!body.ok()) return body.status();
+    return ReadNames(*body);
+  };
+  return store;
+}
+
+}  // namespace knapweed
--- a/standins/memory_store.cc
+++ b/standins/memory_store.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -23,6 +24,19 @@
   return absl::UnavailableError("the store refused; nothing was applied");
 }
 
+// As the HTTP client, which sends rows as JSON.
+bool IsUtf8(const Transaction& transaction) {
+  try {
+    for (const RowWrite& it : transaction.writes) {
+      (void)nlohmann::json(it.key).dump();
+      (void)nlohmann::json(it.value.value_or("")).dump();
+    }
+  } catch (const nlohmann::json::exception&) {
+    return false;
+  }
+  return true;
+}
+
 absl::Status Lost() { return absl::UnknownError("the answer was lost"); }
 
 }  // namespace
@@ -123,6 +137,9 @@
 }
 
 absl::Status MemoryStore::State::Commit(const Transaction& transaction) {
+  if (!IsUtf8(transaction)) {
+    return absl::InvalidArgumentError("row keys and values must be UTF-8");
+  }
   if (!Enter(&StoreCounts::commits)) return Refused();
   const std::lock_guard lock(mu);
   const WriteFate fate = FateOf(transaction);
@@ -134,6 +151,9 @@
 
 absl::Status MemoryStore::State::Put(std::string_view name,
                                      std::string_view bytes) {
+  if (!IsObjectName(name)) {
+    return absl::InvalidArgumentError("bad object name");
+  }
   if (!Enter(&StoreCounts::puts)) return Refused();
   const std::lock_guard lock(mu);
   if (TakeOne(&faults.fail_puts)) return Refused();
--- /dev/null
+++ b/standins/service.cc
@@ -0,0 +1,139 @@
+#include "standins/service.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "knapweed/base/ids.h"
+#include "standins/record.h"
+
+namespace knapweed {
+
+using nlohmann::json;
+
+namespace {
+
+struct ServiceOptions {
+  /// Taken before the call runs, and after it ran.
+  Ms delay_before = {};
+  Ms delay_after = {};
+  /// The next calls wait `hang` before they run.
+  uint32_t hang_next = 0;
+  Ms hang = Seconds(600);
+  /// The next calls are answered 503 without running.
+  uint32_t fail_before_next = 0;
+  /// The next connections are closed without running the call.
+  uint32_t drop_before_next = 0;
+  /// The next calls run, and then their connection is closed unanswered.
+  uint32_t drop_answer_next = 0;
+  /// Status of the answers.
+  int status = 200;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceOptions, delay_before, delay_after,
+                                   hang_next, hang, fail_before_next,
+                                   drop_before_next, drop_answer_next, status)
+
+struct Service {
+  std::string kind;
+  std::mutex mu;
+  ServiceOptions options;
+  std::map<std::string, int> runs_by_reference;
+  Record record;
+};
+
+enum class Fate : uint8_t { kRun, kFailBefore, kDropBefore, kDropAnswer };
+
+struct Plan {
+  Fate fate = Fate::kRun;
+  Ms before;
+  Ms after;
+  int status = 200;
+};
+
+bool TakeOne(uint32_t* left) {
+  if (*left == 0) return false;
+  --*left;
+  return true;
+}
+
+Plan PlanNext(Service& service) {
+  const std::lock_guard lock(service.mu);
+  ServiceOptions& options = service.options;
+  Plan plan{Fate::kRun, options.delay_before, options.delay_after,
+            options.status};
+  if (TakeOne(&options.hang_next)) plan.before += options.hang;
+  if (TakeOne(&options.fail_before_next)) {
+    plan.fate = Fate::kFailBefore;
+  } else if (TakeOne(&options.drop_before_next)) {
+    plan.fate = Fate::kDropBefore;
+  } else if (TakeOne(&options.drop_answer_next)) {
+    plan.fate = Fate::kDropAnswer;
+  }
+  return plan;
+}
+
+std::string ReferenceOf(const HttpRequest& request) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("reference")) return "";
+  const json& reference = body["reference"];
+  return reference.is_string() ? reference.get<std::string>() : "";
+}
+
+// A caller may say how long its tool takes.
+Ms SleepAskedFor(const HttpRequest& request) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("sleep_ms")) return Ms{0};
+  const json& sleep = body["sleep_ms"];
+  return Ms{sleep.is_number_integer() ? sleep.get<int64_t>() : 0};
+}
+
+int CountRun(Service& service, const std::string& reference) {
+  const std::lock_guard lock(service.mu);
+  return ++service.runs_by_reference[reference];
+}
+
+void Handle(Service& service, const HttpRequest& request,
+            HttpResponder& responder) {
+  const Plan plan = PlanNext(service);
+  const std::string reference = ReferenceOf(request);
+  const size_t line =
+      service.record.Add(request, {{"kind", service.kind},
+                                   {"reference", reference},
+                                   {"digest", Sha256Hex(request.body)},
+                                   {"ran", false}});
+  SleepFor(plan.before + SleepAskedFor(request));
+  if (plan.fate == Fate::kFailBefore) {
+    return SendError(responder, 503, "not now");
+  }
+  if (plan.fate == Fate::kDropBefore) return responder.Drop();
+  const int runs = CountRun(service, reference);
+  service.record.Update(line, {{"ran", true}, {"ran_ms", WallTime().count}});
+  SleepFor(plan.after);
+  if (plan.fate == Fate::kDropAnswer) return responder.Drop();
+  SendJson(responder, plan.status,
+           {{"reference", reference}, {"runs", runs}, {"path", request.path}});
+}
+
+Standin MakeService(std::string kind) {
+  const auto service = std::make_shared<Service>();
+  service->kind = std::move(kind);
+  Standin standin;
+  standin.handle = [service](const HttpRequest& request,
+                             HttpResponder& responder) {
+    Handle(*service, request, responder);
+  };
+  standin.control = [service](const json& fields) {
+    const std::lock_guard lock(service->mu);
+    return MergeFields(fields, &service->options);
+  };
+  standin.record = [service] { return service->record.ToJson(); };
+  return standin;
+}
+
+}  // namespace
+
+Standin MakeServiceStandin() { return MakeService("service"); }
+
+Standin MakeToolStandin() { return MakeService("tool"); }
+
+}  // namespace knapweed
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -21,6 +21,10 @@
     return;
   }
   if (request.path == "/slow") SleepFor(Ms{600});
+  if (request.path == "/drop") {
+    responder.Drop();
+    return;
+  }
   responder.Send(
       {200,
        {{"X-Seen", std::string(FindHeader(request.headers, "x-ask"))}},
@@ -65,6 +69,17 @@
     CHECK(reply->status == 413);
     CHECK(reply->body.find("not_run") != std::string::npos);
   }
+  SUBCASE("a dropped connection leaves open whether the request ran") {
+    CHECK(client.Call({"GET", "/drop", "", {}, ""}).status().code() ==
+          absl::StatusCode::kUnknown);
+    CHECK(client.Call({"GET", "/x", "", {}, ""}).ok());
+  }
+  SUBCASE("encoded text comes back whole") {
+    const std::string text = "a/b c?&%é";
+    auto reply = client.Call({"GET", "/x", "q=" + PercentEncode(text), {}, ""});
+    REQUIRE(reply.ok());
+    CHECK(reply->body == "GET/x" + text);
+  }
   SUBCASE("a late reply is a deadline error") {
     HttpCallOptions call;
     call.timeout = Ms{100};
--- /dev/null
+++ b/tools/knapweed_standin.cc
@@ -0,0 +1,118 @@
+// Serves one stand-in for something outside the system; for tests and demos.
+#include <popt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "standins/platform_server.h"
+#include "standins/service.h"
+#include "standins/standin.h"
+
+namespace {
+
+using knapweed::Address;
+using knapweed::Standin;
+using nlohmann::json;
+
+constexpr int kExitUsage = 2;
+constexpr char kVersion[] = "knapweed-standin 0.1.0";
+
+struct Arguments {
+  std::string role;
+  Address listen;
+  json fields = json::object();
+};
+
+int Usage(const std::string& fault) {
+  std::fprintf(stderr, "knapweed-standin: %s\nTry --help.\n", fault.c_str());
+  return kExitUsage;
+}
+
+// "slots=4" sets a number; what is no JSON is taken as text.
+bool AddField(const std::string& text, json* fields) {
+  const std::vector<std::string> parts =
+      absl::StrSplit(text, absl::MaxSplits('=', 1));
+  if (parts.size() != 2) return false;
+  const json value = json::parse(parts[1], nullptr, false);
+  (*fields)[parts[0]] = value.is_discarded() ? json(parts[1]) : value;
+  return true;
+}
+
+// Nothing when there is no such role.
+std::optional<Standin> MakeStandin(const std::string& role) {
+  if (role == "platform") return knapweed::MakePlatformStandin();
+  if (role == "service") return knapweed::MakeServiceStandin();
+  if (role == "tool") return knapweed::MakeToolStandin();
+  return std::nullopt;
+}
+
+// Serves until a signal asks for the end; nothing is kept, so nothing is
+// waited for.
+int Serve(const Arguments& arguments) {
+  std::optional<Standin> standin = MakeStandin(arguments.role);
+  if (!standin) return Usage("unknown role \"" + arguments.role + "\"");
+  const absl::Status set = standin->control(arguments.fields);
+  if (!set.ok()) return Usage(std::string(set.message()));
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const auto server =
+      knapweed::ServeStandin(arguments.listen, *std::move(standin));
+  if (!server.ok()) {
+    std::fprintf(stderr, "knapweed-standin: %s\n",
+                 std::string(server.status().message()).c_str());
+    return EXIT_FAILURE;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  std::_Exit(EXIT_SUCCESS);
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  enum Option : int { kSet = 1, kPrintVersion };
+  char* role = nullptr;
+  char* listen = nullptr;
+  char* set = nullptr;
+  const poptOption options[] = {
+      {"role", 'r', POPT_ARG_STRING, &role, 0,
+       "platform, engine, service or tool", "ROLE"},
+      {"listen", 'l', POPT_ARG_STRING, &listen, 0, "where to serve HTTP",
+       "IP:PORT"},
+      {"set", 's', POPT_ARG_STRING, &set, kSet,
+       "an option or fault of the role, as for POST /control; may be repeated",
+       "NAME=VALUE"},
+      {"version", 0, POPT_ARG_NONE, nullptr, kPrintVersion,
+       "print the version and exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context =
+      poptGetContext("knapweed-standin", argc, argv, options, 0);
+  Arguments arguments;
+  int rc = 0;
+  while ((rc = poptGetNextOpt(context)) > 0) {
+    if (rc == kPrintVersion) {
+      std::puts(kVersion);
+      return EXIT_SUCCESS;
+    }
+    if (!AddField(set, &arguments.fields)) {
+      return Usage("--set takes NAME=VALUE");
+    }
+  }
+  if (rc < -1) return Usage(poptStrerror(rc));
+  if (poptPeekArg(context) != nullptr) return Usage("unexpected argument");
+  if (role == nullptr) return Usage("--role is missing");
+  if (listen == nullptr || !knapweed::ParseAddress(listen, &arguments.listen)) {
+    return Usage("--listen takes IP:PORT");
+  }
+  arguments.role = role;
+  poptFreeContext(context);
+  return Serve(arguments);
+}
