--- /dev/null
+++ b/src/rules/config_store.cc
@@ -0,0 +1,394 @@
+#include "knapweed/rules/config_store.h"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "knapweed/rules/keys.h"
+
+namespace knapweed {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kObjectPrefix = "config/";
+/// How often a change starts over after another one came first. Each round some
+/// operator's change goes through.
+constexpr int kMaxRounds = 32;
+/// How often an uncertain answer of the store is asked about.
+constexpr int kMaxReadBacks = 4;
+
+/// An object of the chain: a whole configuration, or the delta from the version
+/// that `previous` holds.
+struct ConfigObject {
+  uint64_t version = 0;
+  std::string previous;
+  std::string full;
+  std::string delta;
+};
+
+std::string StringMember(const Json& json, const char* key) {
+  if (!json.is_object()) return "";
+  const auto it = json.find(key);
+  return it != json.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+uint64_t NumberMember(const Json& json, const char* key) {
+  if (!json.is_object()) return 0;
+  const auto it = json.find(key);
+  const bool number = it != json.end() && it->is_number_unsigned();
+  return number ? it->get<uint64_t>() : 0;
+}
+
+std::string EncodeObject(const ConfigObject& object) {
+  return Json{{"version", object.version},
+              {"previous", object.previous},
+              {"full", object.full},
+              {"delta", object.delta}}
+      .dump();
+}
+
+absl::StatusOr<ConfigObject> ReadObject(const ConfigStore& store,
+                                        std::string_view name) {
+  absl::StatusOr<std::string> bytes = store.objects.get(name);
+  if (!bytes.ok()) return bytes.status();
+  const Json json = Json::parse(*bytes, nullptr, false);
+  ConfigObject object{NumberMember(json, "version"),
+                      StringMember(json, "previous"),
+                      StringMember(json, "full"), StringMember(json, "delta")};
+  if (object.version == 0 || (object.full.empty() && object.delta.empty()))
+    return absl::DataLossError(
+        absl::StrCat("object ", std::string(name), " is no configuration"));
+  return object;
+}
+
+std::string EncodeHead(const ConfigHead& head) {
+  return Json{{"version", head.version},
+              {"digest", head.digest},
+              {"object", head.object},
+              {"writer", head.writer}}
+      .dump();
+}
+
+/// Applies the deltas, the newest first in the list, to `base`.
+absl::StatusOr<StoredConfig> ApplyAll(StoredConfig base,
+                                      const std::vector<std::string>& deltas) {
+  for (auto it = deltas.rbegin(); it != deltas.rend(); ++it) {
+    absl::StatusOr<StoredConfig> next = ApplyDelta(base, *it);
+    if (!next.ok()) return next.status();
+    base = *std::move(next);
+  }
+  return base;
+}
+
+/// Follows the chain back from the head to a whole copy or to `held`.
+absl::StatusOr<StoredConfig> ReadChain(const ConfigStore& store,
+                                       const ConfigHead& head,
+                                       const StoredConfig& held) {
+  std::vector<std::string> deltas;
+  std::string name = head.object;
+  while (true) {
+    absl::StatusOr<ConfigObject> object = ReadObject(store, name);
+    if (!object.ok()) return object.status();
+    if (!object->full.empty()) {
+      absl::StatusOr<StoredConfig> base = DecodeConfig(object->full);
+      if (!base.ok()) return base.status();
+      return ApplyAll(*std::move(base), deltas);
+    }
+    deltas.push_back(std::move(object->delta));
+    if (held.version != 0 && object->version == held.version + 1)
+      return ApplyAll(held, deltas);
+    name = object->previous;
+  }
+}
+
+std::string ObjectName(uint64_t version, std::string_view writer) {
+  return absl::StrFormat("%s%012u-%s", std::string(kObjectPrefix), version,
+                         std::string(writer));
+}
+
+/// The version in an object's name; 0 when the name has none.
+uint64_t VersionOfName(std::string_view name) {
+  if (!name.starts_with(kObjectPrefix)) return 0;
+  name.remove_prefix(kObjectPrefix.size());
+  uint64_t version = 0;
+  std::from_chars(name.data(), name.data() + name.size(), version);
+  return version;
+}
+
+/// Removes objects that no reader of the newest whole copy needs. What fails
+/// stays for the next time.
+void RemoveOldObjects(const ConfigStore& store, uint64_t version) {
+  if (version <= kFullCopyEvery) return;
+  const auto names = store.objects.list(kObjectPrefix);
+  if (!names.ok()) return;
+  for (const std::string& name : *names) {
+    const uint64_t n = VersionOfName(name);
+    if (n == 0 || n + kFullCopyEvery >= version) continue;
+    (void)store.objects.remove(name);
+  }
+}
+
+/// Whether the change that wrote `mine` is part of the history that led to
+/// `head`.
+absl::StatusOr<bool> IsInHistory(const ConfigStore& store,
+                                 const ConfigHead& head,
+                                 const ConfigHead& mine) {
+  if (head.writer == mine.writer) return true;
+  std::string name = head.object;
+  uint64_t version = head.version;
+  while (version > mine.version) {
+    absl::StatusOr<ConfigObject> object = ReadObject(store, name);
+    if (!object.ok()) return object.status();
+    name = object->previous;
+    version = object->version - 1;
+  }
+  return name == mine.object;
+}
+
+enum class CommitState : uint8_t { kDone, kLost, kNothingSent, kUnknown };
+
+/// Reads back whether an uncertain write took effect. `kNothingSent` means that
+/// the head has not moved, so that the same write may be sent again.
+CommitState ReadBack(const ConfigStore& store, const ConfigHead& before,
+                     const ConfigHead& mine) {
+  for (int i = 0; i < kMaxReadBacks; ++i) {
+    const absl::StatusOr<ConfigHead> head = ReadConfigHead(store);
+    if (!head.ok()) continue;
+    if (head->row_version == before.row_version)
+      return CommitState::kNothingSent;
+    const absl::StatusOr<bool> ours = IsInHistory(store, *head, mine);
+    if (ours.ok()) return *ours ? CommitState::kDone : CommitState::kLost;
+  }
+  return CommitState::kUnknown;
+}
+
+/// Swaps the head row. A lost answer is read back; when the head has not moved
+/// the same conditional write is sent again, since the first may still arrive
+/// and only one of the two can hold.
+CommitState CommitHead(const ConfigStore& store, const ConfigHead& before,
+                       const ConfigHead& mine) {
+  const std::string row(kConfigHeadRow);
+  const Transaction swap{{{row, before.row_version}},
+                         {{row, EncodeHead(mine)}}};
+  bool uncertain = false;
+  for (int i = 0; i < kMaxReadBacks; ++i) {
+    const absl::Status status = store.table.commit(swap);
+    if (status.ok()) return CommitState::kDone;
+    if (absl::IsUnavailable(status) && !uncertain)
+      return CommitState::kNothingSent;
+    if (absl::IsAborted(status) && !uncertain) return CommitState::kLost;
+    uncertain = true;
+    const CommitState state = ReadBack(store, before, mine);
+    if (state != CommitState::kNothingSent) return state;
+  }
+  return CommitState::kUnknown;
+}
+
+absl::Status PutObject(const ConfigStore& store, std::string_view name,
+                       std::string_view bytes) {
+  absl::Status status;
+  for (int i = 0; i < kMaxReadBacks; ++i) {
+    status = store.objects.put(name, bytes);
+    if (status.ok() || absl::IsUnavailable(status)) return status;
+  }
+  return status;
+}
+
+ChangeResult Failed(ChangeState state, uint64_t version,
+                    std::string_view message) {
+  ChangeResult result;
+  result.state = state;
+  result.version = version;
+  result.message = std::string(message);
+  return result;
+}
+
+ChangeResult Unavailable(const absl::Status& status) {
+  return Failed(ChangeState::kUnavailable, 0,
+                absl::StrCat("the platform's store can't be used: ",
+                             status.message(), "; nothing was changed"));
+}
+
+ConfigObject MakeObject(const ConfigHead& head, const StoredConfig& next,
+                        std::string_view delta) {
+  ConfigObject object;
+  object.version = next.version;
+  object.previous = head.object;
+  if (head.version == 0 || next.version % kFullCopyEvery == 0) {
+    object.full = EncodeConfig(next);
+  } else {
+    object.delta = delta;
+  }
+  return object;
+}
+
+/// Writes `next` as the successor of `base`. No value when another change came
+/// first.
+std::optional<ChangeResult> Commit(const ConfigStore& store,
+                                   const ConfigHead& head,
+                                   const StoredConfig& base,
+                                   const StoredConfig& next) {
+  ChangeResult result;
+  result.version = next.version;
+  result.push = {next.version, base.version, ConfigDigest(next),
+                 EncodeDelta(base, next)};
+  ConfigHead mine;
+  mine.version = next.version;
+  mine.digest = result.push.digest;
+  mine.writer = RandomHexId();
+  mine.object = ObjectName(next.version, mine.writer);
+  const ConfigObject object = MakeObject(head, next, result.push.delta);
+  const absl::Status put = PutObject(store, mine.object, EncodeObject(object));
+  if (!put.ok()) return Unavailable(put);
+  switch (CommitHead(store, head, mine)) {
+    case CommitState::kDone:
+      if (!object.full.empty()) RemoveOldObjects(store, next.version);
+      result.state = ChangeState::kApplied;
+      return result;
+    case CommitState::kLost:
+      (void)store.objects.remove(mine.object);
+      return std::nullopt;
+    case CommitState::kNothingSent:
+      return Unavailable(absl::UnavailableError("the commit was refused"));
+    case CommitState::kUnknown:
+      break;
+  }
+  return Failed(ChangeState::kUnknown, next.version,
+                "the store's answer was lost; the change may or may not be in "
+                "force, look at it with `show` before trying again");
+}
+
+/// Turns a copy of the configuration into what is wanted. A value ends the
+/// change without a write.
+using ConfigEdit = std::function<std::optional<ChangeResult>(StoredConfig&)>;
+
+/// Reads, edits and commits; starts over when another change came first.
+ChangeResult ChangeConfig(const ConfigStore& store, const ConfigEdit& edit) {
+  for (int i = 0; i < kMaxRounds; ++i) {
+    const absl::StatusOr<ConfigHead> head = ReadConfigHead(store);
+    if (!head.ok()) return Unavailable(head.status());
+    const absl::StatusOr<StoredConfig> base = ReadConfig(store, *head);
+    // An old head's objects may be gone by the time they are read.
+    if (absl::IsNotFound(base.status())) continue;
+    if (!base.ok()) return Unavailable(base.status());
+    StoredConfig next = *base;
+    std::optional<ChangeResult> ended = edit(next);
+    if (ended) return *std::move(ended);
+    next.version = base->version + 1;
+    if (next.rules_text != base->rules_text) next.rules_version = next.version;
+    std::optional<ChangeResult> result = Commit(store, *head, *base, next);
+    if (result) return *std::move(result);
+  }
+  return Failed(ChangeState::kConflict, 0,
+                "other changes kept coming first; try again");
+}
+
+/// The conflict that keeps one operator's rules from overwriting another's.
+std::optional<ChangeResult> FindConflict(const StoredConfig& config,
+                                         uint64_t expected) {
+  if (config.rules_version <= expected && expected <= config.version)
+    return std::nullopt;
+  return Failed(
+      ChangeState::kConflict, config.version,
+      absl::StrCat("the rules were changed in version ", config.rules_version,
+                   ", your file starts from version ", expected,
+                   "; nothing was changed. Compare with `diff`, then apply "
+                   "with --expect-version ",
+                   config.version));
+}
+
+}  // namespace
+
+absl::StatusOr<ConfigHead> ReadConfigHead(const ConfigStore& store) {
+  const absl::StatusOr<Row> row = store.table.get(kConfigHeadRow);
+  if (absl::IsNotFound(row.status())) return ConfigHead{};
+  if (!row.ok()) return row.status();
+  const Json json = Json::parse(row->value, nullptr, false);
+  ConfigHead head{NumberMember(json, "version"), StringMember(json, "digest"),
+                  StringMember(json, "object"), StringMember(json, "writer"),
+                  row->version};
+  if (head.version == 0 || head.object.empty())
+    return absl::DataLossError("the row config/head can't be understood");
+  return head;
+}
+
+absl::StatusOr<StoredConfig> ReadConfig(const ConfigStore& store,
+                                        const ConfigHead& head,
+                                        const StoredConfig& held) {
+  if (head.version == 0) return StoredConfig{};
+  if (head.version == held.version) return held;
+  absl::StatusOr<StoredConfig> config = ReadChain(store, head, held);
+  if (!config.ok()) return config.status();
+  if (config->version == head.version && ConfigDigest(*config) == head.digest)
+    return config;
+  // What this process holds may be what is wrong; a whole copy decides.
+  if (held.version != 0) return ReadConfig(store, head);
+  return absl::DataLossError(
+      absl::StrCat("configuration ", head.version, " has another digest"));
+}
+
+ChangeResult ApplyRules(const ConfigStore& store, std::string_view text,
+                        std::optional<uint64_t> expect_version) {
+  ParsedRules parsed = ParseRules(text);
+  if (!parsed.ok()) {
+    ChangeResult refused =
+        Failed(ChangeState::kRefused, 0, "the rules file has faults");
+    refused.faults = std::move(parsed.faults);
+    return refused;
+  }
+  std::optional<uint64_t> expected = expect_version;
+  return ChangeConfig(store, [&](StoredConfig& config) {
+    if (config.rules_text == text && config.version != 0)
+      return std::optional(Failed(ChangeState::kUnchanged, config.version, ""));
+    if (!expected) expected = config.version;
+    std::optional<ChangeResult> conflict = FindConflict(config, *expected);
+    if (!conflict) config.rules_text = text;
+    return conflict;
+  });
+}
+
+IssuedKeyResult IssueKey(const ConfigStore& store,
+                         const WorkspaceId& workspace) {
+  IssuedKey key = MakeKey(workspace);
+  IssuedKeyResult result;
+  result.key_id = key.record.id;
+  result.change = ChangeConfig(
+      store, [&](StoredConfig& config) -> std::optional<ChangeResult> {
+        const ParsedRules parsed = ParseRules(config.rules_text);
+        if (FindWorkspace(parsed.rules, workspace) == nullptr)
+          return Failed(ChangeState::kRefused, config.version,
+                        absl::StrCat("there is no workspace '", workspace.value,
+                                     "' in the rules"));
+        PutStoredKey(config, key.record);
+        return std::nullopt;
+      });
+  const ChangeState state = result.change.state;
+  if (state == ChangeState::kApplied || state == ChangeState::kUnknown)
+    result.key_text = std::move(key.text);
+  return result;
+}
+
+ChangeResult WithdrawKey(const ConfigStore& store, std::string_view key_id) {
+  return ChangeConfig(
+      store, [&](StoredConfig& config) -> std::optional<ChangeResult> {
+        const KeyRecord* found = FindStoredKey(config, key_id);
+        if (found == nullptr)
+          return Failed(ChangeState::kRefused, config.version,
+                        absl::StrCat("there is no key '", std::string(key_id),
+                                     "'; `keys list` shows the ids"));
+        if (found->withdrawn)
+          return Failed(ChangeState::kUnchanged, config.version,
+                        "the key is withdrawn already");
+        KeyRecord key = *found;
+        key.withdrawn = true;
+        PutStoredKey(config, std::move(key));
+        return std::nullopt;
+      });
+}
+
+}  // namespace knapweed
