--- a/src/policy/call_queue.cc
+++ b/src/policy/call_queue.cc
@@ -19,9 +19,7 @@
 
 struct OrderNodeOf {
   std::vector<CallSlot>* calls;
-  LeftistNode& operator()(uint32_t item) const {
-    return (*calls)[item].order;
-  }
+  LeftistNode& operator()(uint32_t item) const { return (*calls)[item].order; }
 };
 
 struct DeadlineNodeOf {
--- /dev/null
+++ b/src/policy/engine_order.cc
@@ -0,0 +1,90 @@
+#include "knapweed/policy/engine_order.h"
+
+#include <cmath>
+
+namespace knapweed {
+namespace {
+
+uint32_t EnginesOf(std::span<const EngineState> engines, uint32_t model) {
+  uint32_t n = 0;
+  for (const EngineState& it : engines) {
+    if (it.usable && it.model == model) ++n;
+  }
+  return n;
+}
+
+/// Engines that a model has beyond its demand; negative when it is short.
+double Spare(std::span<const EngineState> engines, const ModelDemand& demand,
+             const EngineOrderOptions& options) {
+  return EnginesOf(engines, demand.model) -
+         demand.engines / options.target_load;
+}
+
+bool CanChange(const EngineState& engine, Ms now,
+               const EngineOrderOptions& options) {
+  return engine.usable && !engine.loading && engine.epoch.n > 0 &&
+         now - engine.changed_at >= options.least_stay;
+}
+
+const ModelDemand* Shortest(std::span<const EngineState> engines,
+                            std::span<const ModelDemand> demands,
+                            const EngineOrderOptions& options) {
+  const ModelDemand* shortest = nullptr;
+  double least = 0;
+  for (const ModelDemand& it : demands) {
+    const double spare = Spare(engines, it, options);
+    if (spare >= least) continue;
+    least = spare;
+    shortest = &it;
+  }
+  return shortest;
+}
+
+/// Spare engines of the model that the engine serves; all of them when nobody
+/// asks for it.
+double SpareAt(std::span<const EngineState> engines,
+               std::span<const ModelDemand> demands, uint32_t model,
+               const EngineOrderOptions& options) {
+  for (const ModelDemand& it : demands) {
+    if (it.model == model) return Spare(engines, it, options);
+  }
+  return EnginesOf(engines, model);
+}
+
+const EngineState* BestToSpare(std::span<const EngineState> engines,
+                               std::span<const ModelDemand> demands, Ms now,
+                               const EngineOrderOptions& options) {
+  const EngineState* best = nullptr;
+  double best_spare = 0;
+  for (const EngineState& it : engines) {
+    if (!CanChange(it, now, options)) continue;
+    const double spare = SpareAt(engines, demands, it.model, options);
+    // Giving one up must not make that model short in turn.
+    if (spare < 1) continue;
+    const bool better = best == nullptr || spare > best_spare ||
+                        (spare == best_spare && it.load < best->load);
+    if (!better) continue;
+    best = &it;
+    best_spare = spare;
+  }
+  return best;
+}
+
+}  // namespace
+
+std::optional<EngineOrder> ChooseOrder(std::span<const EngineState> engines,
+                                       std::span<const ModelDemand> demands,
+                                       WeightStore& store, Ms now,
+                                       const EngineOrderOptions& options) {
+  if (now < store.free_at) return std::nullopt;
+  const ModelDemand* shortest = Shortest(engines, demands, options);
+  if (shortest == nullptr) return std::nullopt;
+  const EngineState* engine = BestToSpare(engines, demands, now, options);
+  if (engine == nullptr) return std::nullopt;
+  const double load_s =
+      static_cast<double>(shortest->weight_bytes) / store.bytes_per_s;
+  store.free_at = now + Ms{std::llround(load_s * 1000)};
+  return EngineOrder{engine->index, shortest->model, engine->epoch};
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/policy/quarantine.cc
@@ -0,0 +1,99 @@
+#include "knapweed/policy/quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweed {
+
+Quarantine::Quarantine(const QuarantineOptions& options) : options_(options) {}
+
+bool Quarantine::AddCrash(Entry& entry, const Crash& crash) {
+  auto* const begin = entry.crashes.begin();
+  auto* end = begin + entry.n;
+  auto* it = std::find_if(begin, end, [&](const Crash& known) {
+    return known.upstream_hash == crash.upstream_hash;
+  });
+  if (it != end) {
+    if (it->at >= crash.at) return false;
+    it->at = crash.at;
+    return true;
+  }
+  if (entry.n < kMaxCrashes) {
+    *end = crash;
+    ++entry.n;
+    return true;
+  }
+  // The newest ones stay, so that the order of arrival makes no difference.
+  const auto rank = [](const Crash& c) {
+    return std::pair(c.at, c.upstream_hash);
+  };
+  auto* oldest = std::min_element(
+      begin, end,
+      [&](const Crash& a, const Crash& b) { return rank(a) < rank(b); });
+  if (rank(crash) <= rank(*oldest)) return false;
+  *oldest = crash;
+  return true;
+}
+
+Ms Quarantine::NewestOf(const Entry& entry) {
+  Ms newest = entry.cleared_at;
+  for (uint32_t i = 0; i < entry.n; ++i) {
+    newest = std::max(newest, entry.crashes[i].at);
+  }
+  return newest;
+}
+
+void Quarantine::EvictOldest() {
+  const auto it = std::min_element(
+      entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+        return NewestOf(a.second) < NewestOf(b.second);
+      });
+  if (it != entries_.end()) entries_.erase(it);
+}
+
+bool Quarantine::Merge(const CrashRecord& record) {
+  const bool known = entries_.contains(record.digest);
+  if (!known && entries_.size() >= options_.max_digests) EvictOldest();
+  Entry& entry = entries_[record.digest];
+  if (record.cleared) {
+    if (record.at <= entry.cleared_at) return false;
+    entry.cleared_at = record.at;
+    return true;
+  }
+  return AddCrash(entry, {record.upstream_hash, record.at});
+}
+
+QuarantineVerdict Quarantine::VerdictOf(uint64_t digest, Ms now) const {
+  const auto it = entries_.find(digest);
+  if (it == entries_.end()) return QuarantineVerdict::kClear;
+  const Entry& entry = it->second;
+  uint32_t counting = 0;
+  for (uint32_t i = 0; i < entry.n; ++i) {
+    const Ms at = entry.crashes[i].at;
+    if (at > entry.cleared_at && at + options_.expiry > now) ++counting;
+  }
+  if (counting >= options_.crashes) return QuarantineVerdict::kQuarantined;
+  return counting > 0 ? QuarantineVerdict::kSuspect : QuarantineVerdict::kClear;
+}
+
+void Quarantine::Expire(Ms now) {
+  absl::erase_if(entries_, [&](const auto& item) {
+    return NewestOf(item.second) + options_.expiry <= now;
+  });
+}
+
+std::vector<CrashRecord> Quarantine::Records() const {
+  std::vector<CrashRecord> records;
+  for (const auto& [digest, entry] : entries_) {
+    if (entry.cleared_at > Ms{0}) {
+      records.push_back({digest, 0, entry.cleared_at, true});
+    }
+    for (uint32_t i = 0; i < entry.n; ++i) {
+      const Crash& crash = entry.crashes[i];
+      records.push_back({digest, crash.upstream_hash, crash.at, false});
+    }
+  }
+  return records;
+}
+
+}  // namespace knapweed
--- a/tests/allocation_count.h
+++ b/tests/allocation_count.h
@@ -25,7 +25,9 @@
   return memory;
 }
 
-[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
 [[gnu::noinline]] void operator delete(void* memory, size_t /*size*/) noexcept {
   std::free(memory);
 }
--- /dev/null
+++ b/tests/policy__limits_test.cc
@@ -0,0 +1,147 @@
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "knapweed/policy/budget.h"
+#include "knapweed/policy/engine_order.h"
+#include "knapweed/policy/loop_detector.h"
+
+namespace knapweed {
+namespace {
+
+TEST_CASE("a turn is reserved from a program and its ancestors") {
+  struct Row {
+    std::string name;
+    BudgetAccount child;
+    BudgetAccount parent;
+    bool granted;
+    uint64_t tokens;
+    Ms time_left;
+  };
+  const BudgetAccount none;
+  const std::vector<Row> rows = {
+      {"no limits", none, none, true, 500, Ms{0}},
+      {"fewer tokens left", {200}, none, true, 200, Ms{0}},
+      {"the parent has fewer",
+       {400},
+       {300, 0, Ms{0}, Ms{0}, 0, 150},
+       true,
+       150,
+       Ms{0}},
+      {"too few left", {99}, none, false, 0, Ms{0}},
+      {"the parent's tokens are used up",
+       {400},
+       {300, 0, Ms{0}, Ms{0}, 300},
+       false,
+       0,
+       Ms{0}},
+      {"overdrawn", {300, 0, Ms{0}, Ms{0}, 900}, none, false, 0, Ms{0}},
+      {"no turn left", {0, 3, Ms{0}, Ms{0}, 0, 0, 3}, none, false, 0, Ms{0}},
+      {"time left",
+       {0, 0, Ms{900}},
+       {0, 0, Ms{500}, Ms{50}},
+       true,
+       500,
+       Ms{450}},
+      {"out of time", {0, 0, Ms{100}}, none, false, 0, Ms{0}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    BudgetAccount child = row.child;
+    BudgetAccount parent = row.parent;
+    BudgetAccount* const accounts[] = {&child, &parent};
+    const BudgetGrant grant = ReserveTurn(accounts, 100, 500, Ms{100});
+    CHECK(grant.granted == row.granted);
+    CHECK(grant.tokens == row.tokens);
+    CHECK(grant.time_left == row.time_left);
+    CHECK(parent.tokens_reserved == row.parent.tokens_reserved + row.tokens);
+    CHECK(parent.turns_used == row.parent.turns_used + (row.granted ? 1 : 0));
+  }
+}
+
+TEST_CASE("settling replaces the reservation") {
+  BudgetAccount account{1000, 2};
+  BudgetAccount* const accounts[] = {&account};
+  REQUIRE(ReserveTurn(accounts, 1, 600, Ms{0}).granted);
+  CHECK(ReserveTurn(accounts, 1, 600, Ms{0}).tokens == 400);
+  CHECK_FALSE(ReserveTurn(accounts, 1, 1, Ms{0}).granted);
+  SettleTurn(accounts, 400, 0, false);
+  SettleTurn(accounts, 600, 250, true);
+  CHECK(account.tokens_used == 250);
+  CHECK(account.tokens_reserved == 0);
+  CHECK(account.turns_used == 1);
+}
+
+TEST_CASE("a program that repeats its turns is looping") {
+  struct Row {
+    std::string turns;
+    size_t noticed_at;
+  };
+  const std::vector<Row> rows = {
+      {"abcdefgh", 99}, {"aaaa", 2},          {"aabbaabb", 99}, {"xababab", 6},
+      {"abcabcabc", 8}, {"abcdabcdabcd", 11}, {"aabaa", 99}};
+  for (const Row& row : rows) {
+    CAPTURE(row.turns);
+    LoopDetector detector;
+    size_t noticed_at = 99;
+    for (size_t i = 0; i < row.turns.size(); ++i) {
+      const auto digest = static_cast<uint64_t>(row.turns[i]);
+      if (IsLooping(detector, digest, 3) && noticed_at == 99) noticed_at = i;
+    }
+    CHECK(noticed_at == row.noticed_at);
+  }
+}
+
+EngineState ServerOf(uint32_t index, uint32_t model, double load) {
+  EngineState engine;
+  engine.index = index;
+  engine.model = model;
+  engine.load = load;
+  engine.changed_at = Ms{0};
+  engine.epoch = Epoch{5};
+  return engine;
+}
+
+TEST_CASE("the shortest model gets the engine that can best be spared") {
+  const std::vector<EngineState> engines = {
+      ServerOf(0, 1, 0.5), ServerOf(1, 1, 0.1), ServerOf(2, 1, 0.5),
+      ServerOf(3, 2, 0.9)};
+  struct Row {
+    std::string name;
+    std::vector<ModelDemand> demands;
+    Ms now;
+    Ms store_free_at;
+    uint64_t epoch;
+    std::optional<uint32_t> engine;
+  };
+  const std::vector<ModelDemand> short_of_2 = {{1, 0.5, 100}, {2, 1.2, 100}};
+  const Ms later = Seconds(200);
+  const std::vector<Row> rows = {
+      {"enough of each", {{1, 0.5, 100}, {2, 0.5, 100}}, later, Ms{0}, 5, {}},
+      {"short of model 2", short_of_2, later, Ms{0}, 5, 1},
+      {"changed just now", short_of_2, Seconds(100), Ms{0}, 5, {}},
+      {"the weight store is taken", short_of_2, later, later + Ms{1}, 5, {}},
+      {"not the owner", short_of_2, later, Ms{0}, 0, {}},
+      {"none to spare", {{1, 2.4, 100}, {2, 1.2, 100}}, later, Ms{0}, 5, {}},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<EngineState> owned = engines;
+    for (EngineState& it : owned) it.epoch = Epoch{row.epoch};
+    WeightStore store{10, row.store_free_at};
+    const std::optional<EngineOrder> order =
+        ChooseOrder(owned, row.demands, store, row.now);
+    REQUIRE(order.has_value() == row.engine.has_value());
+    if (!order) continue;
+    CHECK(order->engine == *row.engine);
+    CHECK(order->model == 2);
+    CHECK(order->epoch == Epoch{5});
+    CHECK(store.free_at == row.now + Seconds(10));
+  }
+}
+
+}  // namespace
+}  // namespace knapweed
