Say so when an answer is kept but not durable yet

Cause: during an outage of the store a finished turn can't be durable, and refusing it would lose the work.

--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -300,6 +300,11 @@
   parts_.metrics.GetCounter("turn.cached_tokens").Add(result.cached_tokens);
   const absl::Status kept = parts_.programs.Finish(std::move(hold), outcome);
   if (kept.ok()) return result;
+  if (absl::IsUnavailable(kept)) {
+    result.pending = true;
+    parts_.metrics.GetCounter("turn.pending").Add();
+    return result;
+  }
   kLog.Warning("An outcome could not be kept.",
                {{"workspace", turn.key.workspace.value},
                 {"program", turn.key.program.value},
