--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -156,10 +156,12 @@
 
 std::vector<HttpHeader> ReplyHeaders(const wire::CallT& call,
                                      const wire::ResultT& result) {
-  return {{"Content-Type", "application/json"},
-          {"X-Knapweed-Request", call.request_id},
-          {"X-Knapweed-Program", call.program},
-          {"X-Knapweed-Upstream", result.upstream}};
+  std::vector<HttpHeader> headers = {{"Content-Type", "application/json"},
+                                     {"X-Knapweed-Request", call.request_id},
+                                     {"X-Knapweed-Program", call.program},
+                                     {"X-Knapweed-Upstream", result.upstream}};
+  if (result.pending) headers.push_back({"X-Knapweed-Durable", "pending"});
+  return headers;
 }
 
 }  // namespace
@@ -260,9 +262,10 @@
   const Json choice = {
       {"index", 0}, {"delta", Json::object()}, {"finish_reason", "stop"}};
   const Json json = {
-      {"id", CompletionId(call)}, {"object", "chat.completion.chunk"},
-      {"model", call.model},      {"choices", Json::array({choice})},
-      {"usage", UsageOf(result)}, {"upstream", result.upstream}};
+      {"id", CompletionId(call)},  {"object", "chat.completion.chunk"},
+      {"model", call.model},       {"choices", Json::array({choice})},
+      {"usage", UsageOf(result)},  {"upstream", result.upstream},
+      {"durable", !result.pending}};
   return "data: " + Dump(json) + "\n\ndata: [DONE]\n\n";
 }
 
--- a/tools/knapweed_demo.cc
+++ b/tools/knapweed_demo.cc
@@ -205,7 +205,7 @@
   Turn(order, "Which coupling fits the V100 and the Rh 2043?", false);
   SleepFor(kToolPause);
   Turn(order, "The stock tool says 14 of the first. Reserve six.", true);
-  DemoProgram helper{"detail-" + run, order.name, {}};
+  DemoProgram helper{order.name + "/detail", order.name, {}};
   Turn(helper, "List the brass details for a V100.", false);
   Turn(helper, "Only those in stock.", false);
   SleepFor(kToolPause);
