--- a/include/knapweed/entry/turn_runner.h
+++ b/include/knapweed/entry/turn_runner.h
@@ -1,11 +1,15 @@
 #ifndef KNAPWEED_ENTRY_TURN_RUNNER_H_
 #define KNAPWEED_ENTRY_TURN_RUNNER_H_
 
+#include <cstdint>
+#include <mutex>
+
 #include "knapweed/base/clock.h"
 #include "knapweed/base/metrics.h"
 #include "knapweed/base/outcome.h"
 #include "knapweed/entry/upstream_directory.h"
 #include "knapweed/membership/membership.h"
+#include "knapweed/policy/retry.h"
 #include "knapweed/program/program_table.h"
 #include "knapweed/rules/rules_holder.h"
 #include "knapweed/wire/rpc.h"
@@ -45,12 +49,20 @@
   /// Settles what became of an attempt whose owner died before its outcome.
   bool ResolveOpenIntent(Turn& turn, const TurnHold& hold,
                          wire::ResultT* result);
+  /// Waits a bounded time while no upstream takes work; null when none did.
+  UpstreamPtr PlaceOrWait(Turn& turn, int dispatch);
+  bool MayRetry(const Turn& turn, const wire::ResultT& result,
+                uint32_t attempts, Ms* wait);
   wire::ResultT DispatchWithRetries(Turn& turn, TurnHold& hold);
   wire::ResultT DispatchOnce(Turn& turn, TurnHold& hold,
                              const UpstreamPtr& upstream);
+  void NoteResult(const Turn& turn, UpstreamState& upstream,
+                  const wire::ResultT& result);
   wire::ResultT Finish(Turn& turn, TurnHold hold, wire::ResultT result);
 
   TurnRunnerParts parts_;
+  std::mutex retry_mu_;
+  RetryBudget retry_budget_;
 };
 
 }  // namespace knapweed
--- a/include/knapweed/entry/upstream_directory.h
+++ b/include/knapweed/entry/upstream_directory.h
@@ -8,35 +8,33 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "knapweed/base/clock.h"
 #include "knapweed/base/ids.h"
 #include "knapweed/membership/membership.h"
+#include "knapweed/policy/cache_view.h"
+#include "knapweed/policy/circuit_breaker.h"
+#include "knapweed/policy/load_view.h"
 #include "knapweed/policy/placement.h"
 #include "knapweed/wire/wire_generated.h"
 
 namespace knapweed {
 
 /// What this process knows of one upstream. The record never changes; the
-/// figures are refreshed by every answer and read without a lock.
+/// figures are refreshed by every answer.
 struct UpstreamState {
-  explicit UpstreamState(SidecarRecord r) : record(std::move(r)) {}
+  UpstreamState(SidecarRecord r, uint32_t n)
+      : record(std::move(r)), number(n) {}
 
   const SidecarRecord record;
-  std::atomic<uint32_t> queued{0};
-  std::atomic<uint32_t> running{0};
-  std::atomic<uint32_t> slots{8};
-  std::atomic<uint64_t> queued_tokens{0};
-  std::atomic<double> prefill_tokens_per_s{4000};
-  std::atomic<double> decode_tokens_per_s{50};
-  std::atomic<int64_t> load_at_ms{0};
-  /// Work that this process sent and whose end it has not seen.
-  std::atomic<uint32_t> outstanding{0};
-  std::atomic<uint64_t> outstanding_tokens{0};
-  std::atomic<int64_t> down_until_ms{0};
+  /// Names the upstream in the cache view; never given to another one.
+  const uint32_t number;
   std::atomic<bool> leaving{false};
+  std::atomic<uint32_t> outstanding{0};
+  std::mutex mu;
+  LoadView load;
+  CircuitBreaker breaker;
 };
 
 using UpstreamPtr = std::shared_ptr<UpstreamState>;
@@ -46,8 +44,9 @@
   std::string_view pool;
   /// Empty for a plain service.
   std::string_view model;
-  ProgramKey program;
-  ProgramId parent;
+  uint64_t program_hash = 0;
+  /// Zero when the program has no parent.
+  uint64_t parent_hash = 0;
   uint64_t prompt_tokens = 0;
   uint64_t expected_output_tokens = 0;
   /// Upstreams that failed this call already.
@@ -65,40 +64,39 @@
   void Update(std::span<const SidecarRecord> records);
 
   /// The upstream that should run the call; null when there is none.
-  UpstreamPtr Place(const PlacementQuery& query) const;
-
-  void OnDispatch(UpstreamState& upstream, uint64_t tokens) const;
-  /// Folds an answer's figures in.
-  void OnAnswer(UpstreamState& upstream, uint64_t tokens,
-                const wire::LoadT* load) const;
-  /// Keeps new calls away for a while after a connection failed.
-  void OnUnreachable(UpstreamState& upstream) const;
+  UpstreamPtr Place(const PlacementQuery& query);
+
+  /// Counts a call that is sent, until an answer's figures show it.
+  void OnDispatch(UpstreamState& upstream, uint64_t prefill_tokens,
+                  uint64_t decode_tokens) const;
+  /// Folds an answer's figures in; null when none came with it.
+  void OnAnswer(UpstreamState& upstream, const wire::LoadT* load) const;
+  /// Counts a failure of the upstream itself, which may open its breaker.
+  void OnFailure(UpstreamState& upstream, double random_unit) const;
   /// A sidecar said itself that it takes no new work.
   void OnLeaving(std::string_view upstream);
 
-  /// Remembers that a program's prompt of `tokens` is cached at an upstream.
-  void RememberHome(const ProgramKey& program, const UpstreamId& upstream,
-                    uint64_t tokens);
-  void ForgetHome(const ProgramKey& program);
+  /// Corrects what is believed to be cached by what an answer reported.
+  void OnCacheReport(const UpstreamState& upstream, uint64_t program_hash,
+                     const wire::ResultT& result);
+  void ForgetProgram(uint64_t program_hash);
 
   std::string DumpJson() const;
 
  private:
-  struct Home {
-    UpstreamId upstream;
-    uint64_t tokens = 0;
-  };
   using Snapshot = std::vector<UpstreamPtr>;
 
-  Home FindHome(const ProgramKey& program) const;
-  UpstreamView ViewOf(const UpstreamState& upstream, uint32_t index,
-                      Ms now) const;
+  UpstreamView ViewOf(UpstreamState& upstream, uint32_t index, Ms now) const;
+  void FillCached(const PlacementQuery& query, const Snapshot& upstreams,
+                  PlacementCall& call, std::span<UpstreamView> views) const;
 
   const Clock& clock_;
-  FailureDomain domain_;
+  const FailureDomain domain_;
   std::shared_ptr<const Snapshot> upstreams_;
-  mutable std::mutex homes_mu_;
-  std::unordered_map<ProgramKey, Home> homes_;
+  std::mutex update_mu_;
+  uint32_t next_number_ = 0;
+  mutable std::mutex cache_mu_;
+  CacheView cache_;
 };
 
 }  // namespace knapweed
--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -9,12 +9,15 @@
 #include "knapweed/base/log.h"
 #include "knapweed/entry/caller_api.h"
 #include "knapweed/entry/prompt.h"
+#include "knapweed/entry/stream_cursor.h"
 
 namespace knapweed {
 namespace {
 
 constexpr Logger kLog("turn");
-constexpr int kMaxDispatches = 4;
+/// How long a call waits for an upstream when none takes work.
+constexpr Ms kNoUpstreamWait = Seconds(3);
+constexpr Ms kNoUpstreamPoll = Ms{100};
 constexpr Ms kResolvePause = Ms{200};
 constexpr Ms kQueryTimeout = Seconds(2);
 constexpr Ms kNoUpstreamRetryAfter = Seconds(2);
@@ -55,6 +58,25 @@
   }
 }
 
+uint64_t ProgramHash(const ProgramKey& key) {
+  return HashBytes(key.program.value, HashBytes(key.workspace.value));
+}
+
+uint64_t ParentHashOf(const wire::CallT& call) {
+  if (call.parent.empty()) return 0;
+  return ProgramHash({WorkspaceId(call.workspace), ProgramId(call.parent)});
+}
+
+uint64_t RandomOf(const wire::CallT& call, int dispatch) {
+  return HashBytes(call.request_id, static_cast<uint64_t>(dispatch));
+}
+
+// A number in [0, 1) for jitter.
+double UnitOf(const wire::CallT& call) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(HashBytes(call.request_id)) / kRange;
+}
+
 uint64_t DigestOf(const wire::CallT& call) {
   return HashBytes(call.body, HashBytes(call.route));
 }
@@ -97,11 +119,14 @@
 }  // namespace
 
 struct TurnRunner::Turn {
-  Turn(const wire::CallT& c, const ChunkSink& s) : call(c), sink(s) {}
+  Turn(const wire::CallT& c, const ChunkSink& s)
+      : call(c), sink(s), cursor(s) {}
 
   const wire::CallT& call;
   const ChunkSink& sink;
+  StreamCursor cursor;
   ProgramKey key;
+  uint64_t program_hash = 0;
   PartitionId partition;
   Ms deadline;
   RouteRule route;
@@ -116,6 +141,7 @@
 wire::ResultT TurnRunner::Run(const wire::CallT& call, const ChunkSink& sink) {
   Turn turn(call, sink);
   turn.key = {WorkspaceId(call.workspace), ProgramId(call.program)};
+  turn.program_hash = ProgramHash(turn.key);
   turn.partition = PartitionOf(turn.key, parts_.partition_count);
   turn.deadline = parts_.clock.Now() + Ms{call.deadline_ms};
   ProgramBudget budget;
@@ -200,37 +226,67 @@
   return true;
 }
 
-wire::ResultT TurnRunner::DispatchWithRetries(Turn& turn, TurnHold& hold) {
-  wire::ResultT last = FailureResult(
-      {ErrorCode::kNoUpstream, RunState::kNotRun, kNoUpstreamRetryAfter,
-       "No upstream of this route takes work at the moment."});
-  for (int i = 0; i < kMaxDispatches; ++i) {
+UpstreamPtr TurnRunner::PlaceOrWait(Turn& turn, int dispatch) {
+  const Ms give_up =
+      std::min(turn.deadline, parts_.clock.Now() + kNoUpstreamWait);
+  while (true) {
     PlacementQuery query;
     query.pool = turn.route.pool;
     query.model = turn.request.model;
-    query.program = turn.key;
-    query.parent = ProgramId(turn.call.parent);
+    query.program_hash = turn.program_hash;
+    query.parent_hash = ParentHashOf(turn.call);
     query.prompt_tokens = turn.prompt_tokens;
     query.expected_output_tokens = turn.request.max_tokens;
     query.tried = turn.tried;
-    query.random = HashBytes(turn.call.request_id, static_cast<uint64_t>(i));
+    query.random = RandomOf(turn.call, dispatch);
     const UpstreamPtr upstream = parts_.upstreams.Place(query);
-    if (upstream == nullptr) return last;
-    last = DispatchOnce(turn, hold, upstream);
-    if (last.failure == nullptr) return last;
-    const auto code = static_cast<ErrorCode>(last.failure->code);
-    const bool final_code =
-        code == ErrorCode::kCancelled || code == ErrorCode::kQuarantined ||
-        code == ErrorCode::kFenced || code == ErrorCode::kStoreUnavailable ||
-        code == ErrorCode::kDeadlineExceeded;
-    const bool may_retry = !turn.route.non_idempotent || IsNotRun(last);
-    if (final_code || !may_retry || parts_.clock.Now() >= turn.deadline) {
-      return last;
+    if (upstream != nullptr || parts_.clock.Now() >= give_up) return upstream;
+    if (turn.sink && !turn.sink("")) return nullptr;
+    // One that failed this call before is better than none.
+    turn.tried.clear();
+    SleepFor(kNoUpstreamPoll);
+  }
+}
+
+bool TurnRunner::MayRetry(const Turn& turn, const wire::ResultT& result,
+                          uint32_t attempts, Ms* wait) {
+  if (turn.cursor.diverged()) return false;
+  FailedAttempt attempt;
+  attempt.code = static_cast<ErrorCode>(result.failure->code);
+  attempt.run = static_cast<RunState>(result.failure->run);
+  attempt.idempotent = !turn.route.non_idempotent;
+  attempt.attempts = attempts;
+  attempt.retry_after = Ms{result.failure->retry_after_ms};
+  attempt.deadline = turn.deadline;
+  const std::lock_guard lock(retry_mu_);
+  const RetryDecision decision = DecideRetry(
+      retry_budget_, attempt, parts_.clock.Now(), UnitOf(turn.call));
+  *wait = decision.wait;
+  return decision.retry;
+}
+
+wire::ResultT TurnRunner::DispatchWithRetries(Turn& turn, TurnHold& hold) {
+  {
+    const std::lock_guard lock(retry_mu_);
+    EarnRetry(retry_budget_);
+  }
+  for (uint32_t attempts = 1;; ++attempts) {
+    const UpstreamPtr upstream = PlaceOrWait(turn, static_cast<int>(attempts));
+    if (upstream == nullptr) {
+      return FailureResult(
+          {ErrorCode::kNoUpstream, RunState::kNotRun, kNoUpstreamRetryAfter,
+           "No upstream of this route takes work at the moment."});
+    }
+    turn.cursor.Restart();
+    wire::ResultT result = DispatchOnce(turn, hold, upstream);
+    Ms wait;
+    if (result.failure == nullptr || !MayRetry(turn, result, attempts, &wait)) {
+      return result;
     }
     parts_.metrics.GetCounter("turn.retries").Add();
     turn.tried.push_back(upstream);
+    SleepFor(wait);
   }
-  return last;
 }
 
 wire::ResultT TurnRunner::DispatchOnce(Turn& turn, TurnHold& hold,
@@ -269,32 +325,48 @@
   dispatch.attained_tokens = hold.attained_tokens();
   dispatch.prompt_tokens = turn.prompt_tokens;
   if (turn.route.kind == RouteKind::kModel) dispatch.pin_ms = kPinLease.count;
-  parts_.upstreams.OnDispatch(*upstream, turn.prompt_tokens);
+  parts_.upstreams.OnDispatch(*upstream, turn.prompt_tokens,
+                              turn.request.max_tokens);
   absl::StatusOr<wire::BodyUnion> answer =
       parts_.rpc.Get(record.rpc)
-          ->Call(Wrap(std::move(dispatch)), left, turn.sink);
+          ->Call(Wrap(std::move(dispatch)), left,
+                 [&turn](std::string_view piece) {
+                   return turn.cursor.Push(piece);
+                 });
   wire::ResultT* result = answer.ok() ? answer->AsResult() : nullptr;
-  parts_.upstreams.OnAnswer(*upstream, turn.prompt_tokens,
+  parts_.upstreams.OnAnswer(*upstream,
                             result == nullptr ? nullptr : result->load.get());
   if (result != nullptr) {
     result->upstream = record.upstream.value;
+    NoteResult(turn, *upstream, *result);
     return std::move(*result);
   }
-  if (!answer.ok() && absl::IsUnavailable(answer.status())) {
-    parts_.upstreams.OnUnreachable(*upstream);
+  if (!answer.ok() && !absl::IsCancelled(answer.status())) {
+    parts_.upstreams.OnFailure(*upstream, UnitOf(turn.call));
   }
   return FailureResult(DispatchError(answer.status()));
 }
 
+void TurnRunner::NoteResult(const Turn& turn, UpstreamState& upstream,
+                            const wire::ResultT& result) {
+  if (result.failure == nullptr) {
+    if (turn.route.kind == RouteKind::kModel) {
+      parts_.upstreams.OnCacheReport(upstream, turn.program_hash, result);
+    }
+    return;
+  }
+  const auto code = static_cast<ErrorCode>(result.failure->code);
+  if (code == ErrorCode::kUpstreamFailed) {
+    parts_.upstreams.OnFailure(upstream, UnitOf(turn.call));
+  }
+}
+
 wire::ResultT TurnRunner::Finish(Turn& turn, TurnHold hold,
                                  wire::ResultT result) {
   CallOutcome outcome = ToOutcome(result);
   if (turn.route.kind == RouteKind::kModel && result.failure == nullptr) {
     outcome.added = turn.request.messages;
     outcome.added.push_back(AssistantMessage(result.body));
-    parts_.upstreams.RememberHome(
-        turn.key, UpstreamId(result.upstream),
-        result.prompt_tokens + result.completion_tokens);
   }
   parts_.metrics.GetCounter("turn.prompt_tokens").Add(result.prompt_tokens);
   parts_.metrics.GetCounter("turn.cached_tokens").Add(result.cached_tokens);
@@ -322,7 +394,7 @@
 wire::ResultT TurnRunner::EndProgram(const wire::CallT& call) {
   const ProgramKey key{WorkspaceId(call.workspace), ProgramId(call.program)};
   const absl::Status ended = parts_.programs.End(key);
-  parts_.upstreams.ForgetHome(key);
+  parts_.upstreams.ForgetProgram(ProgramHash(key));
   wire::ResultT result;
   result.status = 200;
   if (ended.ok()) return result;
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -7,8 +7,11 @@
 namespace knapweed {
 namespace {
 
-constexpr Ms kUnreachablePause = Seconds(2);
-constexpr size_t kMaxHomes = 200000;
+constexpr uint32_t kMaxUpstreams = 65536;
+/// Assumed of an upstream that has not answered yet.
+constexpr uint32_t kFirstSlots = 8;
+constexpr double kFirstPrefillTokensPerS = 4000;
+constexpr double kFirstDecodeTokensPerS = 50;
 
 bool Serves(const UpstreamState& upstream, const PlacementQuery& query) {
   const SidecarRecord& record = upstream.record;
@@ -26,28 +29,68 @@
   return static_cast<uint32_t>(HashBytes(domain.value));
 }
 
-bool SameRecord(const SidecarRecord& a, const SidecarRecord& b) {
+bool SameProcess(const SidecarRecord& a, const SidecarRecord& b) {
   return a.upstream == b.upstream && a.incarnation == b.incarnation &&
          a.rpc == b.rpc;
 }
 
+LoadReport FirstReport() {
+  LoadReport report;
+  report.slots = kFirstSlots;
+  report.prefill_tokens_per_s = kFirstPrefillTokensPerS;
+  report.decode_tokens_per_s = kFirstDecodeTokensPerS;
+  return report;
+}
+
+LoadReport ToReport(const wire::LoadT& load, Ms now) {
+  LoadReport report = FirstReport();
+  report.as_of = now;
+  report.running = load.running;
+  report.queued = load.queued;
+  report.queued_prefill_tokens = load.queued_tokens;
+  if (load.slots > 0) report.slots = load.slots;
+  if (load.prefill_tokens_per_s > 0) {
+    report.prefill_tokens_per_s = load.prefill_tokens_per_s;
+  }
+  if (load.decode_tokens_per_s > 0) {
+    report.decode_tokens_per_s = load.decode_tokens_per_s;
+  }
+  return report;
+}
+
+CacheViewOptions CacheOptions() {
+  CacheViewOptions options;
+  options.max_upstreams = kMaxUpstreams;
+  return options;
+}
+
 }  // namespace
 
 UpstreamDirectory::UpstreamDirectory(const Clock& clock, FailureDomain domain)
     : clock_(clock),
       domain_(std::move(domain)),
-      upstreams_(std::make_shared<const Snapshot>()) {}
+      upstreams_(std::make_shared<const Snapshot>()),
+      cache_(CacheOptions()) {}
 
 void UpstreamDirectory::Update(std::span<const SidecarRecord> records) {
+  const std::lock_guard lock(update_mu_);
   const std::shared_ptr<const Snapshot> old = std::atomic_load(&upstreams_);
   auto next = std::make_shared<Snapshot>();
   for (const SidecarRecord& record : records) {
     const auto it =
         std::find_if(old->begin(), old->end(), [&](const UpstreamPtr& known) {
-          return SameRecord(known->record, record);
+          return SameProcess(known->record, record);
         });
-    UpstreamPtr upstream =
-        it == old->end() ? std::make_shared<UpstreamState>(record) : *it;
+    UpstreamPtr upstream;
+    if (it != old->end()) {
+      upstream = *it;
+    } else {
+      const uint32_t number = next_number_++ % kMaxUpstreams;
+      upstream = std::make_shared<UpstreamState>(record, number);
+      upstream->load.report = FirstReport();
+      const std::lock_guard cache_lock(cache_mu_);
+      cache_.ForgetUpstream(number);
+    }
     if (record.leaving) upstream->leaving = true;
     next->push_back(std::move(upstream));
   }
@@ -55,87 +98,87 @@
                     std::shared_ptr<const Snapshot>(std::move(next)));
 }
 
-UpstreamView UpstreamDirectory::ViewOf(const UpstreamState& upstream,
-                                       uint32_t index, Ms now) const {
+UpstreamView UpstreamDirectory::ViewOf(UpstreamState& upstream, uint32_t index,
+                                       Ms now) const {
   UpstreamView view;
   view.index = index;
   view.domain = DomainNumber(upstream.record.domain);
-  view.usable = !upstream.leaving && upstream.down_until_ms.load() <= now.count;
-  const uint32_t seen = upstream.queued + upstream.running;
-  const uint32_t outstanding = upstream.outstanding;
-  view.running = std::max<uint32_t>(upstream.running, 0);
-  view.queued = upstream.queued;
-  if (outstanding > seen) view.queued += outstanding - seen;
-  view.slots = std::max<uint32_t>(upstream.slots, 1);
-  view.queued_prefill_tokens = std::max<uint64_t>(
-      upstream.queued_tokens.load(), upstream.outstanding_tokens.load());
-  view.prefill_tokens_per_s = upstream.prefill_tokens_per_s;
-  view.decode_tokens_per_s = upstream.decode_tokens_per_s;
-  view.view_age = now - Ms{upstream.load_at_ms.load()};
+  const std::lock_guard lock(upstream.mu);
+  view.usable = !upstream.leaving && WouldAllowCall(upstream.breaker, now);
+  FillLoad(upstream.load, now, view);
   return view;
 }
 
-UpstreamPtr UpstreamDirectory::Place(const PlacementQuery& query) const {
+// A sub-agent starts with its parent's prompt, so the parent's places count
+// for it until it has some of its own.
+void UpstreamDirectory::FillCached(const PlacementQuery& query,
+                                   const Snapshot& upstreams,
+                                   PlacementCall& call,
+                                   std::span<UpstreamView> views) const {
+  const std::lock_guard lock(cache_mu_);
+  std::span<const CachedPrefix> places = cache_.Find(query.program_hash);
+  const bool own = !places.empty();
+  if (!own) places = cache_.Find(query.parent_hash);
+  if (places.empty()) return;
+  const uint64_t hash = own ? query.program_hash : query.parent_hash;
+  for (UpstreamView& view : views) {
+    const uint32_t number = upstreams[view.index]->number;
+    const uint64_t tokens = cache_.ExpectedTokens(hash, number);
+    view.cached_tokens = std::min(tokens, query.prompt_tokens);
+    if (own && places.front().upstream == number) call.home = view.index;
+  }
+}
+
+UpstreamPtr UpstreamDirectory::Place(const PlacementQuery& query) {
   const std::shared_ptr<const Snapshot> upstreams =
       std::atomic_load(&upstreams_);
   const Ms now = clock_.Now();
-  const Home home = FindHome(query.program);
-  const Home parent_home =
-      query.parent.empty() ? Home{}
-                           : FindHome({query.program.workspace, query.parent});
   thread_local std::vector<UpstreamView> views;
   views.clear();
-  PlacementCall call;
-  call.prompt_tokens = query.prompt_tokens;
-  call.expected_output_tokens = query.expected_output_tokens;
-  call.domain = DomainNumber(domain_);
-  call.home = kNoUpstream;
-  call.random = query.random;
   for (uint32_t i = 0; i < upstreams->size(); ++i) {
     const UpstreamPtr& upstream = (*upstreams)[i];
     if (!Serves(*upstream, query)) continue;
     if (Contains(query.tried, upstream)) continue;
-    UpstreamView view = ViewOf(*upstream, i, now);
-    if (upstream->record.upstream == home.upstream) {
-      call.home = i;
-      view.cached_tokens = std::min(home.tokens, query.prompt_tokens);
-    } else if (upstream->record.upstream == parent_home.upstream) {
-      view.cached_tokens = std::min(parent_home.tokens, query.prompt_tokens);
-    }
-    views.push_back(view);
+    views.push_back(ViewOf(*upstream, i, now));
   }
+  PlacementCall call;
+  call.prompt_tokens = query.prompt_tokens;
+  call.expected_output_tokens = query.expected_output_tokens;
+  call.domain = DomainNumber(domain_);
+  call.random = query.random;
+  FillCached(query, *upstreams, call, views);
   const Placement placement = PlaceCall(call, views);
   if (placement.index == kNoUpstream) return nullptr;
-  return (*upstreams)[placement.index];
+  const UpstreamPtr& chosen = (*upstreams)[placement.index];
+  const std::lock_guard lock(chosen->mu);
+  // An open breaker lets one probe through; a second caller goes elsewhere.
+  return AllowCall(chosen->breaker, now) ? chosen : nullptr;
 }
 
 void UpstreamDirectory::OnDispatch(UpstreamState& upstream,
-                                   uint64_t tokens) const {
+                                   uint64_t prefill_tokens,
+                                   uint64_t decode_tokens) const {
   upstream.outstanding.fetch_add(1);
-  upstream.outstanding_tokens.fetch_add(tokens);
+  const std::lock_guard lock(upstream.mu);
+  AddOwnDispatch(upstream.load,
+                 {clock_.Now(), static_cast<uint32_t>(prefill_tokens),
+                  static_cast<uint32_t>(decode_tokens)});
 }
 
-void UpstreamDirectory::OnAnswer(UpstreamState& upstream, uint64_t tokens,
+void UpstreamDirectory::OnAnswer(UpstreamState& upstream,
                                  const wire::LoadT* load) const {
   upstream.outstanding.fetch_sub(1);
-  upstream.outstanding_tokens.fetch_sub(tokens);
   if (load == nullptr) return;
-  upstream.queued = load->queued;
-  upstream.running = load->running;
-  upstream.queued_tokens = load->queued_tokens;
-  if (load->slots > 0) upstream.slots = load->slots;
-  if (load->prefill_tokens_per_s > 0) {
-    upstream.prefill_tokens_per_s = load->prefill_tokens_per_s;
-  }
-  if (load->decode_tokens_per_s > 0) {
-    upstream.decode_tokens_per_s = load->decode_tokens_per_s;
-  }
   if (load->leaving) upstream.leaving = true;
-  upstream.load_at_ms = clock_.Now().count;
+  const std::lock_guard lock(upstream.mu);
+  RecordSuccess(upstream.breaker);
+  FoldReport(upstream.load, ToReport(*load, clock_.Now()));
 }
 
-void UpstreamDirectory::OnUnreachable(UpstreamState& upstream) const {
-  upstream.down_until_ms = (clock_.Now() + kUnreachablePause).count;
+void UpstreamDirectory::OnFailure(UpstreamState& upstream,
+                                  double random_unit) const {
+  const std::lock_guard lock(upstream.mu);
+  RecordFailure(upstream.breaker, clock_.Now(), random_unit);
 }
 
 void UpstreamDirectory::OnLeaving(std::string_view upstream) {
@@ -146,25 +189,22 @@
   }
 }
 
-UpstreamDirectory::Home UpstreamDirectory::FindHome(
-    const ProgramKey& program) const {
-  const std::lock_guard lock(homes_mu_);
-  const auto it = homes_.find(program);
-  return it == homes_.end() ? Home{} : it->second;
-}
-
-void UpstreamDirectory::RememberHome(const ProgramKey& program,
-                                     const UpstreamId& upstream,
-                                     uint64_t tokens) {
-  const std::lock_guard lock(homes_mu_);
-  // A lost hint costs one recomputation; an unbounded table costs the process.
-  if (homes_.size() >= kMaxHomes) homes_.erase(homes_.begin());
-  homes_[program] = Home{upstream, tokens};
+void UpstreamDirectory::OnCacheReport(const UpstreamState& upstream,
+                                      uint64_t program_hash,
+                                      const wire::ResultT& result) {
+  CacheReport report;
+  report.program_hash = program_hash;
+  report.upstream = upstream.number;
+  report.prompt_tokens = result.prompt_tokens;
+  report.cached_tokens = result.cached_tokens;
+  report.completion_tokens = result.completion_tokens;
+  const std::lock_guard lock(cache_mu_);
+  cache_.Record(report, clock_.Now());
 }
 
-void UpstreamDirectory::ForgetHome(const ProgramKey& program) {
-  const std::lock_guard lock(homes_mu_);
-  homes_.erase(program);
+void UpstreamDirectory::ForgetProgram(uint64_t program_hash) {
+  const std::lock_guard lock(cache_mu_);
+  cache_.ForgetProgram(program_hash);
 }
 
 std::string UpstreamDirectory::DumpJson() const {
@@ -173,15 +213,17 @@
   nlohmann::json list = nlohmann::json::array();
   const Ms now = clock_.Now();
   for (const UpstreamPtr& it : *upstreams) {
+    const UpstreamView view = ViewOf(*it, 0, now);
     list.push_back({{"upstream", it->record.upstream.value},
                     {"sidecar", it->record.rpc.ToString()},
                     {"failure_domain", it->record.domain.value},
                     {"pool", it->record.pool},
-                    {"queued", it->queued.load()},
-                    {"running", it->running.load()},
+                    {"models", it->record.models},
+                    {"queued", view.queued},
+                    {"running", view.running},
                     {"outstanding", it->outstanding.load()},
                     {"leaving", it->leaving.load()},
-                    {"down", it->down_until_ms.load() > now.count}});
+                    {"usable", view.usable}});
   }
   return list.dump();
 }
