Fake a model engine, a plain service and a tool service

Cause: faults have to be proved from the records of what really ran, so the stand-ins record each call with its headers, attempt and history digests.

--- a/standins/engine_answer.cc
+++ b/standins/engine_answer.cc
@@ -9,7 +9,15 @@
 
 namespace knapweed {
 
-using nlohmann::json;
+namespace {
+
+std::string MessageText(const ChatMessage& message) {
+  const nlohmann::json object = {{"role", message.role},
+                                 {"content", message.content}};
+  return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
 
 uint64_t TokensOf(std::string_view text) {
   return (text.size() + kBytesPerToken - 1) / kBytesPerToken;
@@ -17,15 +25,23 @@
 
 std::string PromptText(std::span<const ChatMessage> messages) {
   std::string text;
+  for (const ChatMessage& it : messages) text += MessageText(it);
+  return text;
+}
+
+std::vector<std::string> HistoryDigests(std::span<const ChatMessage> messages) {
+  std::vector<std::string> digests;
+  uint64_t hash = 0;
   for (const ChatMessage& it : messages) {
-    const json message = {{"role", it.role}, {"content", it.content}};
-    text += message.dump(-1, ' ', false, json::error_handler_t::replace);
+    hash = HashBytes(MessageText(it), hash);
+    digests.push_back(absl::StrFormat("%016x", hash));
   }
-  return text;
+  return digests;
 }
 
 std::string MessagesDigest(std::span<const ChatMessage> messages) {
-  return absl::StrFormat("%016x", HashBytes(PromptText(messages)));
+  const std::vector<std::string> digests = HistoryDigests(messages);
+  return digests.empty() ? std::string(16, '0') : digests.back();
 }
 
 std::string EngineAnswer(std::string_view model,
--- a/standins/engine_answer.h
+++ b/standins/engine_answer.h
@@ -1,10 +1,12 @@
 #ifndef KNAPWEED_STANDINS_ENGINE_ANSWER_H_
 #define KNAPWEED_STANDINS_ENGINE_ANSWER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace knapweed {
 
@@ -23,7 +25,11 @@
 /// longer conversation starts with the text of a shorter one.
 std::string PromptText(std::span<const ChatMessage> messages);
 
-/// Sixteen hexadecimal digits over all roles and contents.
+/// One digest for each message, of sixteen hexadecimal digits, over all roles
+/// and contents up to it.
+std::vector<std::string> HistoryDigests(std::span<const ChatMessage> messages);
+
+/// The digest over all messages; zeros when there are none.
 std::string MessagesDigest(std::span<const ChatMessage> messages);
 
 /// The one answer that an engine gives to these messages: it contains their
--- a/standins/platform_server.cc
+++ b/standins/platform_server.cc
@@ -56,7 +56,7 @@
     case absl::StatusCode::kNotFound:
       return SendError(responder, 404, "not found");
     case absl::StatusCode::kAborted:
-      return SendError(responder, 409, std::string(status.message()));
+      return SendError(responder, 409, "a condition did not hold");
     case absl::StatusCode::kUnavailable:
       return SendError(responder, 503, "nothing was applied");
     default:
@@ -104,16 +104,14 @@
   }
   const absl::StatusOr<Transaction> transaction = ParseCommit(request.body);
   if (!transaction.ok()) {
-    return SendError(responder, 400,
-                     std::string(transaction.status().message()));
+    return SendBadRequest(responder, transaction.status());
   }
   SendStatus(responder, platform.table.commit(*transaction));
 }
 
 void HandleObject(Platform& platform, const HttpRequest& request,
                   HttpResponder& responder) {
-  const std::string_view name =
-      std::string_view(request.path).substr(kObjects.size());
+  const std::string name = request.path.substr(kObjects.size());
   if (request.method == "PUT") {
     return SendStatus(responder, platform.objects.put(name, request.body));
   }
--- a/standins/standin.cc
+++ b/standins/standin.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace knapweed {
 namespace {
 
@@ -16,7 +18,7 @@
   const absl::Status status =
       standin.control(json::parse(request.body, nullptr, false));
   if (!status.ok()) {
-    SendError(responder, 400, std::string(status.message()));
+    SendBadRequest(responder, status);
     return;
   }
   SendJson(responder, 200, json::object());
@@ -40,6 +42,10 @@
   SendJson(responder, status, {{"error", {{"message", message}}}});
 }
 
+void SendBadRequest(HttpResponder& responder, const absl::Status& fault) {
+  SendError(responder, 400, absl::StrCat(fault.message()));
+}
+
 json HeadersToJson(const HttpRequest& request) {
   json headers = json::array();
   for (const HttpHeader& it : request.headers) {
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -54,6 +54,8 @@
 void SendJson(HttpResponder& responder, int status, const nlohmann::json& body);
 /// {"error":{"message":...}}, as chat-completion servers answer.
 void SendError(HttpResponder& responder, int status, std::string_view message);
+/// 400 with the status's text.
+void SendBadRequest(HttpResponder& responder, const absl::Status& fault);
 
 /// The headers as [[name, value], ...].
 nlohmann::json HeadersToJson(const HttpRequest& request);
--- a/tools/knapweed_standin.cc
+++ b/tools/knapweed_standin.cc
@@ -4,11 +4,13 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "standins/engine.h"
 #include "standins/platform_server.h"
 #include "standins/service.h"
 #include "standins/standin.h"
@@ -46,6 +48,7 @@
 // Nothing when there is no such role.
 std::optional<Standin> MakeStandin(const std::string& role) {
   if (role == "platform") return knapweed::MakePlatformStandin();
+  if (role == "engine") return knapweed::MakeEngineStandin();
   if (role == "service") return knapweed::MakeServiceStandin();
   if (role == "tool") return knapweed::MakeToolStandin();
   return std::nullopt;
@@ -57,7 +60,7 @@
   std::optional<Standin> standin = MakeStandin(arguments.role);
   if (!standin) return Usage("unknown role \"" + arguments.role + "\"");
   const absl::Status set = standin->control(arguments.fields);
-  if (!set.ok()) return Usage(std::string(set.message()));
+  if (!set.ok()) return Usage(absl::StrCat(set.message()));
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -67,7 +70,7 @@
       knapweed::ServeStandin(arguments.listen, *std::move(standin));
   if (!server.ok()) {
     std::fprintf(stderr, "knapweed-standin: %s\n",
-                 std::string(server.status().message()).c_str());
+                 absl::StrCat(server.status().message()).c_str());
     return EXIT_FAILURE;
   }
   int signal = 0;
