--- a/standins/engine.cc
+++ b/standins/engine.cc
@@ -305,10 +305,9 @@
 }
 
 json UsageOf(const Generation& generation) {
+  const size_t bytes = generation.produced.load();
   return {{"prompt_tokens", generation.prompt_tokens},
-          {"completion_tokens",
-           TokensOf(std::string_view(generation.answer)
-                        .substr(0, generation.produced.load()))},
+          {"completion_tokens", TokensOf(generation.answer.substr(0, bytes))},
           {"cached_tokens", generation.cached_tokens}};
 }
 
