--- /dev/null
+++ b/src/ctl/ctl.cc
@@ -0,0 +1,355 @@
+#include "knapweed/ctl/ctl.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "knapweed/rules/diff_rules.h"
+#include "knapweed/rules/parse_rules.h"
+
+namespace knapweed {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kVersion = "0.1.0";
+/// The first line that `show` prints and `apply` reads.
+constexpr std::string_view kVersionLine = "# version ";
+
+/// One run of a command: its arguments and what it reaches.
+struct Command {
+  const CtlOptions& options;
+  const CtlEnvironment& env;
+  std::string argument;
+};
+
+/// A rules file, and the version that its first line says it starts from.
+struct RulesFile {
+  std::string text;
+  std::optional<uint64_t> starts_from;
+};
+
+CtlExit Fail(const Command& command, CtlExit exit, std::string_view message) {
+  command.env.err << "knapweedctl: " << message << '\n';
+  return exit;
+}
+
+/// Takes the version line off the text, if it has one.
+RulesFile SplitVersionLine(std::string text) {
+  RulesFile file{std::move(text), std::nullopt};
+  if (!file.text.starts_with(kVersionLine)) return file;
+  const size_t end = std::min(file.text.find('\n'), file.text.size());
+  uint64_t n = 0;
+  const char* last = file.text.data() + end;
+  const auto [stop, ec] =
+      std::from_chars(file.text.data() + kVersionLine.size(), last, n);
+  if (ec != std::errc() || stop != last) return file;
+  file.starts_from = n;
+  file.text.erase(0, std::min(end + 1, file.text.size()));
+  return file;
+}
+
+/// Reads the file that the command names; a fault is told and gives no value.
+std::optional<RulesFile> ReadFile(const Command& command) {
+  std::ifstream in(command.argument);
+  std::stringstream text;
+  if (in) text << in.rdbuf();
+  if (!in) {
+    Fail(command, CtlExit::kUsage,
+         command.argument + " can't be read: " + std::strerror(errno));
+    return std::nullopt;
+  }
+  return SplitVersionLine(text.str());
+}
+
+/// Prints what is wrong with a rules file, in the lines of the file on disk.
+void PrintFaults(const Command& command, const RulesFile& file,
+                 std::vector<RulesFault> faults) {
+  if (file.starts_from) {
+    for (RulesFault& fault : faults) ++fault.line;
+  }
+  command.env.err << FormatFaults(command.argument, faults);
+}
+
+/// The store, or a message that there is none.
+std::optional<ConfigStore> Connect(const Command& command) {
+  if (command.options.platform)
+    return command.env.connect(*command.options.platform,
+                               command.options.timeout);
+  Fail(command, CtlExit::kUsage,
+       "name the platform's service with --platform IP:PORT");
+  return std::nullopt;
+}
+
+/// The configuration in force, or what went wrong.
+absl::StatusOr<StoredConfig> ReadInForce(const ConfigStore& store) {
+  const absl::StatusOr<ConfigHead> head = ReadConfigHead(store);
+  if (!head.ok()) return head.status();
+  return ReadConfig(store, *head);
+}
+
+CtlExit CantRead(const Command& command, const absl::Status& status) {
+  return Fail(command, CtlExit::kUnavailable,
+              "the configuration can't be read: " + status.ToString());
+}
+
+CtlExit ExitOf(ChangeState state) {
+  switch (state) {
+    case ChangeState::kApplied:
+    case ChangeState::kUnchanged:
+      return CtlExit::kOk;
+    case ChangeState::kRefused:
+      return CtlExit::kRefused;
+    case ChangeState::kConflict:
+      return CtlExit::kConflict;
+    case ChangeState::kUnavailable:
+      return CtlExit::kUnavailable;
+    case ChangeState::kUnknown:
+      return CtlExit::kUnknown;
+  }
+  return CtlExit::kUnknown;
+}
+
+/// Tells the operator what came of a change.
+CtlExit Report(const Command& command, const ChangeResult& change) {
+  const CtlExit exit = ExitOf(change.state);
+  if (change.state == ChangeState::kApplied)
+    command.env.err << "Version " << change.version << " is accepted.\n";
+  if (change.state == ChangeState::kUnchanged)
+    command.env.err << "Nothing to change in version " << change.version
+                    << ".\n";
+  if (exit != CtlExit::kOk) return Fail(command, exit, change.message);
+  return exit;
+}
+
+CtlExit Check(const Command& command) {
+  const std::optional<RulesFile> file = ReadFile(command);
+  if (!file) return CtlExit::kUsage;
+  const ParsedRules parsed = ParseRules(file->text);
+  if (!parsed.ok()) {
+    PrintFaults(command, *file, parsed.faults);
+    return Fail(command, CtlExit::kRefused,
+                std::to_string(parsed.faults.size()) + " faults in " +
+                    command.argument);
+  }
+  const Rules& rules = parsed.rules;
+  command.env.out << command.argument << ": " << rules.routes.size()
+                  << " routes, " << rules.pools.size() << " pools, "
+                  << rules.workspaces.size() << " workspaces, "
+                  << rules.budgets.size() << " budgets, "
+                  << rules.domains.size() << " domains; no faults\n";
+  return CtlExit::kOk;
+}
+
+CtlExit Diff(const Command& command) {
+  const std::optional<RulesFile> file = ReadFile(command);
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!file || !store) return CtlExit::kUsage;
+  const absl::StatusOr<StoredConfig> config = ReadInForce(*store);
+  if (!config.ok()) return CantRead(command, config.status());
+  const std::vector<RuleChange> changes =
+      DiffRules(config->rules_text, file->text);
+  for (const RuleChange& change : changes) {
+    if (!change.before.empty())
+      command.env.out << "- " << change.before << '\n';
+    if (!change.after.empty()) command.env.out << "+ " << change.after << '\n';
+  }
+  command.env.err << changes.size() << " rules differ from version "
+                  << config->version << ".\n";
+  return changes.empty() ? CtlExit::kOk : CtlExit::kRefused;
+}
+
+CtlExit Apply(const Command& command) {
+  const std::optional<RulesFile> file = ReadFile(command);
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!file || !store) return CtlExit::kUsage;
+  std::optional<uint64_t> expected = command.options.expect_version;
+  if (!expected) expected = file->starts_from;
+  const ChangeResult change = ApplyRules(*store, file->text, expected);
+  PrintFaults(command, *file, change.faults);
+  return Report(command, change);
+}
+
+CtlExit Show(const Command& command) {
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!store) return CtlExit::kUsage;
+  const absl::StatusOr<StoredConfig> config = ReadInForce(*store);
+  if (!config.ok()) return CantRead(command, config.status());
+  command.env.out << kVersionLine << config->version << '\n'
+                  << config->rules_text;
+  return CtlExit::kOk;
+}
+
+CtlExit IssueKeyCommand(const Command& command) {
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!store) return CtlExit::kUsage;
+  const IssuedKeyResult key = IssueKey(*store, WorkspaceId(command.argument));
+  if (!key.key_text.empty()) command.env.out << key.key_text << '\n';
+  const CtlExit exit = Report(command, key.change);
+  if (exit == CtlExit::kOk)
+    command.env.err << "The key is shown this once; its id is " << key.key_id
+                    << ".\n";
+  return exit;
+}
+
+CtlExit WithdrawKeyCommand(const Command& command) {
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!store) return CtlExit::kUsage;
+  return Report(command, WithdrawKey(*store, command.argument));
+}
+
+CtlExit ListKeys(const Command& command) {
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!store) return CtlExit::kUsage;
+  const absl::StatusOr<StoredConfig> config = ReadInForce(*store);
+  if (!config.ok()) return CantRead(command, config.status());
+  for (const KeyRecord& key : config->keys)
+    command.env.out << key.id << ' ' << key.workspace.value << ' '
+                    << (key.withdrawn ? "withdrawn" : "live") << '\n';
+  return CtlExit::kOk;
+}
+
+/// The body that a process answers, or a message and no value.
+std::optional<std::string> CallProcess(const Command& command,
+                                       const Address& address,
+                                       std::string_view method,
+                                       std::string_view path) {
+  HttpRequest request;
+  request.method = std::string(method);
+  request.path = std::string(path);
+  const absl::StatusOr<HttpReply> reply =
+      command.env.call(address, request, command.options.timeout);
+  std::string fault;
+  if (!reply.ok()) fault = reply.status().ToString();
+  if (reply.ok() && reply->status / 100 != 2)
+    fault = "status " + std::to_string(reply->status) + " " + reply->body;
+  if (fault.empty()) return reply->body;
+  Fail(command, CtlExit::kUnavailable, address.ToString() + ": " + fault);
+  return std::nullopt;
+}
+
+/// Calls the process whose control address is the command's argument and prints
+/// its answer.
+CtlExit CallAndPrint(const Command& command, std::string_view method,
+                     std::string_view path) {
+  Address address;
+  if (!ParseAddress(command.argument, &address))
+    return Fail(command, CtlExit::kUsage,
+                "'" + command.argument +
+                    "' is no control address; expected an IP number and "
+                    "port, as in 127.0.0.1:8080");
+  const auto body = CallProcess(command, address, method, path);
+  if (!body) return CtlExit::kUnavailable;
+  const Json json = Json::parse(*body, nullptr, false);
+  command.env.out << (json.is_discarded() ? *body : json.dump(2)) << '\n';
+  return CtlExit::kOk;
+}
+
+CtlExit Drain(const Command& command) {
+  return CallAndPrint(command, "POST", "/drain");
+}
+
+CtlExit Dump(const Command& command) {
+  return CallAndPrint(command, "GET", "/state");
+}
+
+/// The configuration version in a process's state; 0 when it says none.
+uint64_t VersionInState(std::string_view state) {
+  const Json json = Json::parse(state, nullptr, false);
+  if (!json.is_object()) return 0;
+  const auto it = json.find("config_version");
+  const bool number = it != json.end() && it->is_number_unsigned();
+  return number ? it->get<uint64_t>() : 0;
+}
+
+CtlExit Status(const Command& command) {
+  const std::optional<ConfigStore> store = Connect(command);
+  if (!store) return CtlExit::kUsage;
+  if (command.options.control.empty())
+    return Fail(command, CtlExit::kUsage,
+                "name the processes with --control IP:PORT,...");
+  const absl::StatusOr<ConfigHead> head = ReadConfigHead(*store);
+  if (!head.ok()) return CantRead(command, head.status());
+  command.env.out << "accepted " << head->version << '\n';
+  CtlExit exit = CtlExit::kOk;
+  for (const Address& address : command.options.control) {
+    const auto state = CallProcess(command, address, "GET", "/state");
+    const uint64_t version = state ? VersionInState(*state) : 0;
+    const bool behind = version < head->version;
+    command.env.out << address.ToString() << ' '
+                    << (state ? std::to_string(version) : "unreachable")
+                    << (state && behind ? " behind" : "") << '\n';
+    if (behind) exit = CtlExit::kRefused;
+  }
+  return exit;
+}
+
+struct CommandEntry {
+  std::vector<std::string_view> words;
+  /// Name of the one argument; empty when there is none.
+  std::string_view argument;
+  CtlExit (*run)(const Command&);
+};
+
+const std::vector<CommandEntry>& AllCommands() {
+  static const auto* const kCommands = new std::vector<CommandEntry>{
+      {{"check"}, "FILE", Check},
+      {{"diff"}, "FILE", Diff},
+      {{"apply"}, "FILE", Apply},
+      {{"show"}, "", Show},
+      {{"keys", "issue"}, "WORKSPACE", IssueKeyCommand},
+      {{"keys", "withdraw"}, "KEYID", WithdrawKeyCommand},
+      {{"keys", "list"}, "", ListKeys},
+      {{"status"}, "", Status},
+      {{"drain"}, "ADDRESS", Drain},
+      {{"dump"}, "ADDRESS", Dump},
+  };
+  return *kCommands;
+}
+
+bool StartsWith(const std::vector<std::string>& words,
+                const std::vector<std::string_view>& start) {
+  return words.size() >= start.size() &&
+         std::equal(start.begin(), start.end(), words.begin());
+}
+
+CtlExit RunEntry(const CommandEntry& entry, const CtlOptions& options,
+                 const CtlEnvironment& env) {
+  Command command{options, env, ""};
+  const size_t wanted = entry.words.size() + (entry.argument.empty() ? 0 : 1);
+  if (options.words.size() != wanted)
+    return Fail(command, CtlExit::kUsage,
+                "'" + options.words.front() + "' takes " +
+                    (entry.argument.empty() ? "no argument"
+                                            : std::string(entry.argument)) +
+                    "; see --help");
+  if (!entry.argument.empty()) command.argument = options.words.back();
+  return entry.run(command);
+}
+
+}  // namespace
+
+CtlExit RunCtl(const CtlOptions& options, const CtlEnvironment& environment) {
+  if (options.help) {
+    environment.out << CtlHelp();
+    return CtlExit::kOk;
+  }
+  if (options.version) {
+    environment.out << "knapweedctl " << kVersion << '\n';
+    return CtlExit::kOk;
+  }
+  for (const CommandEntry& entry : AllCommands()) {
+    if (StartsWith(options.words, entry.words))
+      return RunEntry(entry, options, environment);
+  }
+  environment.err << (options.words.empty()
+                          ? "knapweedctl: no command; see --help\n"
+                          : "knapweedctl: no such command; see --help\n");
+  return CtlExit::kUsage;
+}
+
+}  // namespace knapweed
--- a/src/limits/rate_bucket.cc
+++ b/src/limits/rate_bucket.cc
@@ -25,7 +25,7 @@
 }
 
 Ms TimeUntil(const RateBucket& bucket, double tokens) {
-  const double missing = tokens - bucket.tokens;
+  const double missing = tokens - bucket.tokens - kTokenSlack;
   if (missing <= 0) return Ms{0};
   if (bucket.rate_per_s <= 0 || tokens > bucket.burst) return kNeverFills;
   const double ms = std::ceil(missing / bucket.rate_per_s * 1000);
--- /dev/null
+++ b/tests/fleet_walk.h
@@ -0,0 +1,234 @@
+#ifndef KNAPWEED_TESTS_FLEET_WALK_H_
+#define KNAPWEED_TESTS_FLEET_WALK_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "knapweed/limits/bucket_owner.h"
+#include "knapweed/limits/grant_book.h"
+
+namespace knapweed {
+
+/// Several askers and a changing owner of one bucket, in time steps of a
+/// millisecond, with messages that take a random time. Every decision is made
+/// by the library; the walk only moves time and messages.
+class FleetWalk {
+ public:
+  struct Plan {
+    RateLimit limit = {};
+    int askers = 3;
+    /// Calls a second over all askers together.
+    double offered_per_s = 0;
+    Ms length = Seconds(60);
+    Ms max_wait = Seconds(2);
+    /// Chances a second of each fault.
+    double crash = 0;
+    double hand_over = 0;
+    double pause = 0;
+    double lost_message = 0;
+    /// Whether now and then a message, or an asker, is up to 1.5 s late.
+    bool delays = false;
+  };
+
+  FleetWalk(const Plan& plan, uint64_t seed) : plan_(plan), random_(seed) {
+    books_.resize(plan.askers);
+    NewOwner(Ms{0});
+  }
+
+  void Run() {
+    Ms next_call = DrawArrival(Ms{0});
+    for (now_ = Ms{0}; now_ < plan_.length; now_ += Ms{1}) {
+      RunDue();
+      for (; next_call <= now_; next_call = DrawArrival(next_call))
+        Arrive(Draw(0, plan_.askers - 1));
+      Step();
+    }
+  }
+
+  uint64_t admitted() const { return admitted_.size(); }
+  uint64_t refused() const { return refused_; }
+  uint64_t messages() const { return messages_; }
+  uint64_t owners() const { return epoch_; }
+
+  /// By how much the calls of the worst window exceed rate x span + burst.
+  double WorstExcess() const {
+    double level = 0;
+    double worst = -plan_.limit.burst;
+    Ms last;
+    for (Ms at : admitted_) {
+      const double left = (at - last).Seconds() * plan_.limit.rate_per_s;
+      level = std::max(0.0, level - left) + 1;
+      worst = std::max(worst, level - plan_.limit.burst);
+      last = at;
+    }
+    return worst;
+  }
+
+ private:
+  static constexpr Ms kLease = Seconds(3);
+  static constexpr Ms kRenewEvery = Seconds(1);
+
+  struct Owner {
+    BucketLease lease;
+    std::unique_ptr<BucketOwner> buckets;
+    bool dead = false;
+    Ms paused_until;
+  };
+
+  int Draw(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random_);
+  }
+  bool Chance(double per_s) {
+    return std::uniform_real_distribution<>(0, 1)(random_) < per_s / 1000;
+  }
+  Ms DrawArrival(Ms after) {
+    if (plan_.offered_per_s <= 0) return plan_.length;
+    std::exponential_distribution<> gap(plan_.offered_per_s);
+    arrival_s_ = std::max(arrival_s_, after.Seconds()) + gap(random_);
+    return Ms{static_cast<int64_t>(arrival_s_ * 1000)};
+  }
+  void At(Ms when, std::function<void()> what) {
+    due_.emplace(std::max(when, now_).count, std::move(what));
+  }
+  void RunDue() {
+    while (!due_.empty() && due_.begin()->first <= now_.count) {
+      const auto what = std::move(due_.begin()->second);
+      due_.erase(due_.begin());
+      what();
+    }
+  }
+  /// Sends a message; it may take long or get lost.
+  void Send(std::function<void()> what) {
+    ++messages_;
+    const Ms delay =
+        plan_.delays && Chance(50) ? Ms{Draw(100, 1500)} : Ms{Draw(1, 6)};
+    if (Chance(plan_.lost_message)) return;
+    At(now_ + delay, std::move(what));
+  }
+
+  void NewOwner(Ms since) {
+    auto owner = std::make_shared<Owner>();
+    owner->lease = BucketLease{since, since + kLease, ++epoch_};
+    Owner* raw = owner.get();
+    owner->buckets = std::make_unique<BucketOwner>(BucketOwnerSources{
+        [raw](const WorkspaceId&) { return std::optional(raw->lease); },
+        [this](const WorkspaceId&) { return std::optional(plan_.limit); }});
+    owner_ = std::move(owner);
+    renew_at_ = since + kRenewEvery;
+  }
+
+  /// Faults of the owner; when its lease has ended, another takes over.
+  void Step() {
+    if (now_ >= owner_->lease.until) NewOwner(now_);
+    const bool up = !owner_->dead && now_ >= owner_->paused_until;
+    if (up && now_ >= renew_at_) {
+      owner_->lease.until = now_ + kLease;
+      renew_at_ = now_ + kRenewEvery;
+    }
+    if (Chance(plan_.crash)) owner_->dead = true;
+    if (Chance(plan_.pause)) owner_->paused_until = now_ + Seconds(5);
+    if (up && Chance(plan_.hand_over)) HandOver();
+  }
+
+  /// A planned stop: closes the bucket, waits for its promises, gives the lease
+  /// up and tells the next owner, which may already have begun.
+  void HandOver() {
+    const auto handed = owner_->buckets->HandOver(workspace_, now_);
+    if (!handed) return;
+    const std::shared_ptr<Owner> old = owner_;
+    At(now_ + handed->ready_in, [this, old, handed = *handed] {
+      if (owner_ != old) return;
+      old->lease.until = now_;
+      NewOwner(now_);
+      const std::shared_ptr<Owner> next = owner_;
+      Send([this, next, handed] { next->buckets->Accept(handed, now_); });
+    });
+  }
+
+  /// Runs `what` at the owner when it is awake; a dead one never does.
+  void AtOwner(const std::shared_ptr<Owner>& owner,
+               const std::function<void()>& what) {
+    if (owner->dead) return;
+    if (now_ >= owner->paused_until) return what();
+    At(owner->paused_until, [this, owner, what] { AtOwner(owner, what); });
+  }
+
+  void Arrive(int asker) {
+    const Ms give_up = now_ + plan_.max_wait;
+    if (books_[asker].TakeAtHand(workspace_, now_)) return Admit();
+    Ask(asker, give_up);
+  }
+
+  void Ask(int asker, Ms give_up) {
+    const BucketQuestion question{
+        workspace_, books_[asker].StartQuestion(workspace_), give_up - now_};
+    const Ms asked_at = now_;
+    const auto answered = std::make_shared<bool>(false);
+    const std::shared_ptr<Owner> owner = owner_;
+    Send([=, this] {
+      AtOwner(owner, [=, this] {
+        const auto answer = owner->buckets->Take(question, now_);
+        if (!answer.ok()) return;
+        Send([=, this] {
+          if (std::exchange(*answered, true)) return;
+          OnAnswer(asker, *answer, asked_at, give_up);
+        });
+      });
+    });
+    At(now_ + Ms{500}, [=, this] {
+      if (std::exchange(*answered, true)) return;
+      books_[asker].OnNoAnswer(workspace_);
+      Retry(asker, give_up);
+    });
+  }
+
+  void Retry(int asker, Ms give_up) {
+    if (now_ >= give_up) {
+      ++refused_;
+    } else {
+      Ask(asker, give_up);
+    }
+  }
+
+  void OnAnswer(int asker, const BucketAnswer& answer, Ms asked_at,
+                Ms give_up) {
+    const GrantedStart start =
+        books_[asker].OnAnswer(workspace_, answer, asked_at, now_);
+    if (answer.granted == 0) {
+      ++refused_;
+      return;
+    }
+    // The asker may itself be late.
+    const Ms late = plan_.delays && Chance(20) ? Ms{Draw(0, 1000)} : Ms{0};
+    At(start.start_at + late, [=, this] {
+      if (now_ <= start.expires_at) return Admit();
+      Retry(asker, give_up);
+    });
+  }
+
+  void Admit() { admitted_.push_back(now_); }
+
+  const Plan plan_;
+  const WorkspaceId workspace_{"w"};
+  std::mt19937_64 random_;
+  Ms now_;
+  double arrival_s_ = 0;
+  std::multimap<int64_t, std::function<void()>> due_;
+  std::vector<GrantBook> books_;
+  std::shared_ptr<Owner> owner_;
+  uint64_t epoch_ = 0;
+  Ms renew_at_;
+  std::vector<Ms> admitted_;
+  uint64_t refused_ = 0;
+  uint64_t messages_ = 0;
+};
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_TESTS_FLEET_WALK_H_
--- /dev/null
+++ b/tests/limits_test.cc
@@ -0,0 +1,350 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "knapweed/limits/bucket_owner.h"
+#include "knapweed/limits/fleet_limiter.h"
+#include "knapweed/limits/grant_book.h"
+#include "knapweed/limits/rate_bucket.h"
+
+namespace knapweed {
+namespace {
+
+const WorkspaceId kWorkspace("w");
+
+TEST_CASE("a bucket fills at its rate up to its burst") {
+  struct Row {
+    Ms at;
+    double want;
+    bool taken;
+    Ms retry_after;
+  };
+  const std::vector<Row> rows = {
+      {Ms{0}, 1, false, Ms{500}},      {Ms{499}, 1, false, Ms{1}},
+      {Ms{500}, 1, true, Ms{0}},       {Ms{500}, 1, false, Ms{500}},
+      {Ms{5000}, 4, false, Ms{60000}}, {Ms{5000}, 3, true, Ms{0}},
+      {Ms{4000}, 1, false, Ms{500}},
+  };
+  RateBucket bucket = MakeEmptyBucket(2, 3, Ms{0});
+  for (const Row& row : rows) {
+    CAPTURE(row.at.count);
+    const BucketTake take = TakeTokens(bucket, row.want, row.at);
+    CHECK(take.taken == row.taken);
+    CHECK(take.retry_after == row.retry_after);
+  }
+  ReturnTokens(bucket, 10, Ms{5000});
+  CHECK(bucket.tokens == 3);
+}
+
+TEST_CASE("what late use may add is held back") {
+  const std::vector<RateLimit> rows = {{20, 40},   {2.5, 5}, {1, 1},
+                                       {100, 1},   {100, 6}, {500, 1000},
+                                       {0.01, 10}, {1, 1.2}, {1000, 1000}};
+  for (const RateLimit& row : rows) {
+    CAPTURE(row.rate_per_s);
+    CAPTURE(row.burst);
+    const BucketPlan plan = PlanBucket(row);
+    CHECK(plan.cap >= 1);
+    CHECK(plan.rate_per_s > 0);
+    CHECK(plan.rate_per_s <= row.rate_per_s);
+    // Tokens of a span of `valid` may all be used at its end.
+    const double late = plan.rate_per_s * plan.valid.Seconds();
+    if (plan.cap > 1) CHECK(plan.cap + late <= row.burst);
+    if (plan.cap == 1 && row.burst < 1 + row.rate_per_s * 0.05)
+      CHECK(1 / plan.rate_per_s >= 1 / row.rate_per_s + plan.valid.Seconds());
+  }
+}
+
+/// One bucket owner whose lease and limit a test sets.
+struct OwnerBench {
+  std::optional<BucketLease> lease = BucketLease{Ms{0}, Seconds(100), 1};
+  std::optional<RateLimit> limit = RateLimit{10, 21};
+  BucketOwner owner{{[this](const WorkspaceId&) { return lease; },
+                     [this](const WorkspaceId&) { return limit; }}};
+
+  uint32_t Take(Ms now, uint32_t want = 1, Ms wait = Ms{0}) {
+    const auto answer = owner.Take({kWorkspace, want, wait}, now);
+    return answer.ok() ? answer->granted : 0;
+  }
+  /// Takes until nothing is left; the number of tokens that there were.
+  uint32_t Drain(Ms now) {
+    uint32_t n = 0;
+    while (Take(now) == 1) ++n;
+    return n;
+  }
+};
+
+TEST_CASE("a new owner starts empty when the old lease has ended") {
+  OwnerBench bench;
+  bench.lease->since = Seconds(10);
+  CHECK(bench.Drain(Seconds(10)) == 0);
+  CHECK(bench.Drain(Seconds(10) + Ms{500}) == 5);
+  bench.lease = BucketLease{Seconds(20), Seconds(30), 2};
+  CHECK(bench.Drain(Seconds(20)) == 0);
+  CHECK(bench.Drain(Seconds(21)) == 10);
+  CHECK(bench.Drain(Seconds(30)) == 0);
+  bench.lease.reset();
+  CHECK(absl::IsFailedPrecondition(
+      bench.owner.Take({kWorkspace, 1, Ms{0}}, Seconds(25)).status()));
+  bench.lease = BucketLease{Seconds(20), Seconds(30), 2};
+  bench.limit.reset();
+  CHECK(absl::IsNotFound(
+      bench.owner.Take({kWorkspace, 1, Ms{0}}, Seconds(25)).status()));
+}
+
+TEST_CASE("callers that wait are promised tokens in order") {
+  OwnerBench bench;
+  bench.lease->until = Ms{350};
+  struct Row {
+    Ms wait;
+    uint32_t granted;
+    Ms start_after;
+    Ms retry_after;
+  };
+  const std::vector<Row> rows = {
+      {Seconds(5), 1, Ms{100}, Ms{0}}, {Ms{199}, 0, Ms{0}, Ms{200}},
+      {Ms{200}, 1, Ms{200}, Ms{0}},    {Seconds(5), 1, Ms{300}, Ms{0}},
+      {Seconds(5), 0, Ms{0}, Ms{400}},  // its turn comes after the lease
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.wait.count);
+    const auto answer = bench.owner.Take({kWorkspace, 9, row.wait}, Ms{0});
+    REQUIRE(answer.ok());
+    CHECK(answer->granted == row.granted);
+    CHECK(answer->start_after == row.start_after);
+    CHECK(answer->retry_after == row.retry_after);
+  }
+  CHECK(bench.Take(Ms{300}) == 0);
+  CHECK(bench.Take(Ms{349}, 1, Ms{0}) == 0);
+}
+
+TEST_CASE("a question gets several tokens only when there are plenty") {
+  OwnerBench bench;
+  const double cap = PlanBucket(*bench.limit).cap;
+  CHECK(bench.Take(Seconds(50), 64) == static_cast<uint32_t>(cap / 4));
+  CHECK(bench.Take(Seconds(50), 64) == 1);
+  CHECK(bench.Take(Seconds(52), 2) == 2);
+  bench.Drain(Seconds(52));
+  CHECK(bench.Take(Seconds(53), 64) == 1);
+}
+
+TEST_CASE("a planned stop hands the tokens over, once and to the next owner") {
+  struct Row {
+    std::string name;
+    uint64_t epoch;
+    bool early;
+    uint32_t tokens;
+  };
+  const std::vector<Row> rows = {
+      {"the next owner, told after it began", 2, false, 8},
+      {"the next owner, told before it began", 2, true, 8},
+      {"an owner after the next", 3, false, 0},
+      {"an owner after the next, told early", 3, true, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    OwnerBench old;
+    OwnerBench next;
+    REQUIRE(old.Take(Seconds(50)) == 1);
+    old.Drain(Seconds(50));
+    const auto handed = old.owner.HandOver(kWorkspace, Seconds(50) + Ms{800});
+    REQUIRE(handed.has_value());
+    CHECK(old.Take(Seconds(60)) == 0);
+    CHECK_FALSE(old.owner.HandOver(kWorkspace, Seconds(60)).has_value());
+    CHECK(handed->ready_in == Ms{0});
+    const Ms start = Seconds(70);
+    next.lease = BucketLease{start, Seconds(100), row.epoch};
+    if (row.early) next.owner.Accept(*handed, Seconds(69));
+    CHECK(next.owner.Take({kWorkspace, 0, Ms{0}}, start).ok());
+    if (!row.early) next.owner.Accept(*handed, start);
+    CHECK(next.Drain(start) + (row.early && row.tokens > 0 ? 1 : 0) ==
+          row.tokens);
+  }
+}
+
+TEST_CASE("a bucket is ready for its next owner when its promises are kept") {
+  OwnerBench bench;
+  bench.Drain(Seconds(50));
+  for (int n = 1; n <= 3; ++n)
+    CHECK(bench.Take(Seconds(50), 1, Seconds(1)) == 1);
+  const auto handed = bench.owner.HandOver(kWorkspace, Seconds(50));
+  REQUIRE(handed.has_value());
+  CHECK(handed->tokens == 0);
+  CHECK(handed->ready_in > Ms{200});
+  CHECK(handed->ready_in <= Ms{300});
+}
+
+TEST_CASE("withheld shares come out of rate and burst at once") {
+  OwnerBench bench;
+  bench.Drain(Seconds(50));
+  bench.owner.SetWithheld(0.6, Seconds(50));
+  CHECK(bench.Drain(Seconds(51)) == 4);
+  const double cap = PlanBucket(*bench.limit).cap;
+  CHECK(bench.Drain(Seconds(90)) == static_cast<uint32_t>(cap * 0.4));
+  bench.owner.SetWithheld(0, Seconds(90));
+  CHECK(bench.Drain(Seconds(90)) == 0);
+  CHECK(bench.Drain(Seconds(91)) == 10);
+}
+
+/// A limiter on a clock that only its own sleeping moves.
+struct LimiterBench {
+  Clock clock = Clock::Manual(Seconds(50));
+  OwnerBench owner;
+  double share = 0;
+  Ms back_in_contact = Seconds(1000);
+  /// The next questions end so, in this order; then the owner answers.
+  std::vector<absl::Status> failures;
+  /// How long the next answers take.
+  std::vector<Ms> delays;
+  int asked = 0;
+  FleetLimiter limiter{{
+      [this](const BucketQuestion& question, Ms) { return Ask(question); },
+      [this] { return clock.Now() < back_in_contact ? share : 0; },
+      [this](const WorkspaceId&) { return owner.limit; },
+      [this] { return clock.Now(); },
+      [this](Ms span) { clock.Advance(span); },
+  }};
+
+  absl::StatusOr<BucketAnswer> Ask(const BucketQuestion& question) {
+    ++asked;
+    if (!failures.empty()) {
+      const absl::Status status = failures.front();
+      failures.erase(failures.begin());
+      return status;
+    }
+    auto answer = owner.owner.Take(question, clock.Now());
+    if (!delays.empty()) {
+      clock.Advance(delays.front());
+      delays.erase(delays.begin());
+    }
+    return answer;
+  }
+};
+
+TEST_CASE("a call is admitted or refused truthfully") {
+  const absl::Status down = absl::UnavailableError("down");
+  const absl::Status late = absl::DeadlineExceededError("late");
+  struct Row {
+    std::string name;
+    std::vector<absl::Status> failures;
+    std::vector<Ms> delays;
+    Ms max_wait;
+    uint32_t drained;
+    std::optional<ErrorCode> code;
+    int asked;
+  };
+  const std::vector<Row> rows = {
+      {"at once", {}, {}, Ms{0}, 0, std::nullopt, 1},
+      {"waits its turn", {}, {}, Ms{100}, 99, std::nullopt, 1},
+      {"over rate", {}, {}, Ms{1}, 99, ErrorCode::kOverRate, 1},
+      {"owner back", {down, late}, {}, Ms{200}, 0, std::nullopt, 3},
+      {"no owner", {down, down}, {}, Ms{60}, 0, ErrorCode::kOverloaded, 2},
+      {"no wait", {down}, {}, Ms{0}, 0, ErrorCode::kOverloaded, 1},
+      {"no rule",
+       {absl::NotFoundError("")},
+       {},
+       Ms{200},
+       0,
+       ErrorCode::kForbidden,
+       1},
+      {"a late answer is void",
+       {},
+       {Seconds(2)},
+       Seconds(3),
+       0,
+       std::nullopt,
+       2},
+      {"too late", {}, {Seconds(2)}, Seconds(1), 0, ErrorCode::kOverRate, 1},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    LimiterBench bench;
+    for (uint32_t n = 0; n < row.drained; ++n) bench.owner.Take(Seconds(50));
+    bench.failures = row.failures;
+    bench.delays = row.delays;
+    const auto error = bench.limiter.Admit(kWorkspace, row.max_wait);
+    REQUIRE(error.has_value() == row.code.has_value());
+    CHECK(bench.asked == row.asked);
+    if (!error) continue;
+    CHECK(error->code == *row.code);
+    CHECK(error->run == RunState::kNotRun);
+    CHECK((error->retry_after > Ms{0}) ==
+          (error->code != ErrorCode::kForbidden));
+  }
+}
+
+TEST_CASE("a busy workspace asks less than once a call and wastes no burst") {
+  LimiterBench bench;
+  bench.owner.limit = RateLimit{100, 200};
+  constexpr int kCalls = 450;
+  for (int n = 0; n < kCalls; ++n) {
+    CHECK_FALSE(bench.limiter.Admit(kWorkspace, Ms{0}).has_value());
+    bench.clock.Advance(Ms{20});
+  }
+  CHECK(bench.asked < kCalls / 4);
+  const double cap = PlanBucket(*bench.owner.limit).cap;
+  CHECK(bench.owner.Drain(bench.clock.Now()) >= cap * 0.75);
+}
+
+TEST_CASE("the grants of a workspace that fell quiet are forgotten") {
+  GrantBook book;
+  CHECK_FALSE(book.TakeAtHand(kWorkspace, Ms{0}));
+  CHECK(book.StartQuestion(kWorkspace) == 1);
+  book.OnAnswer(kWorkspace, {3, Ms{0}, Ms{100}, Ms{0}}, Ms{0}, Ms{5});
+  CHECK(book.TakeAtHand(kWorkspace, Ms{100}));
+  CHECK_FALSE(book.TakeAtHand(kWorkspace, Ms{101}));
+  book.Prune(Seconds(10));
+  CHECK(book.size() == 1);
+  book.Prune(Seconds(11));
+  CHECK(book.size() == 0);
+}
+
+TEST_CASE("out of contact only the own share is spent") {
+  LimiterBench bench;
+  bench.share = 0.25;
+  int admitted = 0;
+  while (bench.clock.Now() < Seconds(60)) {
+    if (!bench.limiter.Admit(kWorkspace, Ms{0})) ++admitted;
+    bench.clock.Advance(Ms{10});
+  }
+  CHECK(bench.asked == 0);
+  CHECK(admitted <= 10 * 0.25 * 10 + 21 * 0.25);
+  CHECK(admitted >= 24);
+  CHECK_FALSE(bench.limiter.Admit(kWorkspace, Ms{0}).has_value());
+  // The turn of this call would come after the contact is back.
+  bench.back_in_contact = bench.clock.Now() + Ms{100};
+  CHECK_FALSE(bench.limiter.Admit(kWorkspace, Seconds(2)).has_value());
+  CHECK(bench.asked == 1);
+}
+
+TEST_CASE("several threads together get what the bucket holds") {
+  LimiterBench bench;
+  std::atomic<uint32_t> admitted{0};
+  constexpr int kThreads = 4;
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  FleetLimiter limiter({
+      [&](const BucketQuestion& question, Ms) {
+        return bench.owner.owner.Take(question, Seconds(50));
+      },
+      [] { return 0.0; },
+      [&](const WorkspaceId&) { return bench.owner.limit; },
+      [] { return Seconds(50); },
+      [](Ms) {},
+  });
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (int n = 0; n < 100; ++n) {
+        if (!limiter.Admit(kWorkspace, Ms{0})) ++admitted;
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  CHECK(admitted == static_cast<uint32_t>(PlanBucket({10, 21}).cap));
+}
+
+}  // namespace
+}  // namespace knapweed
