--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -77,9 +77,10 @@
 
 /// The store, or a message that there is none.
 std::optional<ConfigStore> Connect(const Command& command) {
-  if (command.options.platform)
+  if (command.options.platform) {
     return command.env.connect(*command.options.platform,
                                command.options.timeout);
+  }
   Fail(command, CtlExit::kUsage,
        "name the platform's service with --platform IP:PORT");
   return std::nullopt;
@@ -119,9 +120,10 @@
   const CtlExit exit = ExitOf(change.state);
   if (change.state == ChangeState::kApplied)
     command.env.err << "Version " << change.version << " is accepted.\n";
-  if (change.state == ChangeState::kUnchanged)
+  if (change.state == ChangeState::kUnchanged) {
     command.env.err << "Nothing to change in version " << change.version
                     << ".\n";
+  }
   if (exit != CtlExit::kOk) return Fail(command, exit, change.message);
   return exit;
 }
@@ -190,9 +192,10 @@
   const IssuedKeyResult key = IssueKey(*store, WorkspaceId(command.argument));
   if (!key.key_text.empty()) command.env.out << key.key_text << '\n';
   const CtlExit exit = Report(command, key.change);
-  if (exit == CtlExit::kOk)
+  if (exit == CtlExit::kOk) {
     command.env.err << "The key is shown this once; its id is " << key.key_id
                     << ".\n";
+  }
   return exit;
 }
 
@@ -207,9 +210,10 @@
   if (!store) return CtlExit::kUsage;
   const absl::StatusOr<StoredConfig> config = ReadInForce(*store);
   if (!config.ok()) return CantRead(command, config.status());
-  for (const KeyRecord& key : config->keys)
+  for (const KeyRecord& key : config->keys) {
     command.env.out << key.id << ' ' << key.workspace.value << ' '
                     << (key.withdrawn ? "withdrawn" : "live") << '\n';
+  }
   return CtlExit::kOk;
 }
 
@@ -237,11 +241,12 @@
 CtlExit CallAndPrint(const Command& command, std::string_view method,
                      std::string_view path) {
   Address address;
-  if (!ParseAddress(command.argument, &address))
+  if (!ParseAddress(command.argument, &address)) {
     return Fail(command, CtlExit::kUsage,
                 "'" + command.argument +
                     "' is no control address; expected an IP number and "
                     "port, as in 127.0.0.1:8080");
+  }
   const auto body = CallProcess(command, address, method, path);
   if (!body) return CtlExit::kUnavailable;
   const Json json = Json::parse(*body, nullptr, false);
@@ -269,9 +274,10 @@
 CtlExit Status(const Command& command) {
   const std::optional<ConfigStore> store = Connect(command);
   if (!store) return CtlExit::kUsage;
-  if (command.options.control.empty())
+  if (command.options.control.empty()) {
     return Fail(command, CtlExit::kUsage,
                 "name the processes with --control IP:PORT,...");
+  }
   const absl::StatusOr<ConfigHead> head = ReadConfigHead(*store);
   if (!head.ok()) return CantRead(command, head.status());
   command.env.out << "accepted " << head->version << '\n';
@@ -321,12 +327,13 @@
                  const CtlEnvironment& env) {
   Command command{options, env, ""};
   const size_t wanted = entry.words.size() + (entry.argument.empty() ? 0 : 1);
-  if (options.words.size() != wanted)
+  if (options.words.size() != wanted) {
     return Fail(command, CtlExit::kUsage,
                 "'" + options.words.front() + "' takes " +
                     (entry.argument.empty() ? "no argument"
                                             : std::string(entry.argument)) +
                     "; see --help");
+  }
   if (!entry.argument.empty()) command.argument = options.words.back();
   return entry.run(command);
 }
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -60,9 +60,10 @@
 }
 
 absl::Status ReadNumbers(const RawOptions& raw, CtlOptions* options) {
-  if (raw.timeout_s < 1 || raw.timeout_s > kMaxTimeoutS)
+  if (raw.timeout_s < 1 || raw.timeout_s > kMaxTimeoutS) {
     return BadOption("--timeout", std::to_string(raw.timeout_s),
                      "1 to 600 seconds");
+  }
   options->timeout = Seconds(raw.timeout_s);
   if (raw.expect_version == nullptr) return absl::OkStatus();
   const std::string_view text = raw.expect_version;
@@ -90,10 +91,11 @@
       POPT_TABLEEND};
   const Context context(poptGetContext("knapweedctl", argc, argv, table, 0));
   const int ec = poptGetNextOpt(context.get());
-  if (ec < -1)
+  if (ec < -1) {
     return absl::InvalidArgumentError(
         absl::StrCat(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), ": ",
                      poptStrerror(ec)));
+  }
   CtlOptions options;
   options.help = raw.help != 0;
   options.version = raw.version != 0;
--- a/src/limits/fleet_limiter.cc
+++ b/src/limits/fleet_limiter.cc
@@ -81,9 +81,10 @@
 std::optional<CallError> FleetLimiter::NoAnswer(const absl::Status& status,
                                                 Ms give_up, bool* again) {
   if (absl::IsNotFound(status)) return NoRule();
-  if (sources_.now() + kOwnerPause > give_up)
+  if (sources_.now() + kOwnerPause > give_up) {
     return Refuse(ErrorCode::kOverloaded, kOwnerRetryAfter,
                   "The workspace's rate can't be checked at the moment.");
+  }
   sources_.sleep(kOwnerPause);
   *again = true;
   return std::nullopt;
