--- a/include/knapweed/base/ids.h
+++ b/include/knapweed/base/ids.h
@@ -50,7 +50,12 @@
   auto operator<=>(const Epoch&) const = default;
 };
 
-/// The partition of a program. The same on every process and in every version.
+/// The first part of a sub-agent's name, "order-7" for "order-7/stock"; the
+/// whole name of any other program.
+std::string_view RootOf(const ProgramId& program);
+
+/// The partition of a program, the same for a whole tree of sub-agents. The
+/// same on every process and in every version.
 PartitionId PartitionOf(const ProgramKey& key, uint32_t partition_count);
 
 /// 64-bit xxHash of a byte string, stable across processes.
--- a/src/base/ids.cc
+++ b/src/base/ids.cc
@@ -27,9 +27,14 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+std::string_view RootOf(const ProgramId& program) {
+  const std::string_view name = program.value;
+  return name.substr(0, name.find('/'));
+}
+
 PartitionId PartitionOf(const ProgramKey& key, uint32_t partition_count) {
   const uint64_t workspace_hash = HashBytes(key.workspace.value);
-  const uint64_t hash = HashBytes(key.program.value, workspace_hash);
+  const uint64_t hash = HashBytes(RootOf(key.program), workspace_hash);
   return PartitionId{static_cast<uint32_t>(hash % partition_count)};
 }
 
--- /dev/null
+++ b/src/journal/journal.cc
@@ -0,0 +1,317 @@
+#include "knapweed/journal/journal.h"
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
+#include "knapweed/journal/log_rows.h"
+#include "knapweed/membership/rows.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Logger kLog("journal");
+/// What a record takes besides its strings.
+constexpr size_t kRecordOverheadBytes = 128;
+/// Below this rate each record is written at once.
+constexpr double kIdleRecordsPerSecond = 20;
+/// Weight of the newest batch in the running averages.
+constexpr double kNewestWeight = 0.2;
+constexpr Ms kFirstRetry{20};
+constexpr Ms kLastRetry{500};
+/// A waiter looks at the clock this often, since a manual clock wakes nobody.
+constexpr std::chrono::milliseconds kWaitStep(50);
+/// However slow the store is, a batch waits no longer than this for the next.
+constexpr Ms kLongestPause = Seconds(1);
+
+size_t BytesOf(const journal::RecordT& record) {
+  size_t n = kRecordOverheadBytes;
+  n += record.workspace.size() + record.program.size();
+  n += record.idempotency_key.size() + record.body.size();
+  n += record.error_message.size() + record.attempt.size();
+  for (const std::string& it : record.added) n += it.size();
+  return n;
+}
+
+/// Records that become durable together.
+struct Group {
+  std::vector<journal::RecordT> records;
+  size_t bytes = 0;
+  JournalPosition end;
+};
+
+struct PendingBatch {
+  std::vector<journal::RecordT> records;
+  size_t bytes = 0;
+  JournalPosition end;
+};
+
+}  // namespace
+
+struct Journal::Impl {
+  Impl(TableService table_in, ObjectStore objects_in, const Clock& clock_in,
+       JournalOptions options_in)
+      : table(std::move(table_in)),
+        objects(std::move(objects_in)),
+        clock(clock_in),
+        options(std::move(options_in)),
+        random(HashBytes(options.incarnation)) {}
+
+  void Run();
+  PendingBatch TakeBatch();
+  absl::Status Write(const PendingBatch& batch, uint64_t number);
+  absl::Status CommitRow(uint64_t number, const std::string& text);
+  absl::Status Settle(const std::string& key, const std::string& text);
+  bool Pause(Ms span);
+  Ms Gather() const;
+  void Learn(size_t records, Ms took);
+
+  const TableService table;
+  const ObjectStore objects;
+  const Clock& clock;
+  const JournalOptions options;
+  std::mt19937_64 random;
+
+  mutable std::mutex mu;
+  std::condition_variable wake_writer;
+  std::condition_variable wake_waiters;
+  std::deque<Group> queue;
+  JournalPosition appended;
+  JournalPosition durable;
+  JournalProgress progress;
+  bool fenced = false;
+  bool stop = false;
+  double records_per_s = 0;
+  double commit_ms = 0;
+  Ms last_commit;
+  std::thread writer;
+};
+
+PendingBatch Journal::Impl::TakeBatch() {
+  PendingBatch batch;
+  while (!queue.empty()) {
+    Group& group = queue.front();
+    const bool full = batch.bytes + group.bytes > options.max_batch_bytes;
+    if (!batch.records.empty() && full) break;
+    std::move(group.records.begin(), group.records.end(),
+              std::back_inserter(batch.records));
+    batch.bytes += group.bytes;
+    batch.end = group.end;
+    queue.pop_front();
+  }
+  return batch;
+}
+
+/// How long to let a batch grow since the last commit: nothing on an idle log;
+/// under load until it is worth a write, and as long as the store takes for one
+/// when it is slow.
+Ms Journal::Impl::Gather() const {
+  if (records_per_s < kIdleRecordsPerSecond) return Ms{0};
+  const double wanted_ms = 1000.0 * options.gather_records / records_per_s;
+  const double gather_ms =
+      std::min(wanted_ms, static_cast<double>(options.max_gather.count));
+  const double span_ms = std::max(gather_ms, commit_ms);
+  return std::min(Ms{static_cast<int64_t>(span_ms)}, kLongestPause);
+}
+
+void Journal::Impl::Learn(size_t records, Ms took) {
+  const Ms now = clock.Now();
+  const double span_s = std::max((now - last_commit).Seconds(), 0.001);
+  last_commit = now;
+  const double rate = static_cast<double>(records) / span_s;
+  records_per_s += kNewestWeight * (rate - records_per_s);
+  commit_ms += kNewestWeight * (static_cast<double>(took.count) - commit_ms);
+}
+
+void Journal::Impl::Run() {
+  std::unique_lock<std::mutex> lock(mu);
+  while (true) {
+    wake_writer.wait(lock, [&] { return stop || !queue.empty(); });
+    if (stop) return;
+    const Ms wait = last_commit + Gather() - clock.Now();
+    if (wait > Ms{0}) {
+      wake_writer.wait_for(lock, std::chrono::milliseconds(wait.count),
+                           [&] { return stop; });
+      if (stop) return;
+    }
+    const PendingBatch batch = TakeBatch();
+    const uint64_t number = progress.last_batch + 1;
+    lock.unlock();
+    const Ms start = clock.Now();
+    absl::Status status = Write(batch, number);
+    lock.lock();
+    if (absl::IsCancelled(status)) return;
+    if (!status.ok()) {
+      fenced = true;
+      queue.clear();
+      progress.pending_bytes = 0;
+      wake_waiters.notify_all();
+      return;
+    }
+    durable = batch.end;
+    progress.last_batch = number;
+    progress.commits += 1;
+    progress.records += batch.records.size();
+    progress.bytes += batch.bytes;
+    progress.pending_bytes -= batch.bytes;
+    Learn(batch.records.size(), clock.Now() - start);
+    wake_waiters.notify_all();
+  }
+}
+
+/// Writes a batch until it is durable. FailedPrecondition when the fence was
+/// closed first; Cancelled when the writer was stopped.
+absl::Status Journal::Impl::Write(const PendingBatch& batch, uint64_t number) {
+  const std::string bytes =
+      PackBatch(options.incarnation, number, batch.records);
+  std::string text;
+  if (bytes.size() <= options.max_row_bytes) {
+    text = InlineRowText(bytes);
+  } else {
+    const std::string name = BatchObjectName(options.incarnation, number);
+    Ms retry = kFirstRetry;
+    while (!objects.put(name, bytes).ok()) {
+      if (!Pause(retry)) return absl::CancelledError();
+      retry = std::min(retry * 2, kLastRetry);
+    }
+    text = ObjectRowText(name, bytes);
+  }
+  Ms retry = kFirstRetry;
+  while (true) {
+    absl::Status status = CommitRow(number, text);
+    if (status.ok() || absl::IsFailedPrecondition(status)) return status;
+    if (!Pause(retry)) return absl::CancelledError();
+    retry = std::min(retry * 2, kLastRetry);
+  }
+}
+
+absl::Status Journal::Impl::CommitRow(uint64_t number,
+                                      const std::string& text) {
+  const std::string key = BatchKey(options.incarnation, number);
+  Transaction transaction;
+  transaction.conditions.push_back(
+      {FenceKey(options.incarnation), kOpenFenceVersion});
+  transaction.conditions.push_back({key, 0});
+  transaction.writes.push_back({key, text});
+  absl::Status status = table.commit(transaction);
+  if (status.ok()) return status;
+  if (absl::IsAborted(status) || IsUncertain(status)) return Settle(key, text);
+  return status;
+}
+
+/// Finds out what became of a commit: an earlier try, whose answer was lost,
+/// may have written the row, or the fence is closed.
+absl::Status Journal::Impl::Settle(const std::string& key,
+                                   const std::string& text) {
+  const absl::StatusOr<Row> fence = table.get(FenceKey(options.incarnation));
+  if (!fence.ok() && !absl::IsNotFound(fence.status())) return fence.status();
+  // The row is read after the fence: once the fence is closed, no late commit
+  // can write it any more.
+  const absl::StatusOr<Row> row = table.get(key);
+  if (row.ok() && row->value == text) return absl::OkStatus();
+  if (row.ok()) {
+    kLog.Error("Another writer used this log.", {{"row", key}});
+    return absl::FailedPreconditionError("another writer used this log");
+  }
+  if (!absl::IsNotFound(row.status())) return row.status();
+  if (!fence.ok() || fence->version != kOpenFenceVersion) {
+    kLog.Warning("The log is fenced.", {{"incarnation", options.incarnation}});
+    return absl::FailedPreconditionError("the log is fenced");
+  }
+  return absl::UnavailableError("the batch is not written yet");
+}
+
+/// False when the writer is to stop.
+bool Journal::Impl::Pause(Ms span) {
+  std::unique_lock<std::mutex> lock(mu);
+  std::uniform_int_distribution<int64_t> jitter(span.count / 2, span.count);
+  wake_writer.wait_for(lock, std::chrono::milliseconds(jitter(random)),
+                       [&] { return stop; });
+  return !stop;
+}
+
+Journal::Journal(TableService table, ObjectStore objects, const Clock& clock,
+                 JournalOptions options)
+    : impl_(std::make_unique<Impl>(std::move(table), std::move(objects), clock,
+                                   std::move(options))) {}
+
+Journal::~Journal() { Stop(); }
+
+void Journal::Start() {
+  impl_->writer = std::thread([this] { impl_->Run(); });
+}
+
+void Journal::Stop() {
+  {
+    std::lock_guard<std::mutex> lock(impl_->mu);
+    impl_->stop = true;
+  }
+  impl_->wake_writer.notify_all();
+  impl_->wake_waiters.notify_all();
+  if (impl_->writer.joinable()) impl_->writer.join();
+}
+
+absl::StatusOr<JournalPosition> Journal::Append(
+    std::vector<journal::RecordT> records) {
+  Group group;
+  for (const journal::RecordT& it : records) group.bytes += BytesOf(it);
+  group.records = std::move(records);
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  if (impl_->fenced || impl_->stop) {
+    return absl::FailedPreconditionError("the log is fenced");
+  }
+  const size_t pending = impl_->progress.pending_bytes + group.bytes;
+  if (pending > impl_->options.max_pending_bytes) {
+    return absl::ResourceExhaustedError("too much waits to be written");
+  }
+  impl_->progress.pending_bytes = pending;
+  impl_->appended.n += group.records.size();
+  group.end = impl_->appended;
+  impl_->queue.push_back(std::move(group));
+  impl_->wake_writer.notify_all();
+  return impl_->appended;
+}
+
+absl::Status Journal::Wait(JournalPosition position, Ms deadline) {
+  std::unique_lock<std::mutex> lock(impl_->mu);
+  while (impl_->durable < position) {
+    if (impl_->fenced || impl_->stop) {
+      return absl::FailedPreconditionError("the log is fenced");
+    }
+    if (impl_->clock.Now() >= deadline) {
+      return absl::DeadlineExceededError("not durable yet");
+    }
+    impl_->wake_waiters.wait_for(lock, kWaitStep);
+  }
+  return absl::OkStatus();
+}
+
+bool Journal::Durable(JournalPosition position) const {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  return impl_->durable >= position;
+}
+
+bool Journal::Fenced() const {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  return impl_->fenced;
+}
+
+JournalPosition Journal::end() const {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  return impl_->appended;
+}
+
+JournalProgress Journal::Progress() const {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  return impl_->progress;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/membership/lease.cc
@@ -0,0 +1,156 @@
+#include "knapweed/base/log.h"
+#include "membership_impl.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Logger kLog("membership");
+constexpr int kJoinAttempts = 5;
+
+}  // namespace
+
+bool Membership::Impl::LeaseHolds() const {
+  return !left.load() && clock.Now().count < lease_until.load();
+}
+
+Transaction Membership::Impl::RenewalOf(const MemberRow& row) const {
+  Transaction transaction;
+  const std::string key = MemberKey(row.member.id);
+  transaction.conditions.push_back({key, own_version});
+  transaction.writes.push_back({key, EncodeMember(row)});
+  return transaction;
+}
+
+absl::Status Membership::Impl::Join() {
+  std::lock_guard<std::mutex> lock(lease_mu);
+  absl::Status status;
+  for (int i = 0; i < kJoinAttempts; ++i) {
+    status = TryJoin();
+    if (!absl::IsAborted(status)) break;
+  }
+  if (!status.ok()) return status;
+  kLog.Info("Joined.", {{"member", own_row.member.id.value},
+                        {"incarnation", own_row.member.incarnation}});
+  return status;
+}
+
+absl::Status Membership::Impl::TryJoin() {
+  const std::string key = MemberKey(own_row.member.id);
+  const std::string fence = FenceKey(own_row.member.incarnation);
+  const absl::StatusOr<Row> old = table.get(key);
+  if (!old.ok() && !absl::IsNotFound(old.status())) return old.status();
+
+  Transaction transaction;
+  const uint64_t old_version = old.ok() ? old->version : 0;
+  transaction.conditions.push_back({key, old_version});
+  transaction.conditions.push_back({fence, 0});
+  const auto old_row = old.ok() ? DecodeMember(old->value) : std::nullopt;
+  if (old_row) {
+    // The same member before its restart: nobody needs to wait for its lease.
+    const std::string old_fence = FenceKey(old_row->member.incarnation);
+    transaction.conditions.push_back({old_fence, kOpenFenceVersion});
+    transaction.writes.push_back({old_fence, "restarted"});
+  }
+  ++own_row.beat;
+  transaction.writes.push_back({fence, "open"});
+  transaction.writes.push_back({key, EncodeMember(own_row)});
+  transaction.writes.push_back({std::string(kPartitionChangeKey), key});
+  const Ms sent = clock.Now();
+  absl::Status status = CommitAndConfirm(table, transaction, key);
+  if (!status.ok()) return status;
+  own_version = old_version + 1;
+  fenced.store(false);
+  lease_until.store((sent + options.lease).count);
+  return status;
+}
+
+absl::Status Membership::Impl::Renew() {
+  std::lock_guard<std::mutex> lock(lease_mu);
+  if (left.load()) return absl::FailedPreconditionError("this member has left");
+  if (fenced.load()) {
+    OnFenced();
+    return absl::FailedPreconditionError("this member was fenced");
+  }
+  own_row.member.leaving = leaving.load();
+  ++own_row.beat;
+  const Ms sent = clock.Now();
+  const Transaction transaction = RenewalOf(own_row);
+  absl::Status status =
+      CommitAndConfirm(table, transaction, transaction.writes[0].key);
+  if (absl::IsAborted(status)) return AdoptOrFence();
+  if (!status.ok()) return status;
+  ++own_version;
+  lease_until.store((sent + options.lease).count);
+  return status;
+}
+
+/// After a renewal that did not fit the row: either an earlier renewal, whose
+/// answer was lost, did take effect, or the row is no longer this process's.
+absl::Status Membership::Impl::AdoptOrFence() {
+  const absl::StatusOr<Row> row = table.get(MemberKey(own_row.member.id));
+  if (!row.ok() && !absl::IsNotFound(row.status())) return row.status();
+  const auto found = row.ok() ? DecodeMember(row->value) : std::nullopt;
+  if (!found || found->member.incarnation != own_row.member.incarnation) {
+    fenced.store(true);
+    lease_until.store(0);
+    kLog.Warning("This member was fenced; its partitions have other owners.",
+                 {{"incarnation", own_row.member.incarnation}});
+    OnFenced();
+    return absl::FailedPreconditionError("this member was fenced");
+  }
+  own_version = row->version;
+  own_row.beat = found->beat + 1;
+  const Ms sent = clock.Now();
+  const Transaction transaction = RenewalOf(own_row);
+  absl::Status status =
+      CommitAndConfirm(table, transaction, transaction.writes[0].key);
+  if (!status.ok()) return status;
+  ++own_version;
+  lease_until.store((sent + options.lease).count);
+  return status;
+}
+
+void Membership::Impl::OnFenced() {
+  for (uint32_t n = 0; n < options.partition_count; ++n) {
+    if (served[n].exchange(0) == 0) continue;
+    // What the handler could not wait for can't be recorded any more.
+    on_loss(PartitionId{n}).IgnoreError();
+  }
+  if (!options.on_rejoin || leaving.load()) return;
+  own_row.member.incarnation = RandomHexId();
+  own_row.beat = 0;
+  const std::string& incarnation = own_row.member.incarnation;
+  // The handler comes before the row, so that nothing is gained too early.
+  absl::Status status = options.on_rejoin(incarnation);
+  if (status.ok()) status = TryJoin();
+  if (!status.ok()) {
+    kLog.Warning("Could not join anew yet.", {{"error", status.ToString()}});
+    return;
+  }
+  {
+    std::lock_guard<std::mutex> lock(view_mu);
+    auto next = std::make_shared<MembershipView>(*View());
+    next->self_incarnation = incarnation;
+    Publish(std::move(next));
+  }
+  kLog.Info("Joined anew.", {{"incarnation", own_row.member.incarnation}});
+}
+
+absl::Status Membership::Impl::CloseOwnFence() {
+  std::lock_guard<std::mutex> lock(lease_mu);
+  const std::string key = MemberKey(own_row.member.id);
+  const std::string fence = FenceKey(own_row.member.incarnation);
+  Transaction transaction;
+  transaction.conditions.push_back({fence, kOpenFenceVersion});
+  transaction.writes.push_back({fence, "left"});
+  transaction.writes.push_back({key, std::nullopt});
+  transaction.writes.push_back({std::string(kPartitionChangeKey), key});
+  left.store(true);
+  lease_until.store(0);
+  absl::Status status = CommitAndConfirm(table, transaction, fence);
+  // Closed by others already: there is nothing left to give back.
+  if (absl::IsAborted(status)) return absl::OkStatus();
+  return status;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,265 @@
+#include "knapweed/membership/membership.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "knapweed/membership/assignment.h"
+#include "membership_impl.h"
+
+namespace knapweed {
+namespace {
+
+/// A failed renewal is tried again after this part of the usual interval.
+constexpr int64_t kRetryDivisor = 4;
+/// Renewals come up to this part of the interval early, so that members that
+/// started together don't stay in step.
+constexpr int64_t kJitterDivisor = 5;
+/// How long a planned stop waits between its looks at what is left.
+constexpr Ms kLeavePause{20};
+
+std::chrono::milliseconds Chrono(Ms span) {
+  return std::chrono::milliseconds(span.count);
+}
+
+}  // namespace
+
+Membership::Impl::Impl(TableService table_in, const Clock& clock_in,
+                       MembershipOptions options_in, GainHandler gain,
+                       LossHandler loss)
+    : table(std::move(table_in)),
+      clock(clock_in),
+      options(std::move(options_in)),
+      on_gain(std::move(gain)),
+      on_loss(std::move(loss)),
+      served(options.partition_count),
+      releasing(options.partition_count),
+      detector(options.margin, options.lease / 2),
+      random(HashBytes(options.self.incarnation)) {
+  own_row.member = options.self;
+  own_row.lease = options.lease;
+  auto first = std::make_shared<MembershipView>();
+  first->self_incarnation = options.self.incarnation;
+  first->partitions.resize(options.partition_count);
+  Publish(std::move(first));
+}
+
+void Membership::Impl::Publish(std::shared_ptr<const MembershipView> next) {
+  view.store(std::move(next));
+}
+
+bool Membership::Impl::Owns(PartitionId partition) const {
+  const auto seen = View();
+  const auto& row = seen->partitions[partition.n];
+  return row && row->row.incarnation == seen->self_incarnation;
+}
+
+std::vector<Member> Membership::Impl::Candidates() const {
+  const auto seen = View();
+  std::vector<Member> members;
+  for (const auto& [incarnation, row] : seen->members) {
+    members.push_back(row.member);
+    const bool self = incarnation == seen->self_incarnation;
+    if (self && leaving.load()) members.back().leaving = true;
+  }
+  return members;
+}
+
+std::optional<PartitionOwner> Membership::Impl::OwnerOf(
+    PartitionId partition) const {
+  const auto seen = View();
+  if (partition.n >= seen->partitions.size()) return std::nullopt;
+  const auto& row = seen->partitions[partition.n];
+  if (!row) return std::nullopt;
+  PartitionOwner owner;
+  owner.epoch = row->row.epoch;
+  if (row->row.incarnation == seen->self_incarnation) {
+    owner.member = options.self;
+    owner.member.incarnation = seen->self_incarnation;
+    const bool serving = served[partition.n].load() == owner.epoch.n;
+    owner.self = serving && LeaseHolds();
+    owner.lapsed_self = serving && !owner.self && !fenced.load();
+    return owner;
+  }
+  const auto member = seen->members.find(row->row.incarnation);
+  if (member == seen->members.end()) return std::nullopt;
+  owner.member = member->second.member;
+  return owner;
+}
+
+void Membership::Impl::Sleep(std::unique_lock<std::mutex>& lock, Ms span,
+                             bool* poked) {
+  wake.wait_for(lock, Chrono(span), [&] { return stop || (poked && *poked); });
+  if (poked) *poked = false;
+}
+
+void Membership::Impl::RunRenew() {
+  std::unique_lock<std::mutex> lock(thread_mu);
+  while (!stop) {
+    const int64_t jitter = options.renew_every.count / kJitterDivisor;
+    const Ms early{std::uniform_int_distribution<int64_t>(0, jitter)(random)};
+    Sleep(lock, options.renew_every - early, nullptr);
+    lock.unlock();
+    absl::Status status = Renew();
+    lock.lock();
+    while (!status.ok() && !stop && !left.load()) {
+      Sleep(lock, options.renew_every / kRetryDivisor, nullptr);
+      lock.unlock();
+      status = Renew();
+      lock.lock();
+    }
+  }
+}
+
+void Membership::Impl::RunWatch() {
+  std::unique_lock<std::mutex> lock(thread_mu);
+  while (!stop) {
+    lock.unlock();
+    // A failed look is made again at the next turn; the view stays as it was.
+    absl::Status status = Watch();
+    lock.lock();
+    poke_gain = poke_gain || status.ok();
+    wake.notify_all();
+    Sleep(lock, options.scan_every, &poke_watch);
+  }
+}
+
+void Membership::Impl::RunGain() {
+  std::unique_lock<std::mutex> lock(thread_mu);
+  while (!stop) {
+    lock.unlock();
+    GainPending();
+    lock.lock();
+    Sleep(lock, options.scan_every, &poke_gain);
+  }
+}
+
+void Membership::Impl::StartThreads() {
+  threads.emplace_back([this] { RunRenew(); });
+  threads.emplace_back([this] { RunWatch(); });
+  threads.emplace_back([this] { RunGain(); });
+}
+
+void Membership::Impl::StopThreads() {
+  {
+    std::lock_guard<std::mutex> lock(thread_mu);
+    stop = true;
+  }
+  wake.notify_all();
+  for (std::thread& it : threads) it.join();
+  threads.clear();
+}
+
+Membership::Membership(TableService table, const Clock& clock,
+                       MembershipOptions options, GainHandler on_gain,
+                       LossHandler on_loss)
+    : impl_(std::make_unique<Impl>(std::move(table), clock, std::move(options),
+                                   std::move(on_gain), std::move(on_loss))) {}
+
+Membership::~Membership() { impl_->StopThreads(); }
+
+absl::Status Membership::Start() {
+  absl::Status status = impl_->Join();
+  if (!status.ok()) return status;
+  impl_->StartThreads();
+  return status;
+}
+
+absl::Status Membership::Leave(Ms timeout) {
+  const Ms deadline = impl_->clock.Now() + timeout;
+  impl_->leaving.store(true);
+  absl::Status status = impl_->Renew();
+  bool whole = false;
+  while (!whole && impl_->clock.Now() < deadline) {
+    whole = true;
+    {
+      std::lock_guard<std::mutex> lock(impl_->watch_mu);
+      const std::vector<Member> candidates = impl_->Candidates();
+      for (uint32_t n = 0; n < impl_->options.partition_count; ++n) {
+        const PartitionId partition{n};
+        if (!impl_->Owns(partition)) continue;
+        const Member* target = PreferredOwner(partition, candidates);
+        // Nobody is left: the next member to start takes the logs up.
+        if (target == nullptr) continue;
+        whole = impl_->Release(partition, *target).ok() && whole;
+      }
+    }
+    if (whole) break;
+    SleepFor(kLeavePause);
+    status = impl_->Watch();
+  }
+  status = impl_->CloseOwnFence();
+  if (!status.ok()) return status;
+  if (whole) return absl::OkStatus();
+  return absl::DeadlineExceededError("some partitions were not handed over");
+}
+
+std::optional<PartitionOwner> Membership::OwnerOf(PartitionId partition) const {
+  return impl_->OwnerOf(partition);
+}
+
+bool Membership::LeaseHolds() const { return impl_->LeaseHolds(); }
+
+bool Membership::Fenced() const { return impl_->fenced.load(); }
+
+std::string Membership::Incarnation() const {
+  return impl_->View()->self_incarnation;
+}
+
+std::vector<Member> Membership::Members() const {
+  std::vector<Member> members;
+  for (const auto& [incarnation, row] : impl_->View()->members) {
+    members.push_back(row.member);
+  }
+  return members;
+}
+
+std::vector<SidecarRecord> Membership::Sidecars() const {
+  return impl_->View()->sidecars;
+}
+
+void Membership::Poke() {
+  {
+    std::lock_guard<std::mutex> lock(impl_->thread_mu);
+    impl_->poke_watch = true;
+  }
+  impl_->wake.notify_all();
+}
+
+absl::Status Membership::Join() { return impl_->Join(); }
+
+absl::Status Membership::Renew() { return impl_->Renew(); }
+
+absl::Status Membership::Watch() { return impl_->Watch(); }
+
+void Membership::GainPending() { impl_->GainPending(); }
+
+std::string Membership::DumpJson() const {
+  using Json = nlohmann::json;
+  const auto view = impl_->View();
+  Json members = Json::array();
+  for (const auto& [incarnation, row] : view->members) {
+    members.push_back(Json::parse(EncodeMember(row), nullptr, false));
+  }
+  Json partitions = Json::array();
+  for (uint32_t n = 0; n < impl_->options.partition_count; ++n) {
+    const auto& it = view->partitions[n];
+    if (!it) continue;
+    Json row = Json::parse(EncodePartition(it->row), nullptr, false);
+    row["partition"] = n;
+    row["served_epoch"] = impl_->served[n].load();
+    partitions.push_back(std::move(row));
+  }
+  const int64_t left_ms = impl_->lease_until.load() - impl_->clock.Now().count;
+  const Json json = {{"self", impl_->options.self.id.value},
+                     {"incarnation", view->self_incarnation},
+                     {"lease_holds", impl_->LeaseHolds()},
+                     {"lease_left_ms", std::max<int64_t>(left_ms, 0)},
+                     {"fenced", impl_->fenced.load()},
+                     {"leaving", impl_->leaving.load()},
+                     {"members", members},
+                     {"partitions", partitions},
+                     {"sidecars", view->sidecars.size()}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/program/program_table.cc
@@ -0,0 +1,508 @@
+#include "knapweed/program/program_table.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "program_table_impl.h"
+
+namespace knapweed {
+namespace {
+
+constexpr uint64_t kNoLimit = std::numeric_limits<uint64_t>::max();
+/// When to ask again after the store did not take a record.
+constexpr Ms kStoreRetry = Seconds(2);
+constexpr Ms kOwnerRetry{200};
+constexpr Ms kBusyRetry = Seconds(1);
+/// A waiter looks at the clock this often, since a manual clock wakes nobody.
+constexpr std::chrono::milliseconds kWaitStep(50);
+
+CallError NotRun(ErrorCode code, std::string message, Ms retry_after = Ms{0}) {
+  return {code, RunState::kNotRun, retry_after, std::move(message)};
+}
+
+CallError NotOwner() {
+  return NotRun(ErrorCode::kNotOwner, "another entry owns this program",
+                kOwnerRetry);
+}
+
+}  // namespace
+
+TurnHold::State::~State() {
+  if (!table) return;
+  std::lock_guard<std::mutex> lock(table->mu);
+  table->Release(*this);
+}
+
+const std::vector<HistoryMessage>& TurnHold::history() const {
+  return state_->program->history;
+}
+
+uint64_t TurnHold::turn() const {
+  std::lock_guard<std::mutex> lock(state_->table->mu);
+  return state_->program->turns;
+}
+
+uint64_t TurnHold::attained_tokens() const {
+  std::lock_guard<std::mutex> lock(state_->table->mu);
+  return state_->program->used_tokens;
+}
+
+uint64_t TurnHold::tokens_left() const {
+  std::lock_guard<std::mutex> lock(state_->table->mu);
+  return state_->table->TokensLeft(*state_);
+}
+
+Epoch TurnHold::epoch() const { return state_->epoch; }
+
+const Intent* TurnHold::open_intent() const {
+  return state_->open_intent ? &*state_->open_intent : nullptr;
+}
+
+ProgramTable::Impl::Impl(TableService table_in, ObjectStore objects_in,
+                         const Clock& clock_in, std::string incarnation_in,
+                         ProgramTableOptions options_in)
+    : table(std::move(table_in)),
+      objects(std::move(objects_in)),
+      clock(clock_in),
+      options(options_in),
+      incarnation(std::move(incarnation_in)),
+      partitions(options.partition_count) {}
+
+ProgramPtr ProgramTable::Impl::FindOrMake(OwnedPartition& partition,
+                                          const ProgramKey& key) {
+  ProgramPtr& program = partition.programs[key];
+  if (program) return program;
+  program = std::make_shared<Program>();
+  program->key = key;
+  program->started = clock.Now();
+  program->last_call = program->started;
+  program->sequence = partition.EndOf(key);
+  return program;
+}
+
+/// Drops a program that no record names, such as one whose first call was
+/// refused.
+void ProgramTable::Impl::DropIfEmpty(OwnedPartition& partition,
+                                     const ProgramKey& key) {
+  const auto it = partition.programs.find(key);
+  if (it == partition.programs.end()) return;
+  const ProgramPtr& program = it->second;
+  const bool recorded = program->sequence != partition.EndOf(key);
+  if (recorded || program.use_count() != 1) return;
+  partition.programs.erase(it);
+}
+
+BeginResult ProgramTable::Impl::Begin(const CallIdentity& identity,
+                                      const ProgramBudget& budget,
+                                      Ms deadline) {
+  const auto above = AncestorsOf(identity);
+  if (!above.ok()) {
+    return NotRun(ErrorCode::kBadRequest,
+                  absl::StrCat(above.status().message()));
+  }
+  const PartitionId id = PartitionOf(identity.key, options.partition_count);
+  std::unique_lock<std::mutex> lock(mu);
+  OwnedPartition& partition = partitions[id.n];
+  if (!partition.serving) return NotOwner();
+  if (journal->Progress().pending_bytes > options.max_unwritten_bytes) {
+    return NotRun(ErrorCode::kStoreUnavailable,
+                  "too many turns wait for the store", kStoreRetry);
+  }
+  auto state = std::make_shared<TurnHold::State>();
+  state->program = FindOrMake(partition, identity.key);
+  state->identity = identity;
+  state->budget = budget;
+  state->partition = id;
+  state->epoch = partition.epoch;
+  Program& program = *state->program;
+
+  // A repeated request need not wait for the calls behind its first one.
+  const std::string& key = identity.idempotency_key;
+  auto kept = program.outcomes.find(key);
+  if (key.empty() || kept == program.outcomes.end()) {
+    const auto refused =
+        WaitForTurn(lock, partition, state->program, state->epoch, deadline);
+    if (refused) {
+      state->program.reset();
+      DropIfEmpty(partition, identity.key);
+      return *refused;
+    }
+    kept = program.outcomes.find(key);
+  }
+  if (!key.empty() && kept != program.outcomes.end()) {
+    return StoredOutcome(lock, kept->second, identity.digest);
+  }
+  for (const ProgramId& it : *above) {
+    const ProgramKey ancestor{identity.key.workspace, it};
+    state->ancestors.push_back(FindOrMake(partition, ancestor));
+  }
+  std::optional<CallError> refused = CheckBudget(*state);
+  const auto intent = program.intents.find(key);
+  if (!key.empty() && intent != program.intents.end()) {
+    if (intent->second.digest != identity.digest) {
+      refused = NotRun(ErrorCode::kKeyReused,
+                       "the idempotency key came with another request");
+    }
+    state->open_intent = intent->second.intent;
+  }
+  if (refused) {
+    state->ancestors.clear();
+    state->program.reset();
+    for (const ProgramId& it : *above) {
+      DropIfEmpty(partition, {identity.key.workspace, it});
+    }
+    DropIfEmpty(partition, identity.key);
+    return *refused;
+  }
+  program.held = true;
+  program.last_call = clock.Now();
+  ++partition.in_flight;
+  state->table = shared_from_this();
+  return TurnHold(std::move(state));
+}
+
+/// Waits in line until no call of the program runs or stands before this one.
+std::optional<CallError> ProgramTable::Impl::WaitForTurn(
+    std::unique_lock<std::mutex>& lock, OwnedPartition& partition,
+    const ProgramPtr& program, Epoch epoch, Ms deadline) {
+  if (program->waiting.size() >= options.waiting_per_program) {
+    return NotRun(ErrorCode::kOverloaded,
+                  "too many calls wait for this program", kBusyRetry);
+  }
+  const uint64_t ticket = next_ticket++;
+  program->waiting.push_back(ticket);
+  std::optional<CallError> refused;
+  while (program->held || program->waiting.front() != ticket) {
+    if (!partition.serving || partition.epoch != epoch) break;
+    if (clock.Now() >= deadline) {
+      refused = NotRun(ErrorCode::kDeadlineExceeded,
+                       "the deadline passed while earlier calls ran");
+      break;
+    }
+    program->turn_ended.wait_for(lock, kWaitStep);
+  }
+  std::erase(program->waiting, ticket);
+  if (!partition.serving || partition.epoch != epoch) refused = NotOwner();
+  if (refused) program->turn_ended.notify_all();
+  return refused;
+}
+
+BeginResult ProgramTable::Impl::StoredOutcome(
+    std::unique_lock<std::mutex>& lock, const KeptOutcome& kept,
+    uint64_t digest) {
+  if (kept.digest != digest) {
+    return NotRun(ErrorCode::kKeyReused,
+                  "the idempotency key came with another request");
+  }
+  CallOutcome outcome = kept.outcome;
+  const JournalPosition position = kept.position;
+  const std::shared_ptr<Journal> log = journal;
+  lock.unlock();
+  absl::Status status = log->Wait(position, RecordDeadline());
+  if (status.ok()) return outcome;
+  return CallError{ErrorCode::kStoreUnavailable, outcome.run, kStoreRetry,
+                   "the request ran; its outcome is not recorded yet"};
+}
+
+std::optional<CallError> ProgramTable::Impl::CheckBudget(
+    const TurnHold::State& state) const {
+  const Program& program = *state.program;
+  const ProgramBudget& budget = state.budget;
+  if (budget.turns != 0 && program.turns >= budget.turns) {
+    return NotRun(ErrorCode::kBudgetExhausted, "the program's turns are used");
+  }
+  if (budget.time != Ms{0} && clock.Now() - program.started >= budget.time) {
+    return NotRun(ErrorCode::kBudgetExhausted, "the program's time is used");
+  }
+  if (TokensLeft(state) == 0) {
+    return NotRun(ErrorCode::kBudgetExhausted, "the program's tokens are used");
+  }
+  return std::nullopt;
+}
+
+uint64_t ProgramTable::Impl::TokensLeft(const TurnHold::State& state) const {
+  if (state.budget.tokens == 0) return kNoLimit;
+  const auto left = [&](const Program& program) {
+    const uint64_t others = program.reserved_tokens - state.reserved;
+    const uint64_t used = program.used_tokens + others;
+    return used >= state.budget.tokens ? 0 : state.budget.tokens - used;
+  };
+  uint64_t n = left(*state.program);
+  for (const ProgramPtr& it : state.ancestors) n = std::min(n, left(*it));
+  return n;
+}
+
+void ProgramTable::Impl::SetReserved(TurnHold::State& state, uint64_t tokens) {
+  const auto set = [&](Program& program) {
+    program.reserved_tokens += tokens - state.reserved;
+  };
+  set(*state.program);
+  for (const ProgramPtr& it : state.ancestors) set(*it);
+  state.reserved = tokens;
+}
+
+/// Gives the program's turn to the next call. The first release counts.
+void ProgramTable::Impl::Release(TurnHold::State& state) {
+  if (state.released) return;
+  state.released = true;
+  SetReserved(state, 0);
+  state.program->held = false;
+  state.program->turn_ended.notify_all();
+  OwnedPartition& partition = partitions[state.partition.n];
+  if (partition.epoch != state.epoch) return;
+  --partition.in_flight;
+  drained.notify_all();
+}
+
+bool ProgramTable::Impl::StillOwned(const TurnHold::State& state) const {
+  const OwnedPartition& partition = partitions[state.partition.n];
+  return partition.epoch == state.epoch && !state.released;
+}
+
+void ProgramTable::Impl::Stamp(Program& program, Epoch epoch,
+                               journal::RecordT& record) const {
+  record.sequence = ++program.sequence;
+  record.epoch = epoch.n;
+  record.elapsed_ms = (clock.Now() - program.started).count;
+}
+
+absl::Status ProgramTable::Impl::RecordIntent(TurnHold::State& state,
+                                              const Intent& intent) {
+  std::unique_lock<std::mutex> lock(mu);
+  if (!StillOwned(state)) {
+    return absl::FailedPreconditionError("the partition has another owner");
+  }
+  Program& program = *state.program;
+  journal::RecordT record = MakeIntentRecord(state.identity, intent);
+  Stamp(program, state.epoch, record);
+  const std::shared_ptr<Journal> log = journal;
+  absl::StatusOr<JournalPosition> position = log->Append({record});
+  if (!position.ok()) return position.status();
+  lock.unlock();
+  absl::Status status = log->Wait(*position, RecordDeadline());
+  lock.lock();
+  if (status.ok() && StillOwned(state)) {
+    program.intents[state.identity.idempotency_key] = {state.identity.digest,
+                                                       intent};
+    state.intent_written = true;
+    return status;
+  }
+  if (!StillOwned(state)) {
+    return absl::FailedPreconditionError("the partition has another owner");
+  }
+  // The intent may become durable after all, so its withdrawal follows it. If
+  // that is lost, the next owner finds that the sidecar never saw the attempt.
+  CallOutcome withdrawn;
+  withdrawn.run = RunState::kNotRun;
+  journal::RecordT close = MakeTurnRecord(state.identity, withdrawn);
+  Stamp(program, state.epoch, close);
+  log->Append({close}).IgnoreError();
+  return status;
+}
+
+absl::StatusOr<JournalPosition> ProgramTable::Impl::AppendTurn(
+    TurnHold::State& state, const CallOutcome& outcome) {
+  const uint64_t tokens = outcome.prompt_tokens + outcome.completion_tokens;
+  std::vector<journal::RecordT> records;
+  records.push_back(MakeTurnRecord(state.identity, outcome));
+  Stamp(*state.program, state.epoch, records.back());
+  for (const ProgramPtr& it : state.ancestors) {
+    if (tokens == 0) break;
+    records.push_back(MakeChargeRecord(it->key, tokens));
+    Stamp(*it, state.epoch, records.back());
+  }
+  absl::StatusOr<JournalPosition> position =
+      journal->Append(std::move(records));
+  if (!position.ok()) return position;
+  Program& program = *state.program;
+  program.used_tokens += tokens;
+  for (const ProgramPtr& it : state.ancestors) it->used_tokens += tokens;
+  const std::string& key = state.identity.idempotency_key;
+  program.intents.erase(key);
+  if (!CountsAsTurn(outcome)) return position;
+  ++program.turns;
+  program.history.insert(program.history.end(), outcome.added.begin(),
+                         outcome.added.end());
+  if (!key.empty()) {
+    KeepOutcome(program, key, {state.identity.digest, outcome, *position},
+                options.outcomes_per_program);
+  }
+  return position;
+}
+
+absl::Status ProgramTable::Impl::Finish(TurnHold::State& state,
+                                        const CallOutcome& outcome) {
+  std::unique_lock<std::mutex> lock(mu);
+  if (!StillOwned(state)) {
+    return absl::FailedPreconditionError("the partition has another owner");
+  }
+  const bool had_intent = state.intent_written || state.open_intent.has_value();
+  const bool nothing_happened =
+      !CountsAsTurn(outcome) && !had_intent && outcome.prompt_tokens == 0;
+  if (nothing_happened) {
+    Release(state);
+    return absl::OkStatus();
+  }
+  const std::shared_ptr<Journal> log = journal;
+  absl::StatusOr<JournalPosition> position = AppendTurn(state, outcome);
+  // The next call may start on what is in memory: its own record can't become
+  // durable before this one.
+  Release(state);
+  lock.unlock();
+  if (!position.ok()) return position.status();
+  absl::Status status = log->Wait(*position, RecordDeadline());
+  if (absl::IsDeadlineExceeded(status)) {
+    return absl::UnavailableError("the turn is not durable yet");
+  }
+  return status;
+}
+
+absl::StatusOr<JournalPosition> ProgramTable::Impl::AppendEnd(
+    const ProgramKey& key) {
+  const PartitionId id = PartitionOf(key, options.partition_count);
+  std::lock_guard<std::mutex> lock(mu);
+  OwnedPartition& partition = partitions[id.n];
+  if (!partition.serving) {
+    return absl::FailedPreconditionError("another entry owns this program");
+  }
+  const auto it = partition.programs.find(key);
+  if (it == partition.programs.end()) {
+    return absl::NotFoundError("no such program");
+  }
+  Program& program = *it->second;
+  const bool busy =
+      program.held || !program.waiting.empty() || program.reserved_tokens != 0;
+  if (busy) return absl::FailedPreconditionError("the program is busy");
+  journal::RecordT record = MakeEndRecord(key);
+  Stamp(program, partition.epoch, record);
+  absl::StatusOr<JournalPosition> position = journal->Append({record});
+  if (!position.ok()) return position;
+  partition.tombstones[key] = {record.sequence, *position};
+  partition.programs.erase(it);
+  return position;
+}
+
+absl::Status ProgramTable::Impl::End(const ProgramKey& key) {
+  std::shared_ptr<Journal> log;
+  {
+    std::lock_guard<std::mutex> lock(mu);
+    log = journal;
+  }
+  absl::StatusOr<JournalPosition> position = AppendEnd(key);
+  if (!position.ok()) return position.status();
+  absl::Status status = log->Wait(*position, RecordDeadline());
+  if (absl::IsDeadlineExceeded(status)) {
+    return absl::UnavailableError("the end is not durable yet");
+  }
+  return status;
+}
+
+ProgramTable::ProgramTable(TableService table, ObjectStore objects,
+                           const Clock& clock, std::string incarnation,
+                           ProgramTableOptions options)
+    : impl_(std::make_shared<Impl>(std::move(table), std::move(objects), clock,
+                                   std::move(incarnation), options)) {}
+
+ProgramTable::~ProgramTable() {
+  impl_->StopThread();
+  std::shared_ptr<Journal> journal;
+  {
+    std::lock_guard<std::mutex> lock(impl_->mu);
+    journal = impl_->journal;
+  }
+  if (journal) journal->Stop();
+}
+
+absl::Status ProgramTable::Start() {
+  absl::Status status = impl_->Open(impl_->incarnation);
+  if (!status.ok()) return status;
+  if (impl_->options.maintain_every > Ms{0}) {
+    impl_->thread = std::thread([impl = impl_.get()] { impl->Run(); });
+  }
+  return status;
+}
+
+absl::Status ProgramTable::Restart(const std::string& incarnation) {
+  return impl_->Open(incarnation);
+}
+
+BeginResult ProgramTable::Begin(const CallIdentity& identity,
+                                const ProgramBudget& budget, Ms deadline) {
+  return impl_->Begin(identity, budget, deadline);
+}
+
+uint64_t ProgramTable::ReserveTokens(TurnHold& hold, uint64_t want) {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  const uint64_t granted = std::min(want, impl_->TokensLeft(hold.state()));
+  impl_->SetReserved(hold.state(), granted);
+  return granted;
+}
+
+absl::Status ProgramTable::RecordIntent(TurnHold& hold, const Intent& intent) {
+  return impl_->RecordIntent(hold.state(), intent);
+}
+
+absl::Status ProgramTable::Finish(TurnHold hold, const CallOutcome& outcome) {
+  return impl_->Finish(hold.state(), outcome);
+}
+
+absl::Status ProgramTable::End(const ProgramKey& key) {
+  return impl_->End(key);
+}
+
+absl::Status ProgramTable::Gain(PartitionId partition, Epoch epoch,
+                                const std::string& /*old_owner*/) {
+  return impl_->Gain(partition, epoch);
+}
+
+absl::Status ProgramTable::Lose(PartitionId partition) {
+  return impl_->Lose(partition);
+}
+
+absl::Status ProgramTable::Maintain() { return impl_->Maintain(); }
+
+std::vector<ProgramKey> ProgramTable::LivePrograms() const {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  std::vector<ProgramKey> keys;
+  for (const OwnedPartition& it : impl_->partitions) {
+    if (!it.serving) continue;
+    for (const auto& [key, program] : it.programs) keys.push_back(key);
+  }
+  return keys;
+}
+
+std::string ProgramTable::DumpJson() const {
+  using Json = nlohmann::json;
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  Json partitions = Json::array();
+  uint64_t programs = 0;
+  for (uint32_t n = 0; n < impl_->partitions.size(); ++n) {
+    const OwnedPartition& it = impl_->partitions[n];
+    if (it.epoch == Epoch{}) continue;
+    programs += it.programs.size();
+    partitions.push_back({{"partition", n},
+                          {"epoch", it.epoch.n},
+                          {"serving", it.serving},
+                          {"in_flight", it.in_flight},
+                          {"programs", it.programs.size()},
+                          {"copied", !it.has_foreign_sources}});
+  }
+  const JournalProgress progress =
+      impl_->journal ? impl_->journal->Progress() : JournalProgress{};
+  const Json log = {{"last_batch", progress.last_batch},
+                    {"commits", progress.commits},
+                    {"records", progress.records},
+                    {"bytes", progress.bytes},
+                    {"unwritten_bytes", progress.pending_bytes},
+                    {"fenced", impl_->journal && impl_->journal->Fenced()}};
+  const Json json = {{"incarnation", impl_->incarnation},
+                     {"programs", programs},
+                     {"recovery_reads", impl_->recovery_reads},
+                     {"partitions", partitions},
+                     {"journal", log}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/src/program/upkeep.cc
@@ -0,0 +1,277 @@
+#include <algorithm>
+#include <set>
+
+#include "knapweed/base/log.h"
+#include "program_table_impl.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Logger kLog("program");
+/// How long a log that was read for recovery is kept for further partitions.
+constexpr Ms kKeepReadLog = Seconds(10);
+
+}  // namespace
+
+/// Whether a record of this log may still be read by anyone.
+bool ProgramTable::Impl::Needed(const RecordRef& ref) const {
+  const PartitionId id = PartitionOf(ref.key, options.partition_count);
+  const OwnedPartition& partition = partitions[id.n];
+  if (!partition.floor || ref.epoch < *partition.floor) return false;
+  // Given away: the next owner still has to copy it.
+  if (partition.epoch == Epoch{}) return true;
+  const uint64_t end = partition.EndOf(ref.key);
+  return ref.is_end ? ref.sequence == end : ref.sequence > end;
+}
+
+absl::Status ProgramTable::Impl::Maintain() {
+  std::lock_guard<std::mutex> upkeep_lock(upkeep_mu);
+  std::shared_ptr<Journal> log;
+  {
+    std::lock_guard<std::mutex> lock(mu);
+    log = journal;
+  }
+  if (!log || log->Fenced()) return absl::OkStatus();
+  if (cached_log && clock.Now() - cached_at > kKeepReadLog) cached_log.reset();
+  EndIdle();
+  absl::Status status = Absorb();
+  if (!status.ok()) return status;
+  const JournalProgress progress = log->Progress();
+  const bool many =
+      progress.last_batch - moved_batches >= options.move_after_batches;
+  const bool large = progress.bytes - moved_bytes >= options.move_after_bytes;
+  const RecordFilter needed = [this](const RecordRef& ref) {
+    std::lock_guard<std::mutex> lock(mu);
+    return Needed(ref);
+  };
+  if (many || large) {
+    status = PruneFloors();
+    if (!status.ok()) return status;
+    status = keeper->MoveBatches(progress.last_batch, needed);
+    if (!status.ok()) return status;
+    moved_batches = progress.last_batch;
+    moved_bytes = progress.bytes;
+    moved_position = JournalPosition{progress.records};
+  }
+  status = keeper->Compact(needed);
+  if (!status.ok()) return status;
+  PruneTombstones();
+  if (clock.Now() - cleaned_at < options.clean_every) return status;
+  cleaned_at = clock.Now();
+  return CleanDeadLogs();
+}
+
+/// Whether a partition's row is the one under which this process serves it.
+bool ProgramTable::Impl::HoldsRow(PartitionId id,
+                                  const PartitionRow& row) const {
+  std::lock_guard<std::mutex> lock(mu);
+  return row.incarnation == incarnation && partitions[id.n].serving &&
+         partitions[id.n].epoch == row.epoch;
+}
+
+/// Copies what other logs hold of this process's partitions into its own, and
+/// then takes those logs out of the partitions' rows.
+absl::Status ProgramTable::Impl::Absorb() {
+  std::vector<PartitionId> waiting;
+  {
+    std::lock_guard<std::mutex> lock(mu);
+    for (uint32_t n = 0; n < partitions.size(); ++n) {
+      const OwnedPartition& it = partitions[n];
+      if (it.serving && it.has_foreign_sources) {
+        waiting.push_back(PartitionId{n});
+      }
+    }
+  }
+  std::map<std::string, std::vector<PartitionId>> by_source;
+  for (const PartitionId it : waiting) {
+    const absl::StatusOr<Row> row = table.get(PartitionKey(it));
+    if (!row.ok()) return row.status();
+    const auto found = DecodePartition(row->value);
+    if (!found || !HoldsRow(it, *found)) continue;
+    if (found->sources.size() == 1) {
+      // An earlier round's transaction took effect, and its answer was lost.
+      std::lock_guard<std::mutex> lock(mu);
+      partitions[it.n].has_foreign_sources = false;
+    }
+    for (const PartitionSource& source : found->sources) {
+      if (source.incarnation == incarnation) continue;
+      by_source[source.incarnation].push_back(it);
+    }
+  }
+  for (const auto& [source, ids] : by_source) {
+    absl::Status status = AbsorbSource(source, ids);
+    if (!status.ok()) return status;
+  }
+  return absl::OkStatus();
+}
+
+absl::Status ProgramTable::Impl::AbsorbSource(
+    const std::string& source, const std::vector<PartitionId>& ids) {
+  const auto log = ReadSource(source);
+  if (!log.ok()) return log.status();
+  Transaction transaction;
+  transaction.conditions.push_back({FenceKey(incarnation), kOpenFenceVersion});
+  std::vector<journal::RecordT> records;
+  std::vector<PartitionId> copied;
+  for (const PartitionId id : ids) {
+    const absl::StatusOr<Row> row = table.get(PartitionKey(id));
+    if (!row.ok()) return row.status();
+    auto next = DecodePartition(row->value);
+    if (!next || !HoldsRow(id, *next)) continue;
+    const auto it = std::find_if(
+        next->sources.begin(), next->sources.end(),
+        [&](const PartitionSource& s) { return s.incarnation == source; });
+    if (it == next->sources.end()) continue;
+    std::vector<journal::RecordT> part = CopyOf(**log, id, it->since);
+    std::move(part.begin(), part.end(), std::back_inserter(records));
+    next->sources.erase(it);
+    if (next->sources.size() == 1) copied.push_back(id);
+    transaction.conditions.push_back({row->key, row->version});
+    transaction.writes.push_back({row->key, EncodePartition(*next)});
+  }
+  if (transaction.writes.empty()) return absl::OkStatus();
+  absl::Status status = keeper->AddSegment(records);
+  if (!status.ok()) return status;
+  status = CommitAndConfirm(table, transaction, transaction.writes.front().key);
+  if (!status.ok()) return status;
+  std::lock_guard<std::mutex> lock(mu);
+  for (const PartitionId it : copied) {
+    partitions[it.n].has_foreign_sources = false;
+  }
+  return absl::OkStatus();
+}
+
+/// The records of a partition that still count, stamped with its epoch here.
+std::vector<journal::RecordT> ProgramTable::Impl::CopyOf(const IndexedLog& log,
+                                                         PartitionId id,
+                                                         Epoch since) {
+  std::lock_guard<std::mutex> lock(mu);
+  const OwnedPartition& partition = partitions[id.n];
+  std::vector<journal::RecordT> records;
+  for (const journal::Record* it : log.by_partition[id.n]) {
+    if (it->epoch() < since.n) continue;
+    const RecordRef ref = RefOf(*it);
+    const uint64_t end = partition.EndOf(ref.key);
+    const bool last_end = ref.is_end && ref.sequence == end;
+    if (ref.sequence <= end && !last_end) continue;
+    records.emplace_back();
+    it->UnPackTo(&records.back());
+    records.back().epoch = partition.epoch.n;
+  }
+  return records;
+}
+
+void ProgramTable::Impl::EndIdle() {
+  std::vector<ProgramKey> idle;
+  {
+    std::lock_guard<std::mutex> lock(mu);
+    for (const OwnedPartition& partition : partitions) {
+      if (!partition.serving) continue;
+      for (const auto& [key, program] : partition.programs) {
+        const Ms age = clock.Now() - program->last_call;
+        if (age >= options.idle_limit) idle.push_back(key);
+      }
+    }
+  }
+  for (const ProgramKey& it : idle) {
+    // A program that has just become busy stays.
+    if (AppendEnd(it).ok()) {
+      kLog.Info("Ended an idle program.", {{"program", it.program.value}});
+    }
+  }
+}
+
+/// Forgets an End record once no log holds anything older of its program.
+void ProgramTable::Impl::PruneTombstones() {
+  std::lock_guard<std::mutex> lock(mu);
+  for (OwnedPartition& partition : partitions) {
+    if (partition.has_foreign_sources) continue;
+    std::erase_if(partition.tombstones, [&](const auto& it) {
+      const auto& [key, end] = it;
+      const bool moved = end.position <= moved_position;
+      return moved && !keeper->HoldsBefore(key, end.sequence);
+    });
+  }
+}
+
+/// Finds out which partitions given away have been copied by their next owners.
+absl::Status ProgramTable::Impl::PruneFloors() {
+  bool any = false;
+  std::string self;
+  {
+    std::lock_guard<std::mutex> lock(mu);
+    self = incarnation;
+    for (const OwnedPartition& it : partitions) {
+      any = any || (it.floor && it.epoch == Epoch{});
+    }
+  }
+  if (!any) return absl::OkStatus();
+  const absl::StatusOr<std::vector<Row>> rows = table.scan(kPartitionPrefix);
+  if (!rows.ok()) return rows.status();
+  std::lock_guard<std::mutex> lock(mu);
+  for (const Row& it : *rows) {
+    const auto id = PartitionOfKey(it.key);
+    const auto row = DecodePartition(it.value);
+    if (!id || !row || id->n >= partitions.size()) continue;
+    OwnedPartition& partition = partitions[id->n];
+    if (partition.epoch != Epoch{} || row->incarnation == self) continue;
+    const bool named = std::any_of(
+        row->sources.begin(), row->sources.end(),
+        [&](const PartitionSource& s) { return s.incarnation == self; });
+    if (!named) partition.floor.reset();
+  }
+  return absl::OkStatus();
+}
+
+/// Deletes one log whose fence is closed and that no partition names.
+absl::Status ProgramTable::Impl::CleanDeadLogs() {
+  const absl::StatusOr<std::vector<Row>> fences = table.scan(kFencePrefix);
+  if (!fences.ok()) return fences.status();
+  // Read after the fences: no row comes to name a closed log later.
+  const absl::StatusOr<std::vector<Row>> rows = table.scan(kPartitionPrefix);
+  if (!rows.ok()) return rows.status();
+  std::set<std::string> named;
+  for (const Row& it : *rows) {
+    const auto row = DecodePartition(it.value);
+    // A row that can't be read might name any log.
+    if (!row) return absl::DataLossError("a partition row is damaged");
+    named.insert(row->incarnation);
+    for (const PartitionSource& s : row->sources) named.insert(s.incarnation);
+  }
+  for (const Row& it : *fences) {
+    const std::string name = it.key.substr(kFencePrefix.size());
+    if (it.version == kOpenFenceVersion || named.contains(name)) continue;
+    const absl::StatusOr<bool> done = RemoveLog(table, objects, name);
+    if (!done.ok()) return done.status();
+    if (*done) kLog.Info("Deleted a dead log.", {{"incarnation", name}});
+    return absl::OkStatus();
+  }
+  return absl::OkStatus();
+}
+
+void ProgramTable::Impl::Run() {
+  std::unique_lock<std::mutex> lock(thread_mu);
+  while (!stop) {
+    wake.wait_for(lock, std::chrono::milliseconds(options.maintain_every.count),
+                  [&] { return stop; });
+    if (stop) return;
+    lock.unlock();
+    absl::Status status = Maintain();
+    if (!status.ok()) {
+      kLog.Warning("Could not look after the log.",
+                   {{"error", status.ToString()}});
+    }
+    lock.lock();
+  }
+}
+
+void ProgramTable::Impl::StopThread() {
+  {
+    std::lock_guard<std::mutex> lock(thread_mu);
+    stop = true;
+  }
+  wake.notify_all();
+  if (thread.joinable()) thread.join();
+}
+
+}  // namespace knapweed
