Ask the fleet's buckets through the limits library

Cause: the entry had a bucket of its own making, with no protection when its owner changes. Conclusion: a bucket lives at the owner of its workspace's partition and starts empty there.

--- a/include/knapweed/entry/rate_gate.h
+++ b/include/knapweed/entry/rate_gate.h
@@ -1,44 +1,62 @@
 #ifndef KNAPWEED_ENTRY_RATE_GATE_H_
 #define KNAPWEED_ENTRY_RATE_GATE_H_
 
+#include <cstdint>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
 
+#include "absl/status/statusor.h"
 #include "knapweed/base/clock.h"
 #include "knapweed/base/ids.h"
 #include "knapweed/base/outcome.h"
-#include "knapweed/limits/rate_bucket.h"
+#include "knapweed/limits/bucket_owner.h"
+#include "knapweed/limits/fleet_limiter.h"
 #include "knapweed/membership/membership.h"
 #include "knapweed/rules/rules_holder.h"
 #include "knapweed/wire/rpc.h"
 
 namespace knapweed {
 
-/// Holds each workspace to its rate and burst across all entries: its bucket
-/// lives at one of them, which the others ask. Safe from any thread.
+/// What a rate gate works with; all outlive it.
+struct RateGateParts {
+  const Clock& clock;
+  const RulesHolder& rules;
+  const Membership& membership;
+  RpcPool& rpc;
+  uint32_t partition_count;
+};
+
+/// Joins the limits library to the fleet: a workspace's bucket lives at the
+/// owner of its partition, which the other entries ask over the wire. Safe from
+/// any thread.
 class RateGate {
  public:
-  RateGate(const Clock& clock, const RulesHolder& rules, Membership& membership,
-           RpcPool& rpc, uint32_t partition_count);
+  explicit RateGate(const RateGateParts& parts);
 
   /// Waits up to `wait` for the workspace's rate to admit one call. Returns
-  /// why it did not: over_rate with the time until it would.
-  std::optional<CallError> Admit(const WorkspaceId& workspace, Ms wait);
-  /// Answers another entry's question.
+  /// why it did not.
+  std::optional<CallError> Admit(const WorkspaceId& workspace, Ms wait) {
+    return limiter_.Admit(workspace, wait);
+  }
+  /// Answers another entry's question; never blocks.
   wire::BucketGrantT Answer(const wire::BucketAskT& ask);
+  /// This process gained a partition: buckets in it start now.
+  void OnGain(PartitionId partition);
+  /// The buckets that live here, as JSON.
+  std::string DumpJson() const;
 
  private:
-  BucketTake TakeHere(const WorkspaceId& workspace);
-  BucketTake Take(const WorkspaceId& workspace);
-
-  const Clock& clock_;
-  const RulesHolder& rules_;
-  Membership& membership_;
-  RpcPool& rpc_;
-  uint32_t partition_count_;
-  std::mutex mu_;
-  std::unordered_map<WorkspaceId, RateBucket> buckets_;
+  PartitionId HomeOf(const WorkspaceId& workspace) const;
+  std::optional<BucketLease> LeaseOf(const WorkspaceId& workspace) const;
+  std::optional<RateLimit> LimitOf(const WorkspaceId& workspace) const;
+  absl::StatusOr<BucketAnswer> Ask(const BucketQuestion& question, Ms timeout);
+
+  const RateGateParts parts_;
+  mutable std::mutex mu_;
+  std::unordered_map<uint32_t, Ms> gained_at_;
+  BucketOwner owner_;
+  FleetLimiter limiter_;
 };
 
 }  // namespace knapweed
--- a/include/knapweed/membership/membership.h
+++ b/include/knapweed/membership/membership.h
@@ -105,6 +105,8 @@
   std::optional<PartitionOwner> OwnerOf(PartitionId partition) const;
   /// Whether the lease holds now, by the monotonic clock.
   bool LeaseHolds() const;
+  /// When the lease ends unless it is renewed, on the monotonic clock.
+  Ms LeaseUntil() const;
   /// Whether other members closed this process's fence and it has not joined
   /// anew.
   bool Fenced() const;
--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -2241,6 +2241,8 @@
   double granted = 0.0;
   int64_t retry_after_ms = 0;
   int64_t valid_ms = 0;
+  int64_t start_after_ms = 0;
+  uint8_t code = 0;
 };
 
 struct BucketGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2250,7 +2252,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GRANTED = 4,
     VT_RETRY_AFTER_MS = 6,
-    VT_VALID_MS = 8
+    VT_VALID_MS = 8,
+    VT_START_AFTER_MS = 10,
+    VT_CODE = 12
   };
   double granted() const {
     return GetField<double>(VT_GRANTED, 0.0);
@@ -2261,11 +2265,19 @@
   int64_t valid_ms() const {
     return GetField<int64_t>(VT_VALID_MS, 0);
   }
+  int64_t start_after_ms() const {
+    return GetField<int64_t>(VT_START_AFTER_MS, 0);
+  }
+  uint8_t code() const {
+    return GetField<uint8_t>(VT_CODE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<double>(verifier, VT_GRANTED, 8) &&
            VerifyField<int64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_VALID_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_START_AFTER_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CODE, 1) &&
            verifier.EndTable();
   }
   BucketGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2286,6 +2298,12 @@
   void add_valid_ms(int64_t valid_ms) {
     fbb_.AddElement<int64_t>(BucketGrant::VT_VALID_MS, valid_ms, 0);
   }
+  void add_start_after_ms(int64_t start_after_ms) {
+    fbb_.AddElement<int64_t>(BucketGrant::VT_START_AFTER_MS, start_after_ms, 0);
+  }
+  void add_code(uint8_t code) {
+    fbb_.AddElement<uint8_t>(BucketGrant::VT_CODE, code, 0);
+  }
   explicit BucketGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2301,11 +2319,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     double granted = 0.0,
     int64_t retry_after_ms = 0,
-    int64_t valid_ms = 0) {
+    int64_t valid_ms = 0,
+    int64_t start_after_ms = 0,
+    uint8_t code = 0) {
   BucketGrantBuilder builder_(_fbb);
+  builder_.add_start_after_ms(start_after_ms);
   builder_.add_valid_ms(valid_ms);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_granted(granted);
+  builder_.add_code(code);
   return builder_.Finish();
 }
 
@@ -3746,6 +3768,8 @@
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = valid_ms(); _o->valid_ms = _e; }
+  { auto _e = start_after_ms(); _o->start_after_ms = _e; }
+  { auto _e = code(); _o->code = _e; }
 }
 
 inline flatbuffers::Offset<BucketGrant> BucketGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BucketGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3759,11 +3783,15 @@
   auto _granted = _o->granted;
   auto _retry_after_ms = _o->retry_after_ms;
   auto _valid_ms = _o->valid_ms;
+  auto _start_after_ms = _o->start_after_ms;
+  auto _code = _o->code;
   return knapweed::wire::CreateBucketGrant(
       _fbb,
       _granted,
       _retry_after_ms,
-      _valid_ms);
+      _valid_ms,
+      _start_after_ms,
+      _code);
 }
 
 inline HandoverT *Handover::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/entry/caller_front.cc
+++ b/src/entry/caller_front.cc
@@ -80,7 +80,10 @@
   }
   const Ms asked = parts_.clock.Now();
   const Ms wait = std::min(parts_.config.rate_wait, Ms{call.deadline_ms});
-  error = parts_.rates.Admit(caller.workspace, wait);
+  // A route that is open to all has no workspace and so no rate.
+  if (!caller.key_id.empty()) {
+    error = parts_.rates.Admit(caller.workspace, wait);
+  }
   if (error.has_value()) {
     parts_.metrics.GetCounter("call.over_rate").Add();
     responder.Send(ErrorReply(*error, call.request_id));
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -31,8 +31,16 @@
 
 using Json = nlohmann::json;
 
+ProgramTableOptions ProgramOptionsOf(const EntryConfig& config) {
+  ProgramTableOptions options;
+  options.partition_count = config.partition_count;
+  options.record_timeout = config.platform_timeout;
+  return options;
+}
+
 MembershipOptions MembershipOptionsOf(const EntryConfig& config,
-                                      const std::string& incarnation) {
+                                      const std::string& incarnation,
+                                      ProgramTable& programs) {
   MembershipOptions options;
   options.self.id = config.name;
   options.self.incarnation = incarnation;
@@ -41,6 +49,9 @@
   options.lease = config.lease;
   options.renew_every = config.renew_every;
   options.partition_count = config.partition_count;
+  options.on_rejoin = [&programs](const std::string& next) {
+    return programs.Restart(next);
+  };
   return options;
 }
 
@@ -86,18 +97,20 @@
       watcher(table, objects, rules, clock,
               RulesWatcherOptions{config.config_poll, config.config_confirm}),
       upstreams(clock, config.domain),
-      programs(table, objects, clock, incarnation),
+      programs(table, objects, clock, incarnation, ProgramOptionsOf(config)),
       membership(
-          table, clock, MembershipOptionsOf(config, incarnation),
+          table, clock, MembershipOptionsOf(config, incarnation, programs),
           [this](PartitionId partition, Epoch epoch,
                  const std::string& old_owner) {
+            rates.OnGain(partition);
             return programs.Gain(partition, epoch, old_owner);
           },
-          [this](PartitionId partition) { programs.Lose(partition); }),
+          [this](PartitionId partition) { return programs.Lose(partition); }),
       sidecar_watch(membership, upstreams),
       runner(TurnRunnerParts{clock, rules, programs, upstreams, rpc, metrics,
                              config.partition_count}),
-      rates(clock, rules, membership, rpc, config.partition_count),
+      rates(
+          RateGateParts{clock, rules, membership, rpc, config.partition_count}),
       router(CallRouterParts{clock, membership, runner, rpc, metrics,
                              config.partition_count}),
       front(CallerFrontParts{config, clock, rules, watcher, rates, router,
@@ -185,6 +198,7 @@
       {"in_flight", front.in_flight()},
       {"forwarded_in_flight", peers.in_flight()},
       {"membership", Json::parse(membership.DumpJson(), nullptr, false)},
+      {"buckets", Json::parse(rates.DumpJson(), nullptr, false)},
       {"programs", Json::parse(programs.DumpJson(), nullptr, false)},
       {"upstreams", Json::parse(upstreams.DumpJson(), nullptr, false)},
   };
--- a/src/entry/entry_config.cc
+++ b/src/entry/entry_config.cc
@@ -66,8 +66,9 @@
   config.lease = settings.GetMs("membership", "lease", config.lease);
   config.renew_every =
       settings.GetMs("membership", "renew_every", config.renew_every);
-  config.partition_count = static_cast<uint32_t>(settings.GetInt(
-      "membership", "partitions", config.partition_count, 1, kMaxPartitions));
+  config.partition_count = static_cast<uint32_t>(
+      settings.GetInt("membership", "partition_count", config.partition_count,
+                      1, kMaxPartitions));
   config.config_poll =
       settings.GetMs("rules", "poll_every", config.config_poll);
   config.config_confirm =
--- a/src/entry/rate_gate.cc
+++ b/src/entry/rate_gate.cc
@@ -1,76 +1,127 @@
 #include "knapweed/entry/rate_gate.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace knapweed {
 namespace {
 
-constexpr Ms kAskTimeout = Seconds(1);
-constexpr Ms kOwnerlessRetryAfter = Ms{200};
+/// BucketGrant.code of an answer, and of the two ways to get none.
+constexpr uint8_t kAnswered = 0;
+constexpr uint8_t kNotBucketOwner = 1;
+constexpr uint8_t kNoSuchWorkspace = 2;
+
+wire::BucketGrantT ToGrant(const absl::StatusOr<BucketAnswer>& answer) {
+  wire::BucketGrantT grant;
+  if (!answer.ok()) {
+    grant.code =
+        absl::IsNotFound(answer.status()) ? kNoSuchWorkspace : kNotBucketOwner;
+    return grant;
+  }
+  grant.granted = answer->granted;
+  grant.start_after_ms = answer->start_after.count;
+  grant.valid_ms = answer->valid.count;
+  grant.retry_after_ms = answer->retry_after.count;
+  return grant;
+}
+
+absl::StatusOr<BucketAnswer> ToAnswer(const wire::BucketGrantT& grant) {
+  if (grant.code == kNoSuchWorkspace) {
+    return absl::NotFoundError("the workspace has no rule");
+  }
+  if (grant.code != kAnswered) {
+    return absl::FailedPreconditionError("the bucket lives elsewhere");
+  }
+  BucketAnswer answer;
+  answer.granted = static_cast<uint32_t>(grant.granted);
+  answer.start_after = Ms{grant.start_after_ms};
+  answer.valid = Ms{grant.valid_ms};
+  answer.retry_after = Ms{grant.retry_after_ms};
+  return answer;
+}
 
 }  // namespace
 
-RateGate::RateGate(const Clock& clock, const RulesHolder& rules,
-                   Membership& membership, RpcPool& rpc,
-                   uint32_t partition_count)
-    : clock_(clock),
-      rules_(rules),
-      membership_(membership),
-      rpc_(rpc),
-      partition_count_(partition_count) {}
+RateGate::RateGate(const RateGateParts& parts)
+    : parts_(parts),
+      owner_({[this](const WorkspaceId& it) { return LeaseOf(it); },
+              [this](const WorkspaceId& it) { return LimitOf(it); }}),
+      limiter_({[this](const BucketQuestion& question, Ms timeout) {
+                  return Ask(question, timeout);
+                },
+                [] { return 0.0; },
+                [this](const WorkspaceId& it) { return LimitOf(it); },
+                [this] { return parts_.clock.Now(); }, SleepFor}) {}
 
-BucketTake RateGate::TakeHere(const WorkspaceId& workspace) {
-  const RulesHolder::ReadGuard rules = rules_.Read();
-  const WorkspaceRule* rule = FindWorkspace(*rules, workspace);
-  if (rule == nullptr) return {true, Ms{0}};
-  const Ms now = clock_.Now();
+PartitionId RateGate::HomeOf(const WorkspaceId& workspace) const {
+  return PartitionOf({workspace, ProgramId("")}, parts_.partition_count);
+}
+
+void RateGate::OnGain(PartitionId partition) {
   const std::lock_guard lock(mu_);
-  const auto [it, added] = buckets_.try_emplace(workspace);
-  if (added) it->second = MakeEmptyBucket(rule->rate_per_s, rule->burst, now);
-  it->second.rate_per_s = rule->rate_per_s;
-  it->second.burst = rule->burst;
-  return TakeTokens(it->second, 1, now);
+  gained_at_[partition.n] = parts_.clock.Now();
 }
 
-BucketTake RateGate::Take(const WorkspaceId& workspace) {
-  const ProgramKey key{workspace, ProgramId("")};
-  const std::optional<PartitionOwner> owner =
-      membership_.OwnerOf(PartitionOf(key, partition_count_));
-  if (!owner.has_value()) return {false, kOwnerlessRetryAfter};
-  if (owner->self) return TakeHere(workspace);
-  wire::BucketAskT ask;
-  ask.workspace = workspace.value;
-  ask.want = 1;
-  absl::StatusOr<wire::BodyUnion> answer =
-      rpc_.Get(owner->member.rpc)->Call(Wrap(std::move(ask)), kAskTimeout);
-  const wire::BucketGrantT* grant =
-      answer.ok() ? answer->AsBucketGrant() : nullptr;
-  if (grant == nullptr) return {false, kOwnerlessRetryAfter};
-  return {grant->granted >= 1, Ms{grant->retry_after_ms}};
+std::optional<BucketLease> RateGate::LeaseOf(
+    const WorkspaceId& workspace) const {
+  const PartitionId home = HomeOf(workspace);
+  const std::optional<PartitionOwner> owner = parts_.membership.OwnerOf(home);
+  if (!owner.has_value() || !owner->self) return std::nullopt;
+  BucketLease lease;
+  lease.epoch = owner->epoch.n;
+  lease.until = parts_.membership.LeaseUntil();
+  const std::lock_guard lock(mu_);
+  const auto it = gained_at_.find(home.n);
+  if (it == gained_at_.end()) return std::nullopt;
+  lease.since = it->second;
+  return lease;
+}
+
+std::optional<RateLimit> RateGate::LimitOf(const WorkspaceId& workspace) const {
+  const RulesHolder::ReadGuard rules = parts_.rules.Read();
+  const WorkspaceRule* rule = FindWorkspace(*rules, workspace);
+  if (rule == nullptr) return std::nullopt;
+  return RateLimit{rule->rate_per_s, rule->burst};
 }
 
-std::optional<CallError> RateGate::Admit(const WorkspaceId& workspace,
-                                         Ms wait) {
-  const Ms give_up = clock_.Now() + wait;
-  while (true) {
-    const BucketTake take = Take(workspace);
-    if (take.taken) return std::nullopt;
-    const Ms pause = std::max(take.retry_after, Ms{5});
-    if (clock_.Now() + pause > give_up) {
-      return CallError{ErrorCode::kOverRate, RunState::kNotRun, pause,
-                       "The workspace is over its rate."};
-    }
-    SleepFor(pause);
+absl::StatusOr<BucketAnswer> RateGate::Ask(const BucketQuestion& question,
+                                           Ms timeout) {
+  const std::optional<PartitionOwner> owner =
+      parts_.membership.OwnerOf(HomeOf(question.workspace));
+  if (!owner.has_value()) {
+    return absl::UnavailableError("the bucket has no owner");
   }
+  if (owner->self) return owner_.Take(question, parts_.clock.Now());
+  wire::BucketAskT ask;
+  ask.workspace = question.workspace.value;
+  ask.want = question.want;
+  ask.wait_ms = question.max_wait.count;
+  absl::StatusOr<wire::BodyUnion> reply =
+      parts_.rpc.Get(owner->member.rpc)->Call(Wrap(std::move(ask)), timeout);
+  if (!reply.ok()) return reply.status();
+  const wire::BucketGrantT* grant = reply->AsBucketGrant();
+  if (grant == nullptr) return absl::InternalError("no answer to a question");
+  return ToAnswer(*grant);
 }
 
 wire::BucketGrantT RateGate::Answer(const wire::BucketAskT& ask) {
-  const BucketTake take = TakeHere(WorkspaceId(ask.workspace));
-  wire::BucketGrantT grant;
-  grant.granted = take.taken ? 1 : 0;
-  grant.retry_after_ms = take.retry_after.count;
-  return grant;
+  BucketQuestion question;
+  question.workspace = WorkspaceId(ask.workspace);
+  question.want = static_cast<uint32_t>(std::max(ask.want, 1.0));
+  question.max_wait = Ms{ask.wait_ms};
+  return ToGrant(owner_.Take(question, parts_.clock.Now()));
+}
+
+std::string RateGate::DumpJson() const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const BucketOwner::BucketState& it : owner_.Dump()) {
+    list.push_back({{"workspace", it.workspace.value},
+                    {"epoch", it.epoch},
+                    {"tokens", it.tokens},
+                    {"closed", it.closed}});
+  }
+  return list.dump();
 }
 
 }  // namespace knapweed
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -199,6 +199,8 @@
 
 bool Membership::LeaseHolds() const { return impl_->LeaseHolds(); }
 
+Ms Membership::LeaseUntil() const { return Ms{impl_->lease_until.load()}; }
+
 bool Membership::Fenced() const { return impl_->fenced.load(); }
 
 std::string Membership::Incarnation() const {
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -299,7 +299,7 @@
       {"", ""},
       {"[membership]\nlease = 2s\n", "'membership.renew_every' must be"},
       {"[membership]\nlease = 2\n", "f:11: 'membership.lease' is '2'"},
-      {"[membership]\npartitions = 0\n", "from 1 to 65536"},
+      {"[membership]\npartition_count = 0\n", "from 1 to 65536"},
       {"[log]\nlevel = loud\n", "expected debug, info"},
       {"[entry]\nthreads = many\n", "'entry.threads' is 'many'"},
       {"[entri]\nthreads = 1\n", "'entri.threads' is not a known"},
