Draft the harness for faults in a fleet of real processes

Cause: the promises have to be judged by what upstreams recorded while real processes die and pause. Conclusion: the records' checker is tested by a table of broken records; the scenarios build once the entry and the sidecar do.

--- /dev/null
+++ b/tests/process/caller.cc
@@ -0,0 +1,172 @@
+#include "tests/process/caller.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint64_t kMaxTokens = 24;
+constexpr Ms kTryTimeout = Seconds(8);
+constexpr Ms kTryAgainAfter{50};
+
+std::string FieldText(const json& object, const char* name) {
+  if (!object.is_object() || !object.contains(name)) return "";
+  const json& value = object[name];
+  return value.is_string() ? value.get<std::string>() : "";
+}
+
+void ReadError(const json& body, CallerReply* reply) {
+  if (!body.is_object() || !body.contains("error")) return;
+  reply->code = FieldText(body["error"], "code");
+  reply->run = FieldText(body["error"], "run");
+}
+
+// A stream that ends without its marker, or with an error, was not answered.
+void ReadStream(const std::string& body, CallerReply* reply) {
+  bool done = false;
+  for (absl::string_view event : absl::StrSplit(body, "\n\n")) {
+    if (!absl::ConsumePrefix(&event, "data: ")) continue;
+    if (event == "[DONE]") {
+      done = true;
+      continue;
+    }
+    const json parsed = json::parse(event, nullptr, false);
+    ReadError(parsed, reply);
+    if (!parsed.is_object() || !parsed.contains("choices")) continue;
+    reply->text += FieldText(parsed["choices"][0]["delta"], "content");
+  }
+  if (!done || !reply->code.empty()) reply->status = 0;
+}
+
+void ReadWhole(const std::string& body, CallerReply* reply) {
+  const json parsed = json::parse(body, nullptr, false);
+  ReadError(parsed, reply);
+  reply->text = body;
+  if (!parsed.is_object() || !parsed.contains("choices")) return;
+  reply->text = FieldText(parsed["choices"][0]["message"], "content");
+}
+
+CallerReply Send(Fleet& fleet, size_t entry, const HttpRequest& request,
+                 bool stream, Ms timeout) {
+  HttpClient client(fleet.entry(entry).listen);
+  HttpCallOptions options;
+  options.timeout = timeout;
+  const Clock clock = Clock::Steady();
+  const Ms start = clock.Now();
+  const absl::StatusOr<HttpReply> reply = client.Call(request, options);
+  CallerReply result;
+  result.took = clock.Now() - start;
+  if (!reply.ok()) {
+    // A refused connection is the one proof that nothing was sent.
+    if (absl::IsUnavailable(reply.status())) result.run = "not_run";
+    return result;
+  }
+  result.status = reply->status;
+  result.pending =
+      FindHeader(reply->headers, "X-Knapweed-Durable") == "pending";
+  if (stream && reply->status == 200) {
+    ReadStream(reply->body, &result);
+  } else {
+    ReadWhole(reply->body, &result);
+  }
+  return result;
+}
+
+}  // namespace
+
+CallerReply SendTurn(Fleet& fleet, size_t entry, const std::string& workspace,
+                     const std::string& program, const std::string& call_key,
+                     const std::string& text, bool stream, Ms timeout) {
+  const json message = {{"role", "user"}, {"content", text}};
+  const json body = {{"model", "m"},
+                     {"messages", json::array({message})},
+                     {"max_tokens", kMaxTokens},
+                     {"stream", stream}};
+  const HttpRequest request{
+      "POST",
+      "/v1/chat/completions",
+      "",
+      {{"Authorization", "Bearer " + fleet.key(workspace)},
+       {"X-Knapweed-Program", program},
+       {"Idempotency-Key", call_key}},
+      body.dump()};
+  return Send(fleet, entry, request, stream, timeout);
+}
+
+CallerReply SendBooking(Fleet& fleet, size_t entry,
+                        const std::string& reference, Ms timeout) {
+  const json body = {{"reference", reference}};
+  const HttpRequest request{"POST",
+                            "/book",
+                            "",
+                            {{"Authorization", "Bearer " + fleet.key("w")},
+                             {"X-Knapweed-Program", "desk-" + reference},
+                             {"Idempotency-Key", reference}},
+                            body.dump()};
+  return Send(fleet, entry, request, false, timeout);
+}
+
+bool ProgramCaller::SayUntilAnswered(const std::string& text, Ms limit,
+                                     size_t entry, bool stream) {
+  // Each program's words are its own, so that mixed histories show.
+  const std::string own = absl::StrCat(program_, ": ", text);
+  const std::string call_key = absl::StrCat(program_, "-", history_.size() / 2);
+  const Clock clock = Clock::Steady();
+  const Ms deadline = clock.Now() + limit;
+  while (clock.Now() < deadline) {
+    const Ms timeout = std::min(kTryTimeout, deadline - clock.Now());
+    last_ = SendTurn(fleet_, entry % fleet_.entry_count(), workspace_, program_,
+                     call_key, own, stream, timeout);
+    if (last_.answered()) {
+      history_.push_back({"user", own});
+      CheckAnswer();
+      return true;
+    }
+    ++entry;
+    SleepFor(kTryAgainAfter);
+  }
+  return false;
+}
+
+void ProgramCaller::CheckAnswer() {
+  const std::string expected = EngineAnswer("m", history_, kMaxTokens);
+  CAPTURE(program_);
+  CAPTURE(history_.size());
+  CHECK(last_.text == expected);
+  history_.push_back({"assistant", last_.text});
+}
+
+BookingEnd BookUntilSettled(Fleet& fleet, const std::string& reference,
+                            Ms limit, size_t entry,
+                            std::set<std::string>* not_run) {
+  const Clock clock = Clock::Steady();
+  const Ms deadline = clock.Now() + limit;
+  bool always_not_run = true;
+  CallerReply reply;
+  while (clock.Now() < deadline) {
+    const Ms timeout = std::min(kTryTimeout, deadline - clock.Now());
+    reply =
+        SendBooking(fleet, entry++ % fleet.entry_count(), reference, timeout);
+    if (reply.answered()) return BookingEnd::kAnswered;
+    always_not_run &= reply.run == "not_run";
+    if (reply.code == "outcome_unknown") return BookingEnd::kUnknown;
+    SleepFor(kTryAgainAfter);
+  }
+  if (always_not_run) {
+    not_run->insert(reference);
+    return BookingEnd::kNotRun;
+  }
+  return BookingEnd::kNoReply;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/child_process.cc
@@ -0,0 +1,95 @@
+#include "tests/process/child_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <utility>
+
+namespace knapweed {
+namespace {
+
+constexpr int kExitNotStarted = 127;
+constexpr Ms kPollEvery{10};
+
+}  // namespace
+
+ChildProcess::ChildProcess(std::vector<std::string> command,
+                           std::string log_path)
+    : command_(std::move(command)), log_path_(std::move(log_path)) {
+  Start();
+}
+
+ChildProcess::~ChildProcess() { Kill(); }
+
+void ChildProcess::Start() {
+  std::vector<char*> arguments;
+  for (std::string& it : command_) arguments.push_back(it.data());
+  arguments.push_back(nullptr);
+  const pid_t parent = getpid();
+  pid_ = fork();
+  if (pid_ != 0) return;
+  // No process of the fleet outlives a test that died.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != parent) _exit(kExitNotStarted);
+  const int fd =
+      open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  dup2(fd, STDOUT_FILENO);
+  dup2(fd, STDERR_FILENO);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  execv(arguments.front(), arguments.data());
+  _exit(kExitNotStarted);
+}
+
+void ChildProcess::Reap() {
+  if (pid_ <= 0) return;
+  waitpid(pid_, nullptr, 0);
+  pid_ = -1;
+}
+
+void ChildProcess::Kill() {
+  if (pid_ <= 0) return;
+  kill(pid_, SIGKILL);
+  Reap();
+}
+
+void ChildProcess::Pause() {
+  if (pid_ > 0) kill(pid_, SIGSTOP);
+}
+
+void ChildProcess::Resume() {
+  if (pid_ > 0) kill(pid_, SIGCONT);
+}
+
+int ChildProcess::Stop(Ms limit) {
+  if (pid_ <= 0) return -1;
+  kill(pid_, SIGTERM);
+  const Clock clock = Clock::Steady();
+  const Ms deadline = clock.Now() + limit;
+  while (clock.Now() < deadline) {
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == pid_) {
+      pid_ = -1;
+      return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    SleepFor(kPollEvery);
+  }
+  Kill();
+  return -1;
+}
+
+bool ChildProcess::Running() {
+  if (pid_ <= 0) return false;
+  if (waitpid(pid_, nullptr, WNOHANG) != pid_) return true;
+  pid_ = -1;
+  return false;
+}
+
+void ChildProcess::Restart() { Start(); }
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/fleet.cc
@@ -0,0 +1,223 @@
+#include "tests/process/fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "absl/strings/str_cat.h"
+#include "standins/free_port.h"
+#include "tests/process/caller.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+constexpr Ms kStartLimit = Seconds(20);
+constexpr Ms kPollEvery{20};
+constexpr Ms kPlatformTimeout = Seconds(2);
+constexpr size_t kDomains = 3;
+
+std::string Tool(const std::string& name) {
+  return absl::StrCat(KNAPWEED_TOOL_DIR, "/", name);
+}
+
+std::string MakeDirectory() {
+  std::string path =
+      std::filesystem::temp_directory_path() / "knapweed-fleet-XXXXXX";
+  REQUIRE(mkdtemp(path.data()) != nullptr);
+  return path;
+}
+
+bool Answers(const Address& address) {
+  HttpClient client(address);
+  return client.Call({"GET", "/healthz", "", {}, ""}).ok();
+}
+
+}  // namespace
+
+std::string RulesText(const FleetOptions& options,
+                      const std::string& more_route) {
+  std::string text = absl::StrCat(
+      "pool chat models=m  # Test: engines\n",
+      "pool desk  # Test: plain services\n",
+      "route /v1/chat/completions pool=chat  # Test: agents\n",
+      "route /book pool=desk kind=service non_idempotent  # Test: bookings\n",
+      "workspace w rate=", options.rate_per_s, " burst=", options.burst,
+      "  # Test: the one that scenarios use\n",
+      "workspace v rate=1000 burst=1000  # Test: a second one\n");
+  if (!more_route.empty()) {
+    absl::StrAppend(&text, "route ", more_route,
+                    " pool=desk kind=service  # Test: a change\n");
+  }
+  return text;
+}
+
+bool WaitUntil(Ms limit, const std::function<bool()>& condition) {
+  const Clock clock = Clock::Steady();
+  const Ms deadline = clock.Now() + limit;
+  while (!condition()) {
+    if (clock.Now() >= deadline) return false;
+    SleepFor(kPollEvery);
+  }
+  return true;
+}
+
+StandinProcess::StandinProcess(const std::string& role, const std::string& dir,
+                               const std::string& name)
+    : address(FreeLoopbackAddress()),
+      client(address),
+      process({Tool("knapweed-standin"), "--role", role, "--listen",
+               address.ToString()},
+              absl::StrCat(dir, "/", name, ".log")) {
+  REQUIRE(WaitUntil(kStartLimit, [&] { return Answers(address); }));
+}
+
+void StandinProcess::Control(const json& faults) {
+  const auto reply = client.Call({"POST", "/control", "", {}, faults.dump()});
+  REQUIRE(reply.ok());
+  REQUIRE(reply->status == 200);
+}
+
+json StandinProcess::Get(const std::string& path) {
+  const auto reply = client.Call({"GET", path, "", {}, ""});
+  return reply.ok() ? json::parse(reply->body, nullptr, false) : json();
+}
+
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options)), dir_(MakeDirectory()) {
+  StartPlatform();
+  Configure();
+  StartUpstreams();
+  for (size_t i = 0; i < options_.entries; ++i) StartEntry(i);
+  WaitUntilServing();
+}
+
+Fleet::~Fleet() {
+  // Paused processes end by SIGKILL as well.
+  entries_.clear();
+  sidecars_.clear();
+  if (std::getenv("KNAPWEED_KEEP_LOGS") != nullptr) {
+    std::printf("Logs are in %s\n", dir_.c_str());
+    return;
+  }
+  std::error_code ec;
+  std::filesystem::remove_all(dir_, ec);
+}
+
+void Fleet::StartPlatform() {
+  platform_ = std::make_unique<StandinProcess>("platform", dir_, "platform");
+  config_.table = ConnectTableService(platform_->address, kPlatformTimeout);
+  config_.objects = ConnectObjectStore(platform_->address, kPlatformTimeout);
+}
+
+void Fleet::Configure() {
+  const ChangeResult applied = ApplyRules(config_, RulesText(options_));
+  CAPTURE(FormatFaults("rules", applied.faults));
+  REQUIRE(applied.state == ChangeState::kApplied);
+  keys_[0] = IssueKey(config_, WorkspaceId("w"));
+  keys_[1] = IssueKey(config_, WorkspaceId("v"));
+  REQUIRE(keys_[0].change.state == ChangeState::kApplied);
+  REQUIRE(keys_[1].change.state == ChangeState::kApplied);
+}
+
+void Fleet::StartUpstreams() {
+  for (size_t i = 0; i < options_.engines; ++i) {
+    const std::string name = absl::StrCat("engine-", i);
+    engines_.push_back(std::make_unique<StandinProcess>("engine", dir_, name));
+    engines_.back()->Control(options_.engine_options);
+    StartSidecar(absl::StrCat("up-", name), engines_.back()->address, "chat",
+                 i);
+  }
+  for (size_t i = 0; i < options_.services; ++i) {
+    const std::string name = absl::StrCat("service-", i);
+    services_.push_back(
+        std::make_unique<StandinProcess>("service", dir_, name));
+    StartSidecar(absl::StrCat("up-", name), services_.back()->address, "desk",
+                 i);
+  }
+}
+
+std::unique_ptr<ChildProcess> Fleet::StartDaemon(const std::string& program,
+                                                 const std::string& name,
+                                                 const std::string& ini) {
+  const std::string path = absl::StrCat(dir_, "/", name, ".ini");
+  std::ofstream(path) << ini;
+  const std::vector<std::string> command = {Tool(program), "--config", path};
+  return std::make_unique<ChildProcess>(command,
+                                        absl::StrCat(dir_, "/", name, ".log"));
+}
+
+void Fleet::StartSidecar(const std::string& name, const Address& upstream,
+                         const std::string& pool, size_t domain) {
+  DaemonProcess& made = sidecars_.emplace_back();
+  made.name = name;
+  made.control = FreeLoopbackAddress();
+  const std::string ini = absl::StrCat(
+      "[sidecar]\nname = ", name,
+      "\nlisten = ", FreeLoopbackAddress().ToString(),
+      "\ncontrol = ", made.control.ToString(),
+      "\nupstream = ", upstream.ToString(), "\nfailure_domain = d",
+      domain % kDomains, "\npool = ", pool,
+      "\nmodels = ", pool == "chat" ? "m" : "",
+      "\nslots = 8\n\n[platform]\ntable = ", platform_->address.ToString(),
+      "\n\n[membership]\npartitions = 64\n");
+  made.process = StartDaemon("knapweed-sidecar", name, ini);
+}
+
+void Fleet::StartEntry(size_t i) {
+  DaemonProcess& made = entries_.emplace_back();
+  made.name = absl::StrCat("entry-", i);
+  made.listen = FreeLoopbackAddress();
+  made.control = FreeLoopbackAddress();
+  const std::string store = platform_->address.ToString();
+  const std::string ini = absl::StrCat(
+      "[entry]\nname = ", made.name, "\nfailure_domain = d", i % kDomains,
+      "\nlisten = ", made.listen.ToString(),
+      "\nrpc = ", FreeLoopbackAddress().ToString(),
+      "\ncontrol = ", made.control.ToString(),
+      "\nbalancer_delay = 200ms\n\n[platform]\ntable = ", store,
+      "\nobjects = ", store, "\n\n[membership]\nlease = ", options_.lease.count,
+      "ms\nrenew_every = ", options_.renew_every.count,
+      "ms\npartitions = 64\n");
+  made.process = StartDaemon("knapweed-entry", made.name, ini);
+}
+
+void Fleet::WaitUntilServing() {
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    CAPTURE(entries_[i].name);
+    ProgramCaller caller(*this, absl::StrCat("warm-up-", i));
+    REQUIRE(caller.SayUntilAnswered("hello", kStartLimit, i));
+  }
+}
+
+const std::string& Fleet::key(const std::string& workspace) const {
+  return keys_[workspace == "v" ? 1 : 0].key_text;
+}
+
+const std::string& Fleet::key_id(const std::string& workspace) const {
+  return keys_[workspace == "v" ? 1 : 0].key_id;
+}
+
+json Fleet::State(const DaemonProcess& daemon) {
+  HttpClient client(daemon.control);
+  HttpCallOptions call;
+  call.timeout = Seconds(1);
+  const auto reply = client.Call({"GET", "/state", "", {}, ""}, call);
+  return reply.ok() ? json::parse(reply->body, nullptr, false) : json();
+}
+
+FleetRecords Fleet::Records() {
+  FleetRecords records;
+  for (const auto& it : engines_) records.engines.push_back(it->Get("/record"));
+  for (const auto& it : services_) {
+    records.services.push_back(it->Get("/record"));
+  }
+  for (const IssuedKeyResult& it : keys_) records.keys.push_back(it.key_text);
+  return records;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/invariant_checker_test.cc
@@ -0,0 +1,70 @@
+#include "tests/process/invariant_checker.h"
+
+#include <doctest/doctest.h>
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+json Chat(const char* program, int at, json prefixes, const char* after,
+          const char* state = "done") {
+  const json digest = prefixes.back();
+  const size_t n = prefixes.size();
+  return {{"kind", "chat"},   {"state", state},
+          {"workspace", "w"}, {"program", program},
+          {"started_ms", at}, {"messages", n},
+          {"digest", digest}, {"prefixes", std::move(prefixes)},
+          {"after", after}};
+}
+
+json Run(const char* reference, bool ran) {
+  return {{"kind", "service"}, {"reference", reference}, {"ran", ran}};
+}
+
+TEST_CASE("the checker finds each kind of broken promise in records") {
+  struct RecordCase {
+    const char* name;
+    json engine;
+    json service;
+    size_t faults;
+  };
+  const json first = Chat("p", 1, {"a"}, "A");
+  const json second = Chat("p", 2, {"a", "A", "b"}, "B");
+  const json keyed = {{"kind", "chat"},
+                      {"headers", {{"X-Other", "so kw_1_secret it is"}}}};
+  const json authorized = {{"kind", "chat"},
+                           {"headers", {{"authorization", "x"}}}};
+  const std::vector<RecordCase> rows = {
+      {"in order", {first, second}, {Run("r", true), Run("r", false)}, 0},
+      {"a turn run again", {first, first, second}, json::array(), 0},
+      {"a turn that was given up",
+       {first, Chat("p", 2, {"x"}, "X", "crashed")},
+       json::array(),
+       0},
+      {"history lost", {first, Chat("p", 2, {"b"}, "B")}, json::array(), 1},
+      {"out of order", {Chat("p", 3, {"a"}, "A"), second}, json::array(), 1},
+      {"mixed programs",
+       {first, Chat("q", 2, {"a", "A", "c"}, "C")},
+       json::array(),
+       1},
+      {"ran twice", json::array(), {Run("r", true), Run("r", true)}, 1},
+      {"ran though answered not run", json::array(), {Run("refused", true)}, 1},
+      {"a key in a header", {keyed}, json::array(), 1},
+      {"an authorization header", {authorized}, json::array(), 1},
+  };
+  for (const RecordCase& row : rows) {
+    CAPTURE(row.name);
+    FleetRecords records;
+    records.engines = {row.engine};
+    records.services = {row.service};
+    records.keys = {"kw_1_secret"};
+    records.not_run = {"refused"};
+    const std::vector<std::string> found = FindBrokenPromises(records);
+    CAPTURE(json(found).dump());
+    CHECK(found.size() == row.faults);
+  }
+}
+
+}  // namespace
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/limit_scenarios.cc
@@ -0,0 +1,99 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+
+#include "absl/strings/str_cat.h"
+#include "tests/process/scenarios.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+constexpr double kRatePerS = 20;
+constexpr double kBurst = 20;
+
+// Sends calls at a fixed pace, spread over all entries, each of a program of
+// its own. Returns the number that each code was given to.
+std::map<std::string, size_t> SendAtRate(ScenarioContext& context,
+                                         const std::string& name,
+                                         double calls_per_s, Ms span) {
+  const auto n = static_cast<size_t>(calls_per_s * span.Seconds());
+  std::map<std::string, size_t> codes;
+  const Clock clock = Clock::Steady();
+  const Ms start = clock.Now();
+  const auto send = [&](size_t i) {
+    const Ms due =
+        start +
+        Ms{static_cast<int64_t>(static_cast<double>(i) * 1000.0 / calls_per_s)};
+    SleepFor(std::max(Ms{0}, due - clock.Now()));
+    const std::string program = absl::StrCat(name, "-", i);
+    const CallerReply reply =
+        SendTurn(context.fleet, i % context.fleet.entry_count(), "w", program,
+                 program, program, false, Seconds(30));
+    const std::lock_guard lock(context.mu);
+    ++codes[reply.answered() ? "answered" : reply.code];
+  };
+  RunAtOnce(n, send);
+  return codes;
+}
+
+// What ran for workspace "w" at the engines, by their records, and over which
+// time it arrived.
+struct Arrivals {
+  size_t n = 0;
+  Ms span;
+};
+
+Arrivals ArrivalsOf(Fleet& fleet, const std::string& name) {
+  Arrivals arrivals;
+  std::vector<int64_t> times;
+  for (const json& record : fleet.Records().engines) {
+    for (const json& it : record) {
+      const std::string program = it.value("program", "");
+      if (program.starts_with(name)) times.push_back(it["started_ms"]);
+    }
+  }
+  if (times.empty()) return arrivals;
+  const auto [first, last] = std::minmax_element(times.begin(), times.end());
+  return {times.size(), Ms{*last - *first}};
+}
+
+void FivefoldOverload(ScenarioContext& context) {
+  SleepFor(Seconds(2));
+  const auto codes = SendAtRate(context, "flood", 5 * kRatePerS, Seconds(8));
+  const Arrivals ran = ArrivalsOf(context.fleet, "flood");
+  const double allowed = kRatePerS * ran.span.Seconds() + kBurst;
+  const double share = static_cast<double>(ran.n) / allowed;
+  PrintFigure("overload_admitted_share", share, "");
+  for (const auto& [code, n] : codes) {
+    PrintFigure("overload_" + code, static_cast<double>(n), "calls");
+  }
+  CHECK(share <= 1.0);
+  CHECK(ran.n > 0);
+}
+
+void WithinRate(ScenarioContext& context) {
+  SleepFor(Seconds(2));
+  const auto codes = SendAtRate(context, "steady", 0.9 * kRatePerS, Seconds(8));
+  for (const auto& [code, n] : codes) {
+    CAPTURE(code);
+    PrintFigure("within_rate_" + code, static_cast<double>(n), "calls");
+    CHECK(code == "answered");
+  }
+}
+
+}  // namespace
+
+std::span<const Scenario> LimitScenarios() {
+  static const auto* const kRows = new std::vector<Scenario>{
+      {"fivefold_overload",
+       FivefoldOverload,
+       {.rate_per_s = kRatePerS, .burst = kBurst}},
+      {"within_rate", WithinRate, {.rate_per_s = kRatePerS, .burst = kBurst}},
+  };
+  return *kRows;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/owner_scenarios.cc
@@ -0,0 +1,155 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "tests/process/scenarios.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kPrograms = 12;
+constexpr size_t kBookings = 9;
+constexpr Ms kLimit = Seconds(25);
+// By then the calls of a scenario have reached their upstreams.
+constexpr Ms kUnderWay{500};
+
+// Slow enough that every call is under way when the fault comes.
+const json& SlowEngines() {
+  static const auto* const kOptions = new json{{"decode_tokens_per_s", 16}};
+  return *kOptions;
+}
+
+size_t Count(const std::vector<BookingEnd>& ends, BookingEnd end) {
+  return static_cast<size_t>(std::count(ends.begin(), ends.end(), end));
+}
+
+void KilledBetweenTurns(ScenarioContext& context) {
+  ProgramSet programs(context, "between", kPrograms);
+  programs.SayAll("first", kLimit);
+  programs.SayAll("second", kLimit);
+  context.fleet.entry(0).process->Kill();
+  const Ms took = programs.SayAll("third", kLimit);
+  PrintFigure("owner_death_to_next_answer", took.Seconds(), "s");
+  context.fleet.entry(0).process->Restart();
+  programs.SayAll("fourth", kLimit, 0);
+}
+
+void KilledInTurn(ScenarioContext& context) {
+  ProgramSet programs(context, "in-turn", kPrograms);
+  programs.SayAll("first", kLimit);
+  programs.SayAll("second", kLimit, 1, [&] {
+    SleepFor(kUnderWay);
+    context.fleet.entry(0).process->Kill();
+  });
+  programs.SayAll("third", kLimit);
+}
+
+// The sidecar has the call, and its upstream has not: it is paused meanwhile.
+void KilledBeforeDispatch(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  DaemonProcess& desk = fleet.sidecar(fleet.options().engines);
+  desk.process->Pause();
+  const auto ends = BookAll(context, "undispatched", kBookings, kLimit, [&] {
+    SleepFor(kUnderWay);
+    fleet.entry(0).process->Kill();
+    SleepFor(Seconds(1));
+    desk.process->Resume();
+  });
+  CHECK(Count(ends, BookingEnd::kNoReply) == 0);
+}
+
+void KilledBeforeOutcome(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  fleet.service(0).Control({{"delay_after", 1500}});
+  const auto ends = BookAll(context, "no-outcome", kBookings, kLimit, [&] {
+    SleepFor(kUnderWay);
+    fleet.entry(0).process->Kill();
+  });
+  // The sidecar lives and remembers, so that every outcome can be found.
+  CHECK(Count(ends, BookingEnd::kAnswered) == kBookings);
+}
+
+void PausedAcrossTakeover(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "paused", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.service(0).Control({{"delay_after", 800}});
+  BookAll(context, "paused", kBookings, kLimit, [&] {
+    SleepFor(Ms{300});
+    fleet.entry(0).process->Pause();
+    programs.SayAll("second", kLimit);
+    SleepFor(fleet.options().lease);
+    fleet.entry(0).process->Resume();
+    programs.SayAll("third", kLimit, 0);
+  });
+  programs.SayAll("fourth", kLimit, 0);
+}
+
+void SidecarRestarted(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "sidecar", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.service(0).Control({{"delay_after", 800}});
+  BookAll(context, "sidecar", kBookings, kLimit, [&] {
+    SleepFor(Ms{300});
+    fleet.sidecar(fleet.options().engines).process->Kill();
+    fleet.sidecar(0).process->Kill();
+    programs.SayAll("second", kLimit);
+    fleet.sidecar(fleet.options().engines).process->Restart();
+    fleet.sidecar(0).process->Restart();
+  });
+  programs.SayAll("third", kLimit);
+  const auto ends = BookAll(context, "after", 2, kLimit, [] {});
+  CHECK(Count(ends, BookingEnd::kAnswered) == 2);
+}
+
+void EntryAndSidecarKilled(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "both", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.service(0).Control({{"delay_after", 800}});
+  BookAll(context, "both", kBookings, kLimit, [&] {
+    SleepFor(Ms{300});
+    fleet.entry(0).process->Kill();
+    fleet.sidecar(fleet.options().engines).process->Kill();
+    fleet.sidecar(fleet.options().engines).process->Restart();
+    programs.SayAll("second", kLimit);
+    fleet.entry(0).process->Restart();
+  });
+  programs.SayAll("third", kLimit, 0);
+}
+
+void KilledTwice(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "twice", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.entry(0).process->Kill();
+  programs.SayAll("second", kLimit);
+  fleet.entry(0).process->Restart();
+  programs.SayAll("third", kLimit, 0);
+  fleet.entry(0).process->Kill();
+  programs.SayAll("fourth", kLimit);
+  fleet.entry(0).process->Restart();
+  fleet.entry(1).process->Kill();
+  programs.SayAll("fifth", kLimit, 2);
+}
+
+}  // namespace
+
+std::span<const Scenario> OwnerScenarios() {
+  static const auto* const kRows = new std::vector<Scenario>{
+      {"owner_killed_between_turns", KilledBetweenTurns},
+      {"owner_killed_in_turn", KilledInTurn, {.engine_options = SlowEngines()}},
+      {"owner_killed_before_dispatch", KilledBeforeDispatch},
+      {"owner_killed_before_outcome", KilledBeforeOutcome},
+      {"owner_paused_across_takeover", PausedAcrossTakeover},
+      {"sidecar_killed_and_restarted", SidecarRestarted},
+      {"entry_and_sidecar_killed", EntryAndSidecarKilled},
+      {"owner_killed_twice", KilledTwice},
+  };
+  return *kRows;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/planned_scenarios.cc
@@ -0,0 +1,194 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+
+#include "absl/strings/str_cat.h"
+#include "tests/process/scenarios.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kPrograms = 12;
+constexpr Ms kLimit = Seconds(25);
+constexpr Ms kStopLimit = Seconds(25);
+constexpr Ms kUnderWay{400};
+// "A few seconds" for an upstream that leaves.
+constexpr Ms kLeavingKnown = Seconds(4);
+
+const json& SlowEngines() {
+  static const auto* const kOptions = new json{{"decode_tokens_per_s", 16}};
+  return *kOptions;
+}
+
+// Chat lines that arrived at an engine after a moment.
+size_t ArrivedAfter(const json& record, Ms moment) {
+  return static_cast<size_t>(
+      std::count_if(record.begin(), record.end(), [&](const json& it) {
+        return it.value("kind", "") == "chat" &&
+               it.value("started_ms", int64_t{0}) > moment.count;
+      }));
+}
+
+// Sends one turn each of new programs at `entry`, and fails for each that is
+// not answered whole at the first try.
+void ExpectFirstTry(ScenarioContext& context, const std::string& name,
+                    const std::vector<size_t>& entries,
+                    const std::function<void()>& disturb) {
+  std::vector<CallerReply> replies(kPrograms);
+  const auto say = [&](size_t i) {
+    const std::string program = absl::StrCat(name, "-", i);
+    replies[i] = SendTurn(context.fleet, entries[i % entries.size()], "w",
+                          program, program, program, i % 2 == 1, kLimit);
+  };
+  RunAtOnce(kPrograms, say, disturb);
+  for (size_t i = 0; i < kPrograms; ++i) {
+    CAPTURE(name);
+    CAPTURE(i);
+    CAPTURE(replies[i].code);
+    CAPTURE(replies[i].text);
+    CHECK(replies[i].answered());
+  }
+}
+
+void EntryStops(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  int exit_code = -1;
+  ExpectFirstTry(context, "stopping", {0, 1, 2}, [&] {
+    SleepFor(kUnderWay);
+    exit_code = fleet.entry(0).process->Stop(kStopLimit);
+  });
+  CHECK(exit_code == 0);
+  ExpectFirstTry(context, "stopped", {1, 2}, [] {});
+}
+
+void SidecarStops(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  int exit_code = -1;
+  Ms told;
+  ExpectFirstTry(context, "leaving", {0, 1, 2}, [&] {
+    SleepFor(kUnderWay);
+    told = WallTime();
+    exit_code = fleet.sidecar(0).process->Stop(kStopLimit);
+  });
+  CHECK(exit_code == 0);
+  const Ms gone = WallTime();
+  ExpectFirstTry(context, "left", {0, 1, 2}, [] {});
+  const json record = fleet.engine(0).Get("/record");
+  CHECK(ArrivedAfter(record, std::min(gone, told + kLeavingKnown)) == 0);
+}
+
+void CrashResent(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "beside", kPrograms);
+  programs.SayAll("first", kLimit);
+  std::vector<std::string> codes;
+  for (size_t i = 0; i < 8; ++i) {
+    const std::string call_key = absl::StrCat("crash-", i);
+    const CallerReply reply =
+        SendTurn(fleet, i % fleet.entry_count(), "w", "crash", call_key,
+                 "CRASH-ENGINE please", false, Seconds(6));
+    CHECK_FALSE(reply.answered());
+    codes.push_back(reply.code);
+    SleepFor(Ms{500});
+  }
+  CAPTURE(json(codes).dump());
+  CHECK(codes.back() == "quarantined");
+  size_t crashes = 0;
+  for (const json& record : fleet.Records().engines) {
+    crashes += static_cast<size_t>(
+        std::count_if(record.begin(), record.end(), [](const json& it) {
+          return it.value("state", "") == "crashed" &&
+                 it.value("program", "") == "crash";
+        }));
+  }
+  // Seen in two crashes, it runs no more.
+  CHECK(crashes <= 2);
+  PrintFigure("crashes_until_quarantine", static_cast<double>(crashes), "");
+  programs.SayAll("second", kLimit, 0);
+}
+
+// Streams with a key that is withdrawn meanwhile end within seconds, and the
+// key is refused at every entry.
+void KeyWithdrawn(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  const Clock clock = Clock::Steady();
+  std::vector<CallerReply> replies(fleet.entry_count());
+  std::vector<Ms> ended(fleet.entry_count());
+  Ms withdrawn;
+  const auto stream = [&](size_t i) {
+    const std::string program = absl::StrCat("streaming-", i);
+    replies[i] =
+        SendTurn(fleet, i, "w", program, program, program, true, Seconds(30));
+    ended[i] = clock.Now();
+  };
+  RunAtOnce(fleet.entry_count(), stream, [&] {
+    SleepFor(Seconds(1));
+    withdrawn = clock.Now();
+    const ChangeResult result = WithdrawKey(fleet.config(), fleet.key_id("w"));
+    CHECK(result.state == ChangeState::kApplied);
+  });
+  Ms longest;
+  for (size_t i = 0; i < fleet.entry_count(); ++i) {
+    CAPTURE(i);
+    CAPTURE(replies[i].text);
+    CHECK_FALSE(replies[i].answered());
+    CHECK(replies[i].code == "unauthorized");
+    longest = std::max(longest, ended[i] - withdrawn);
+  }
+  PrintFigure("key_withdrawn_streams_ended", longest.Seconds(), "s");
+  CHECK(longest < Seconds(3));
+  for (size_t i = 0; i < fleet.entry_count(); ++i) {
+    const std::string program = absl::StrCat("refused-", i);
+    CHECK(SendTurn(fleet, i, "w", program, program, program, false, Seconds(5))
+              .code == "unauthorized");
+    CHECK(SendTurn(fleet, i, "v", program, program, program, false, Seconds(9))
+              .answered());
+  }
+}
+
+// A new route works at every entry within seconds of its acceptance.
+void ConfigApplied(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  const Clock clock = Clock::Steady();
+  Ms longest;
+  for (int round = 0; round < 5; ++round) {
+    const std::string path = absl::StrCat("/round-", round);
+    const ChangeResult applied =
+        ApplyRules(fleet.config(), RulesText(fleet.options(), path));
+    REQUIRE(applied.state == ChangeState::kApplied);
+    const Ms start = clock.Now();
+    for (size_t i = 0; i < fleet.entry_count(); ++i) {
+      HttpClient client(fleet.entry(i).listen);
+      const bool works = WaitUntil(Seconds(13), [&] {
+        const auto reply = client.Call({"GET", path, "", {}, ""});
+        return reply.ok() && reply->status != 404;
+      });
+      CHECK(works);
+    }
+    longest = std::max(longest, clock.Now() - start);
+  }
+  PrintFigure("config_applied_at_every_entry", longest.Seconds(), "s");
+  CHECK(longest < Seconds(5));
+}
+
+}  // namespace
+
+std::span<const Scenario> PlannedScenarios() {
+  static const auto* const kRows = new std::vector<Scenario>{
+      {"entry_stops_under_load", EntryStops, {.engine_options = SlowEngines()}},
+      {"upstream_leaves_under_load",
+       SidecarStops,
+       {.engine_options = SlowEngines()}},
+      {"crashing_request_resent", CrashResent, {.engines = 3}},
+      {"key_withdrawn_in_stream",
+       KeyWithdrawn,
+       {.engine_options = {{"decode_tokens_per_s", 3}}}},
+      {"config_applied_everywhere", ConfigApplied},
+  };
+  return *kRows;
+}
+
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/process_test.cc
@@ -0,0 +1,45 @@
+// Faults brought about in a fleet of real processes. KNAPWEED_SCENARIO names
+// the one row to run; without it all run.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "tests/process/scenarios.h"
+
+namespace knapweed {
+namespace {
+
+bool Wanted(const Scenario& scenario) {
+  const char* name = std::getenv("KNAPWEED_SCENARIO");
+  return name == nullptr || std::string(name) == scenario.name;
+}
+
+void RunScenario(const Scenario& scenario) {
+  CAPTURE(scenario.name);
+  Fleet fleet(scenario.options);
+  ScenarioContext context(fleet);
+  scenario.run(context);
+  FleetRecords records = fleet.Records();
+  records.not_run = context.not_run;
+  for (const std::string& fault : FindBrokenPromises(records)) {
+    FAIL_CHECK(fault);
+  }
+}
+
+TEST_CASE("promises hold under faults") {
+  size_t ran = 0;
+  for (const auto& rows :
+       {OwnerScenarios(), StoreScenarios(), PlannedScenarios(),
+        LimitScenarios(), RandomScenarios()}) {
+    for (const Scenario& scenario : rows) {
+      if (!Wanted(scenario)) continue;
+      RunScenario(scenario);
+      ++ran;
+    }
+  }
+  CHECK(ran > 0);
+}
+
+}  // namespace
+}  // namespace knapweed
--- /dev/null
+++ b/tests/process/store_scenarios.cc
@@ -0,0 +1,127 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "tests/process/scenarios.h"
+
+namespace knapweed {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kPrograms = 9;
+constexpr size_t kBookings = 6;
+constexpr Ms kLimit = Seconds(25);
+
+// Each round meets the fault anew, while turns and bookings run.
+void WithCommitFault(ScenarioContext& context, const std::string& fault) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, fault, kPrograms);
+  programs.SayAll("first", kLimit);
+  for (int round = 0; round < 4; ++round) {
+    const auto disturb = [&] {
+      for (int i = 0; i < 3; ++i) {
+        fleet.platform().Control({{fault, 2}});
+        SleepFor(Ms{150});
+      }
+    };
+    const std::string name = absl::StrCat(fault, "-", round);
+    BookAll(context, name, kBookings, kLimit,
+            [&] { programs.SayAll(name, kLimit, 0, disturb); });
+  }
+  fleet.platform().Control({{fault, 0}});
+  programs.SayAll("last", kLimit, 0);
+}
+
+void AnswersLost(ScenarioContext& context) {
+  WithCommitFault(context, "lose_commit_answers");
+}
+
+void CommitsLost(ScenarioContext& context) {
+  WithCommitFault(context, "lose_commits");
+}
+
+void CommitsRefused(ScenarioContext& context) {
+  WithCommitFault(context, "fail_commits");
+}
+
+void Slow(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "slow", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.platform().Control({{"latency", 200}});
+  for (const char* text : {"second", "third", "fourth"}) {
+    programs.SayAll(text, kLimit, 0);
+  }
+  BookAll(context, "slow", kBookings, kLimit, [] {});
+  fleet.platform().Control({{"latency", 0}});
+  programs.SayAll("last", kLimit, 0);
+}
+
+void Down(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  const Ms outage = fleet.options().lease * 4;
+  ProgramSet programs(context, "outage", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.platform().Control({{"outage", true}});
+  const Clock clock = Clock::Steady();
+  const Ms end = clock.Now() + outage;
+  size_t tried = 0;
+  size_t answered = 0;
+  while (clock.Now() < end) {
+    const std::string text = absl::StrCat("during-", tried);
+    for (size_t i = 0; i < fleet.entry_count(); ++i) {
+      const std::string program = absl::StrCat("new-", text, "-", i);
+      const CallerReply turn =
+          SendTurn(fleet, i, "w", program, program, program, false, Seconds(4));
+      answered += turn.answered() ? 1 : 0;
+      ++tried;
+      const std::string reference = absl::StrCat("outage-", text, "-", i);
+      const CallerReply booking = SendBooking(fleet, i, reference, Seconds(4));
+      CAPTURE(booking.code);
+      CHECK_FALSE(booking.answered());
+      CHECK(booking.run == "not_run");
+      if (booking.run == "not_run") context.not_run.insert(reference);
+    }
+    SleepFor(Ms{200});
+  }
+  PrintFigure("outage_turns_answered_share",
+              static_cast<double>(answered) / static_cast<double>(tried), "");
+  fleet.platform().Control({{"outage", false}});
+  programs.SayAll("second", kLimit, 0);
+  programs.SayAll("third", kLimit, 1);
+  const auto ends = BookAll(context, "after", kBookings, kLimit, [] {});
+  CHECK(std::count(ends.begin(), ends.end(), BookingEnd::kAnswered) ==
+        static_cast<int64_t>(kBookings));
+}
+
+// The owner dies while nobody can take over; the takeover comes with the store.
+void DownAndOwnerKilled(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "pair", kPrograms);
+  programs.SayAll("first", kLimit);
+  fleet.platform().Control({{"outage", true}});
+  fleet.entry(0).process->Kill();
+  SleepFor(fleet.options().lease * 2);
+  fleet.platform().Control({{"outage", false}});
+  programs.SayAll("second", kLimit);
+  fleet.entry(0).process->Restart();
+  programs.SayAll("third", kLimit, 0);
+}
+
+}  // namespace
+
+std::span<const Scenario> StoreScenarios() {
+  static const auto* const kRows = new std::vector<Scenario>{
+      {"store_answers_lost", AnswersLost},
+      {"store_commits_lost", CommitsLost},
+      {"store_commits_refused", CommitsRefused},
+      {"store_slow", Slow},
+      {"store_down_longer_than_lease", Down},
+      {"store_down_and_owner_killed", DownAndOwnerKilled},
+  };
+  return *kRows;
+}
+
+}  // namespace knapweed
--- a/tools/knapweed_standin.cc
+++ b/tools/knapweed_standin.cc
@@ -85,6 +85,7 @@
   char* role = nullptr;
   char* listen = nullptr;
   char* set = nullptr;
+  char* models = nullptr;
   const poptOption options[] = {
       {"role", 'r', POPT_ARG_STRING, &role, 0,
        "platform, engine, service or tool", "ROLE"},
@@ -93,6 +94,8 @@
       {"set", 's', POPT_ARG_STRING, &set, kSet,
        "an option or fault of the role, as for POST /control; may be repeated",
        "NAME=VALUE"},
+      {"models", 'm', POPT_ARG_STRING, &models, 0,
+       "models that an engine answers to", "NAME,..."},
       {"version", 0, POPT_ARG_NONE, nullptr, kPrintVersion,
        "print the version and exit", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -111,6 +114,10 @@
   }
   if (rc < -1) return Usage(poptStrerror(rc));
   if (poptPeekArg(context) != nullptr) return Usage("unexpected argument");
+  if (models != nullptr) {
+    const std::vector<std::string> names = absl::StrSplit(models, ',');
+    arguments.fields["models"] = names;
+  }
   if (role == nullptr) return Usage("--role is missing");
   if (listen == nullptr || !knapweed::ParseAddress(listen, &arguments.listen)) {
     return Usage("--listen takes IP:PORT");
