--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -23,7 +23,7 @@
 
 TEST_CASE("a commit applies all of its writes or none") {
   struct RowCase {
-    const char* name;
+    std::string name;
     Transaction transaction;
     StatusCode code;
     uint64_t a_version;
@@ -111,7 +111,7 @@
 
 TEST_CASE("each fault of the store shows as its status and its effect") {
   struct FaultCase {
-    const char* name;
+    std::string name;
     json faults;
     StatusCode first;
     StatusCode second;
@@ -196,7 +196,7 @@
     const StoreUnderTest store = MakeStore(over_http);
     CHECK(store.table.commit(WriteRow("k", "\xff")).code() ==
           StatusCode::kInvalidArgument);
-    for (const char* name :
+    for (const std::string name :
          {"", "/a", "a/", "a//b", "../a", "a/./b", "a\\b", "a\nb"}) {
       CAPTURE(name);
       CHECK(store.objects.put(name, "x").code() ==
@@ -207,7 +207,7 @@
 
 TEST_CASE("a slow or absent store is told apart by what may have happened") {
   struct SlowCase {
-    const char* name;
+    std::string name;
     bool absent;
     StatusCode read;
     StatusCode write;
--- a/tests/process/invariant_checker_test.cc
+++ b/tests/process/invariant_checker_test.cc
@@ -22,19 +22,22 @@
   return {{"kind", "service"}, {"reference", reference}, {"ran", ran}};
 }
 
+json WithHeader(const char* name, const char* value) {
+  const json header = json::array({name, value});
+  return {{"kind", "order"}, {"headers", json::array({header})}};
+}
+
 TEST_CASE("the checker finds each kind of broken promise in records") {
   struct RecordCase {
-    const char* name;
+    std::string name;
     json engine;
     json service;
     size_t faults;
   };
   const json first = Chat("p", 1, {"a"}, "A");
   const json second = Chat("p", 2, {"a", "A", "b"}, "B");
-  const json keyed = {{"kind", "chat"},
-                      {"headers", {{"X-Other", "so kw_1_secret it is"}}}};
-  const json authorized = {{"kind", "chat"},
-                           {"headers", {{"authorization", "x"}}}};
+  const json keyed = WithHeader("X-Other", "so kw_1_secret it is");
+  const json authorized = WithHeader("authorization", "x");
   const std::vector<RecordCase> rows = {
       {"in order", {first, second}, {Run("r", true), Run("r", false)}, 0},
       {"a turn run again", {first, first, second}, json::array(), 0},
--- a/tests/process/process_test.cc
+++ b/tests/process/process_test.cc
@@ -16,7 +16,8 @@
 }
 
 void RunScenario(const Scenario& scenario) {
-  CAPTURE(scenario.name);
+  const std::string name = scenario.name;
+  CAPTURE(name);
   Fleet fleet(scenario.options);
   ScenarioContext context(fleet);
   scenario.run(context);
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -80,8 +80,8 @@
   json unknown_model = Chat("x");
   unknown_model["model"] = "other";
   struct BadCase {
-    const char* name;
-    const char* path;
+    std::string name;
+    std::string path;
     json body;
     int status;
   };
@@ -145,7 +145,7 @@
 
 TEST_CASE("each fault of the plain service shows in its record") {
   struct FaultCase {
-    const char* name;
+    std::string name;
     json faults;
     bool answered;
     int status;
