Write the sidecar's settings as it reads them

Cause: the sidecar names its upstream in a section of its own. Conclusion: the fleet's generated settings follow it.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -157,14 +157,12 @@
   made.name = name;
   made.control = FreeLoopbackAddress();
   const std::string ini = absl::StrCat(
-      "[sidecar]\nname = ", name,
-      "\nlisten = ", FreeLoopbackAddress().ToString(),
+      "[sidecar]\nname = ", name, "\nfailure_domain = d", domain % kDomains,
+      "\npool = ", pool, pool == "chat" ? "\nmodels = m" : "",
+      "\nrpc = ", FreeLoopbackAddress().ToString(),
       "\ncontrol = ", made.control.ToString(),
-      "\nupstream = ", upstream.ToString(), "\nfailure_domain = d",
-      domain % kDomains, "\npool = ", pool,
-      "\nmodels = ", pool == "chat" ? "m" : "",
-      "\nslots = 8\n\n[platform]\ntable = ", platform_->address.ToString(),
-      "\n\n[membership]\npartitions = 64\n");
+      "\nslots = 8\n\n[upstream]\naddress = ", upstream.ToString(),
+      "\n\n[platform]\ntable = ", platform_->address.ToString(), "\n");
   made.process = StartDaemon("knapweed-sidecar", name, ini);
 }
 
