Let new programs wait when histories outgrow the engines' caches

Cause: in the rig at 80% load the engines' caches thrash; each turn computes its history again, which keeps more programs under way.

--- /dev/null
+++ b/benchmarks/rig/policy_rig.cc
@@ -0,0 +1,342 @@
+#include <popt.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "benchmarks/rig/rig.h"
+
+namespace knapweed::rig {
+namespace {
+
+/// The brief's measures of one run.
+struct Measures {
+  double p50 = 0;
+  double p95 = 0;
+  double p99 = 0;
+  double recomputed = 0;
+  double worst_slowdown = 0;
+  uint64_t refusals = 0;
+  uint64_t crashes = 0;
+  size_t failed = 0;
+  double live_tokens = 0;
+};
+
+/// Name of a check, what was measured, and its bound.
+struct Check {
+  std::string name;
+  double value = 0;
+  double bound = 0;
+};
+
+double Quantile(std::vector<double> values, double q) {
+  if (values.empty()) return 0;
+  const auto i = static_cast<size_t>(q * static_cast<double>(values.size()));
+  const auto nth = values.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(i, values.size() - 1));
+  std::nth_element(values.begin(), nth, values.end());
+  return *nth;
+}
+
+std::vector<double> LatencyByWorkspace(const RunResult& run, size_t n) {
+  std::vector<double> sums(n);
+  for (const ProgramResult& it : run.programs) {
+    if (!it.faulty) sums[it.workspace] += it.latency_s;
+  }
+  return sums;
+}
+
+/// Slowdown against the oracle of the worst-served workspace over the median
+/// one; a workspace that floods is not counted.
+double WorstSlowdown(const RunResult& run, const RunResult& oracle,
+                     const Deployment& deployment, const Scenario& scenario) {
+  const auto sums = LatencyByWorkspace(run, deployment.workspaces);
+  const auto ideal = LatencyByWorkspace(oracle, deployment.workspaces);
+  std::vector<double> slowdowns;
+  for (size_t i = 0; i < sums.size(); ++i) {
+    if (static_cast<int32_t>(i) == scenario.flooding || ideal[i] == 0) continue;
+    slowdowns.push_back(sums[i] / ideal[i]);
+  }
+  return *std::max_element(slowdowns.begin(), slowdowns.end()) /
+         Quantile(slowdowns, 0.5);
+}
+
+Measures Measure(const RunResult& run, const RunResult& oracle,
+                 const Deployment& deployment, const Scenario& scenario) {
+  std::vector<double> latencies;
+  Measures m;
+  for (const ProgramResult& it : run.programs) {
+    if (it.faulty) continue;
+    if (static_cast<int32_t>(it.workspace) == scenario.flooding) continue;
+    latencies.push_back(it.latency_s);
+    m.failed += it.failed ? 1 : 0;
+  }
+  m.p50 = Quantile(latencies, 0.5);
+  m.p95 = Quantile(latencies, 0.95);
+  m.p99 = Quantile(latencies, 0.99);
+  m.recomputed = run.recomputed_tokens / std::max(run.cacheable_tokens, 1.0);
+  m.worst_slowdown = WorstSlowdown(run, oracle, deployment, scenario);
+  m.refusals = run.refusals;
+  m.live_tokens = run.live_tokens;
+  m.crashes = run.crashes;
+  return m;
+}
+
+std::vector<Scenario> Scenarios() {
+  std::vector<Scenario> all(11);
+  all[0].name = "half";
+  all[0].load = 0.5;
+  all[1].name = "busy";
+  all[2].name = "flood";
+  all[2].flooding = 3;
+  all[3].name = "dawn";
+  all[3].dawn = true;
+  all[4].name = "slow_engine";
+  all[4].slow_engine = true;
+  all[5].name = "dead_engine";
+  all[5].dead_engine = true;
+  all[6].name = "late_events";
+  all[6].late_events = true;
+  all[7].name = "crashing_request";
+  all[7].load = 0.6;
+  all[7].crashing_request = true;
+  all[8].name = "loops";
+  all[8].loops = true;
+  all[9].name = "tight_half";
+  all[9].load = 0.5;
+  all[9].tight_memory = true;
+  all[10].name = "tight_busy";
+  all[10].tight_memory = true;
+  return all;
+}
+
+PolicyParts Baseline(const std::string& name, PlaceBy place) {
+  PolicyParts parts;
+  parts.name = name;
+  parts.place = place;
+  parts.fair_queue = false;
+  parts.attained_service = false;
+  parts.pins = false;
+  parts.release = false;
+  parts.cache_moves = false;
+  parts.admission = false;
+  parts.working_set = false;
+  return parts;
+}
+
+std::vector<PolicyParts> Baselines() {
+  PolicyParts first_come;
+  first_come.name = "first_come";
+  first_come.fair_queue = false;
+  first_come.attained_service = false;
+  first_come.working_set = false;
+  return {Baseline("oracle", PlaceBy::kOracle),
+          Baseline("round_robin", PlaceBy::kRoundRobin),
+          Baseline("least_load", PlaceBy::kLeastLoad),
+          Baseline("affinity", PlaceBy::kAffinity), first_come};
+}
+
+/// The policy, and the policy without one part each.
+std::vector<PolicyParts> OnOffRows() {
+  std::vector<PolicyParts> rows;
+  const auto add = [&](const char* name) -> PolicyParts& {
+    rows.emplace_back();
+    rows.back().name = name;
+    return rows.back();
+  };
+  add("knapweed");
+  add("-working_set").working_set = false;
+  add("+pins").pins = true;
+  PolicyParts& stay = add("-hysteresis");
+  stay.placement.stay = Ms{0};
+  stay.placement.stay_share = 0;
+  add("-held_up").placement.held_up_weight = 0;
+  add("-stale_discount").placement.view_half_life = Seconds(1000000);
+  add("-cross_domain").placement.cross_domain = Ms{0};
+  add("-attained").attained_service = false;
+  add("-ageing").ageing_tokens_per_ms = 0;
+  add("-cache_events").cache_events = false;
+  add("-own_dispatches").own_dispatches = false;
+  add("-pins").pins = false;
+  add("-release").release = false;
+  add("-breaker").breaker = false;
+  add("-retry").retry = false;
+  add("-cache_moves").cache_moves = false;
+  add("-admission").admission = false;
+  add("-quarantine").quarantine = false;
+  add("-loop_detection").loop_detection = false;
+  return rows;
+}
+
+void Print(const std::string& name, const Measures& m) {
+  std::printf(
+      "| %s | %.1f | %.1f | %.1f | %.3f | %.2f | %llu | %llu | %zu | %.1f |\n",
+      name.c_str(), m.p50, m.p95, m.p99, m.recomputed, m.worst_slowdown,
+      static_cast<unsigned long long>(m.refusals),
+      static_cast<unsigned long long>(m.crashes), m.failed,
+      m.live_tokens / 1e6);
+}
+
+struct Options {
+  int seed = 1;
+  std::string deployment;
+  std::string scenario;
+  bool parts = false;
+  std::string known_red;
+};
+
+std::vector<Deployment> Deployments(const Options& options) {
+  std::vector<Deployment> all = {Ishikari(), Tirna()};
+  std::erase_if(all, [&](const Deployment& it) {
+    return !options.deployment.empty() && it.name != options.deployment;
+  });
+  return all;
+}
+
+void Report(const Options& options) {
+  const auto seed = static_cast<uint64_t>(options.seed);
+  for (const Deployment& deployment : Deployments(options)) {
+    for (const Scenario& scenario : Scenarios()) {
+      if (!options.scenario.empty() && options.scenario != scenario.name) {
+        continue;
+      }
+      const auto programs = CallerFake(deployment, scenario, seed).Draw();
+      std::printf("\n%s, %s, seed %d\n\n", deployment.name.c_str(),
+                  scenario.name.c_str(), options.seed);
+      std::printf(
+          "| policy | p50 s | p95 s | p99 s | recomputed | worst/median | "
+          "refused | crashes | failed | live Mtok "
+          "|\n|---|---|---|---|---|---|---|---|---|---|"
+          "\n");
+      std::vector<PolicyParts> rows = Baselines();
+      for (const PolicyParts& parts : OnOffRows()) {
+        rows.push_back(parts);
+        if (!options.parts) break;
+      }
+      const RunResult oracle =
+          Run(deployment, scenario, programs, rows.front(), seed);
+      for (const PolicyParts& parts : rows) {
+        const RunResult run = Run(deployment, scenario, programs, parts, seed);
+        Print(parts.name, Measure(run, oracle, deployment, scenario));
+      }
+    }
+  }
+}
+
+Measures MeasureOne(const Deployment& deployment, const Scenario& scenario,
+                    const PolicyParts& parts, uint64_t seed) {
+  const auto programs = CallerFake(deployment, scenario, seed).Draw();
+  const RunResult oracle =
+      Run(deployment, scenario, programs, Baselines().front(), seed);
+  const RunResult run = Run(deployment, scenario, programs, parts, seed);
+  return Measure(run, oracle, deployment, scenario);
+}
+
+/// The stated targets for one deployment.
+std::vector<Check> Checks(const Deployment& deployment, uint64_t seed) {
+  const std::vector<Scenario> scenarios = Scenarios();
+  const std::vector<PolicyParts> baselines = Baselines();
+  const PolicyParts ours = OnOffRows().front();
+  const auto measure = [&](size_t scenario, const PolicyParts& parts) {
+    return MeasureOne(deployment, scenarios[scenario], parts, seed);
+  };
+  const Measures half = measure(0, ours);
+  const Measures ideal = measure(0, baselines[0]);
+  const Measures busy = measure(1, ours);
+  const Measures least_load = measure(1, baselines[2]);
+  const Measures affinity = measure(1, baselines[3]);
+  const Measures flood = measure(2, ours);
+  const Measures crashing = measure(7, ours);
+  const std::string at = deployment.name;
+  const auto refused =
+      static_cast<double>(half.refusals + busy.refusals + flood.refusals);
+  return {
+      {at + ".p95_to_baseline_at_80",
+       busy.p95 / std::min(least_load.p95, affinity.p95), 0.6},
+      {at + ".p95_to_oracle_at_50", half.p95 / ideal.p95, 1.3},
+      {at + ".recomputed_at_50", half.recomputed, 0.10},
+      {at + ".recomputed_at_80", busy.recomputed, 0.10},
+      {at + ".worst_to_median_in_flood", flood.worst_slowdown, 1.25},
+      {at + ".refusals_within_rate", refused, 0},
+      {at + ".crashes_of_one_request", static_cast<double>(crashing.crashes),
+       2},
+  };
+}
+
+/// Names of this program's checks in KNOWN-RED.txt: lines "test: policy_rig
+/// NAME".
+std::vector<std::string> KnownRed(const std::string& path) {
+  const std::string prefix = "test: policy_rig ";
+  std::vector<std::string> names;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    if (line.rfind(prefix, 0) == 0) names.push_back(line.substr(prefix.size()));
+  }
+  return names;
+}
+
+/// Prints every check. Returns the number that broke their bound and aren't
+/// known.
+int RunChecks(const Options& options) {
+  const std::vector<std::string> known = KnownRed(options.known_red);
+  int broken = 0;
+  for (const Deployment& deployment : Deployments(options)) {
+    const auto seed = static_cast<uint64_t>(options.seed);
+    for (const Check& check : Checks(deployment, seed)) {
+      const bool held = check.value <= check.bound;
+      const bool listed =
+          std::find(known.begin(), known.end(), check.name) != known.end();
+      const char* verdict = held ? "held" : listed ? "KNOWN RED" : "BROKEN";
+      std::printf("%-40s %8.3f  bound %6.3f  %s\n", check.name.c_str(),
+                  check.value, check.bound, verdict);
+      broken += held || listed ? 0 : 1;
+    }
+  }
+  return broken;
+}
+
+int Main(int argc, const char** argv) {
+  int seed = 1;
+  int parts = 0;
+  const char* deployment = nullptr;
+  const char* scenario = nullptr;
+  const char* known_red = nullptr;
+  const poptOption table[] = {
+      {"seed", 's', POPT_ARG_INT, &seed, 0, "Seed of the run", "N"},
+      {"parts", 'p', POPT_ARG_NONE, &parts, 0, "A row without each part",
+       nullptr},
+      {"deployment", 'd', POPT_ARG_STRING, &deployment, 0, "Only this one",
+       "NAME"},
+      {"scenario", 'c', POPT_ARG_STRING, &scenario, 0, "Only this one", "NAME"},
+      {"check", 0, POPT_ARG_STRING, &known_red, 0,
+       "Check the bounds; FILE lists the checks known to fail", "FILE"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext(nullptr, argc, argv, table, 0);
+  const int rc = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (rc < -1) {
+    std::fprintf(stderr, "policy_rig: %s\n", poptStrerror(rc));
+    return 2;
+  }
+  Options options;
+  options.seed = seed;
+  options.parts = parts != 0;
+  if (deployment != nullptr) options.deployment = deployment;
+  if (scenario != nullptr) options.scenario = scenario;
+  if (known_red == nullptr) {
+    Report(options);
+    return 0;
+  }
+  options.known_red = known_red;
+  return RunChecks(options) == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace knapweed::rig
+
+int main(int argc, const char** argv) {
+  return knapweed::rig::Main(argc, argv);
+}
--- a/include/knapweed/policy/call_queue.h
+++ b/include/knapweed/policy/call_queue.h
@@ -68,6 +68,9 @@
   /// Corrects a workspace's account by the tokens that a call used beyond its
   /// `cost_tokens`.
   void Settle(uint64_t workspace_hash, double weight, int64_t extra_tokens);
+  /// Tokens that would run before a new call of this workspace: all that is
+  /// queued, or less when the workspace's fair share brings it forward.
+  uint64_t TokensAhead(uint64_t workspace_hash, double weight) const;
   size_t size() const;
   uint64_t queued_tokens() const;
 
--- /dev/null
+++ b/include/knapweed/policy/working_set.h
@@ -0,0 +1,49 @@
+#ifndef KNAPWEED_POLICY_WORKING_SET_H_
+#define KNAPWEED_POLICY_WORKING_SET_H_
+
+#include <cstdint>
+#include <limits>
+
+#include "knapweed/base/clock.h"
+
+namespace knapweed {
+
+/// Constants of the working-set gate.
+struct WorkingSetOptions {
+  /// Shares of cacheable tokens computed again, above which the limit shrinks
+  /// and below which it grows.
+  double high_miss = 0.06;
+  double low_miss = 0.02;
+  double shrink = 0.9;
+  double grow = 1.1;
+  /// Least time between two changes, so that the effect of one is seen.
+  Ms interval{3000};
+  /// Weight of the newest answer in the mean.
+  double newest_weight = 0.02;
+};
+
+/// Bounds the histories of the programs that one entry has under way. When they
+/// outgrow the engines' caches, each turn computes its history again, turns
+/// take longer, and still more programs are under way: throughput collapses.
+/// The gate notices the first such turns and lets new programs wait until some
+/// have ended. It needs to know no cache sizes.
+struct WorkingSetGate {
+  double limit_tokens = std::numeric_limits<double>::infinity();
+  double miss_share = 0;
+  Ms changed_at;
+};
+
+/// Takes what the answer to a later turn of a program reported (the first finds
+/// nothing of its own): of `cacheable` history tokens, `cached` were
+/// found. `live_tokens` is the history of all programs under way here.
+void RecordAnswer(WorkingSetGate& gate, uint64_t cacheable, uint64_t cached,
+                  double live_tokens, Ms now,
+                  const WorkingSetOptions& options = {});
+
+/// Whether a new program may start beside those under way. Later turns of a
+/// program never wait at the gate.
+bool MayStartProgram(const WorkingSetGate& gate, double live_tokens);
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_POLICY_WORKING_SET_H_
--- a/src/policy/call_queue.cc
+++ b/src/policy/call_queue.cc
@@ -41,6 +41,7 @@
   /// Root of the heap of its calls.
   uint32_t calls = kNoItem;
   bool used = true;
+  uint64_t queued_tokens = 0;
 };
 
 struct WorkspaceNodeOf {
@@ -74,6 +75,7 @@
   void ForgetIdleWorkspaces();
   void ChargeElsewhere(WorkspaceSlot& workspace, const QueuedCall& call) const;
   void Charge(uint32_t item, double tokens);
+  void SetWeight(WorkspaceSlot& workspace, double weight);
   QueuedCall Take(uint32_t item);
 
   CallQueueOptions options;
@@ -90,6 +92,8 @@
   double virtual_time = 0;
   uint64_t next_tie = 0;
   uint64_t tokens = 0;
+  /// Sum over the workspaces with queued calls.
+  double backlogged_weight = 0;
 };
 
 uint32_t CallQueue::Impl::NewCall(const QueuedCall& call) {
@@ -176,16 +180,29 @@
   if (workspace.node.pos != kNotInHeap) backlogged.Update(item);
 }
 
+void CallQueue::Impl::SetWeight(WorkspaceSlot& workspace, double weight) {
+  const double positive = PositiveWeight(weight);
+  if (workspace.calls != kNoItem) {
+    backlogged_weight += positive - workspace.weight;
+  }
+  workspace.weight = positive;
+}
+
 QueuedCall CallQueue::Impl::Take(uint32_t item) {
   const QueuedCall call = calls[item].call;
   const uint32_t owner = calls[item].workspace;
   WorkspaceSlot& workspace = workspaces[owner];
   workspace.calls = order.Erase(workspace.calls, item);
-  if (workspace.calls == kNoItem) backlogged.Erase(owner);
+  if (workspace.calls == kNoItem) {
+    backlogged.Erase(owner);
+    backlogged_weight -= workspace.weight;
+    if (backlogged.empty()) backlogged_weight = 0;
+  }
   if (calls[item].deadline.pos != kNotInHeap) deadlines.Erase(item);
   ticket_to_call.erase(call.ticket);
   free_calls.push_back(item);
   tokens -= call.cost_tokens;
+  workspace.queued_tokens -= call.cost_tokens;
   return call;
 }
 
@@ -203,7 +220,7 @@
   q.calls[item].workspace = owner;
   q.ticket_to_call.emplace(call.ticket, item);
   WorkspaceSlot& workspace = q.workspaces[owner];
-  workspace.weight = PositiveWeight(call.weight);
+  q.SetWeight(workspace, call.weight);
   const bool idle = workspace.calls == kNoItem;
   if (idle) {
     workspace.node.key = std::max(workspace.node.key, q.virtual_time);
@@ -212,11 +229,13 @@
   workspace.calls = q.order.Push(workspace.calls, item);
   if (idle) {
     q.backlogged.Push(owner);
+    q.backlogged_weight += workspace.weight;
   } else {
     q.backlogged.Update(owner);
   }
   if (call.deadline > Ms{0}) q.deadlines.Push(item);
   q.tokens += call.cost_tokens;
+  workspace.queued_tokens += call.cost_tokens;
 }
 
 std::optional<QueuedCall> CallQueue::Pop(Ms /*now*/) {
@@ -252,7 +271,7 @@
   Impl& q = *impl_;
   const uint32_t owner = q.WorkspaceOf(workspace_hash);
   WorkspaceSlot& workspace = q.workspaces[owner];
-  workspace.weight = PositiveWeight(weight);
+  q.SetWeight(workspace, weight);
   // A refund never takes back more than what was served here.
   const int64_t served = static_cast<int64_t>(workspace.served_here);
   const int64_t extra = std::max(extra_tokens, -served);
@@ -260,6 +279,27 @@
   q.Charge(owner, static_cast<double>(extra));
 }
 
+uint64_t CallQueue::TokensAhead(uint64_t workspace_hash, double weight) const {
+  const Impl& q = *impl_;
+  if (!q.options.fair) return q.tokens;
+  const auto it = q.hash_to_workspace.find(workspace_hash);
+  uint64_t own = 0;
+  double others = q.backlogged_weight;
+  if (it != q.hash_to_workspace.end()) {
+    const WorkspaceSlot& workspace = q.workspaces[it->second];
+    own = workspace.queued_tokens;
+    if (workspace.calls != kNoItem) others -= workspace.weight;
+  }
+  const double mean = q.ticket_to_call.empty()
+                          ? 0
+                          : static_cast<double>(q.tokens) /
+                                static_cast<double>(q.ticket_to_call.size());
+  const double turns = others / PositiveWeight(weight);
+  const double ahead =
+      static_cast<double>(own) + (static_cast<double>(own) + mean) * turns;
+  return std::min(q.tokens, static_cast<uint64_t>(ahead));
+}
+
 size_t CallQueue::size() const { return impl_->ticket_to_call.size(); }
 uint64_t CallQueue::queued_tokens() const { return impl_->tokens; }
 
--- /dev/null
+++ b/src/policy/working_set.cc
@@ -0,0 +1,31 @@
+#include "knapweed/policy/working_set.h"
+
+#include <algorithm>
+
+namespace knapweed {
+
+void RecordAnswer(WorkingSetGate& gate, uint64_t cacheable, uint64_t cached,
+                  double live_tokens, Ms now,
+                  const WorkingSetOptions& options) {
+  if (cacheable == 0) return;
+  const double hit = static_cast<double>(std::min(cached, cacheable)) /
+                     static_cast<double>(cacheable);
+  gate.miss_share += options.newest_weight * (1 - hit - gate.miss_share);
+  if (now - gate.changed_at < options.interval) return;
+  if (gate.miss_share > options.high_miss) {
+    gate.limit_tokens =
+        options.shrink * std::min(gate.limit_tokens, live_tokens);
+    gate.changed_at = now;
+  } else if (gate.miss_share < options.low_miss) {
+    // A limit that nothing waits for says nothing about what would fit.
+    if (live_tokens < gate.limit_tokens * options.shrink) return;
+    gate.limit_tokens *= options.grow;
+    gate.changed_at = now;
+  }
+}
+
+bool MayStartProgram(const WorkingSetGate& gate, double live_tokens) {
+  return live_tokens <= 0 || live_tokens < gate.limit_tokens;
+}
+
+}  // namespace knapweed
