Check the policy's targets in a rig of fake engines and callers

Cause: decisions were not measured against baselines. The gate starts at 0.95 of the caches' size and moves by 1 or 2 %.

--- a/benchmarks/rig/policy_rig.cc
+++ b/benchmarks/rig/policy_rig.cc
@@ -250,6 +250,9 @@
   const Measures affinity = measure(1, baselines[3]);
   const Measures flood = measure(2, ours);
   const Measures crashing = measure(7, ours);
+  const Measures tight = measure(10, ours);
+  const Measures tight_least_load = measure(10, baselines[2]);
+  const Measures tight_affinity = measure(10, baselines[3]);
   const std::string at = deployment.name;
   const auto refused =
       static_cast<double>(half.refusals + busy.refusals + flood.refusals);
@@ -258,6 +261,9 @@
        busy.p95 / std::min(least_load.p95, affinity.p95), 0.6},
       {at + ".p95_to_oracle_at_50", half.p95 / ideal.p95, 1.3},
       {at + ".recomputed_at_50", half.recomputed, 0.10},
+      {at + ".tight_p95_to_baseline_at_80",
+       tight.p95 / std::min(tight_least_load.p95, tight_affinity.p95), 0.6},
+      {at + ".tight_recomputed_at_80", tight.recomputed, 0.10},
       {at + ".recomputed_at_80", busy.recomputed, 0.10},
       {at + ".worst_to_median_in_flood", flood.worst_slowdown, 1.25},
       {at + ".refusals_within_rate", refused, 0},
--- a/include/knapweed/policy/working_set.h
+++ b/include/knapweed/policy/working_set.h
@@ -10,12 +10,14 @@
 
 /// Constants of the working-set gate.
 struct WorkingSetOptions {
+  /// Share of the caches' size at which the limit starts.
+  double start_share = 0.95;
   /// Shares of cacheable tokens computed again, above which the limit shrinks
   /// and below which it grows.
-  double high_miss = 0.06;
+  double high_miss = 0.04;
   double low_miss = 0.02;
-  double shrink = 0.9;
-  double grow = 1.1;
+  double shrink = 0.98;
+  double grow = 1.01;
   /// Least time between two changes, so that the effect of one is seen.
   Ms interval{3000};
   /// Weight of the newest answer in the mean.
@@ -26,13 +28,18 @@
 /// outgrow the engines' caches, each turn computes its history again, turns
 /// take longer, and still more programs are under way: throughput collapses.
 /// The gate notices the first such turns and lets new programs wait until some
-/// have ended. It needs to know no cache sizes.
+/// have ended.
 struct WorkingSetGate {
   double limit_tokens = std::numeric_limits<double>::infinity();
   double miss_share = 0;
   Ms changed_at;
 };
 
+/// A gate for an entry whose part of the engines' caches holds this many
+/// tokens; without a limit when that is not known.
+WorkingSetGate MakeGate(uint64_t cache_tokens,
+                        const WorkingSetOptions& options = {});
+
 /// Takes what the answer to a later turn of a program reported (the first finds
 /// nothing of its own): of `cacheable` history tokens, `cached` were
 /// found. `live_tokens` is the history of all programs under way here.
--- a/src/policy/working_set.cc
+++ b/src/policy/working_set.cc
@@ -4,6 +4,14 @@
 
 namespace knapweed {
 
+WorkingSetGate MakeGate(uint64_t cache_tokens,
+                        const WorkingSetOptions& options) {
+  WorkingSetGate gate;
+  if (cache_tokens == 0) return gate;
+  gate.limit_tokens = options.start_share * static_cast<double>(cache_tokens);
+  return gate;
+}
+
 void RecordAnswer(WorkingSetGate& gate, uint64_t cacheable, uint64_t cached,
                   double live_tokens, Ms now,
                   const WorkingSetOptions& options) {
@@ -18,7 +26,7 @@
     gate.changed_at = now;
   } else if (gate.miss_share < options.low_miss) {
     // A limit that nothing waits for says nothing about what would fit.
-    if (live_tokens < gate.limit_tokens * options.shrink) return;
+    if (live_tokens < gate.limit_tokens * 0.9) return;
     gate.limit_tokens *= options.grow;
     gate.changed_at = now;
   }
--- a/tests/policy__limits_test.cc
+++ b/tests/policy__limits_test.cc
@@ -8,6 +8,7 @@
 #include "knapweed/policy/budget.h"
 #include "knapweed/policy/engine_order.h"
 #include "knapweed/policy/loop_detector.h"
+#include "knapweed/policy/working_set.h"
 
 namespace knapweed {
 namespace {
@@ -95,6 +96,36 @@
   }
 }
 
+TEST_CASE("the working-set gate follows what caches hold") {
+  struct Row {
+    std::string name;
+    uint64_t cache_tokens;
+    uint64_t cached;
+    double live_tokens;
+    bool starts_less;
+    bool starts_more;
+  };
+  const std::vector<Row> rows = {
+      {"all found below the limit", 100000, 1000, 50000, false, false},
+      {"all found at the limit", 100000, 1000, 94000, false, true},
+      {"misses at the limit", 100000, 500, 94000, true, false},
+      {"size not known, all found", 0, 1000, 94000, false, false},
+      {"size not known, misses", 0, 500, 94000, true, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    WorkingSetGate gate = MakeGate(row.cache_tokens);
+    const double before = gate.limit_tokens;
+    for (int64_t i = 1; i <= 200; ++i) {
+      RecordAnswer(gate, 1000, row.cached, row.live_tokens, Ms{i * 100});
+    }
+    CHECK((gate.limit_tokens < before) == row.starts_less);
+    CHECK((gate.limit_tokens > before) == row.starts_more);
+    CHECK(MayStartProgram(gate, 0));
+    CHECK_FALSE(MayStartProgram(gate, gate.limit_tokens));
+  }
+}
+
 EngineState ServerOf(uint32_t index, uint32_t model, double load) {
   EngineState engine;
   engine.index = index;
