Keep keys confirmed through an outage of the store, not through a cut

Cause: with the store out, every keyed call was refused after 4 s, since an entry can't tell an outage from being cut off itself. Conclusion: one entry of each failure domain is asked; one that reaches the store relays, and only when all answer that none does and none knows a newer version do keys stay good. A silent domain fails them closed.

--- a/include/knapweed/entry/peer_service.h
+++ b/include/knapweed/entry/peer_service.h
@@ -7,6 +7,7 @@
 #include "knapweed/entry/turn_runner.h"
 #include "knapweed/entry/upstream_directory.h"
 #include "knapweed/membership/membership.h"
+#include "knapweed/rules/rules_holder.h"
 #include "knapweed/rules/rules_watcher.h"
 #include "knapweed/wire/rpc.h"
 
@@ -17,6 +18,7 @@
   TurnRunner& runner;
   RateGate& rates;
   UpstreamDirectory& upstreams;
+  const RulesHolder& rules;
   RulesWatcher& watcher;
   Membership& membership;
   int threads;
--- a/include/knapweed/rules/rules_watcher.h
+++ b/include/knapweed/rules/rules_watcher.h
@@ -36,12 +36,18 @@
   /// Whether the store, or a peer that reached it, has confirmed the version in
   /// force lately.
   bool Confirmed() const;
-  /// How long ago that was; a long time when it never was.
+  /// How long ago the store confirmed it, directly or by way of a peer; a long
+  /// time when it never did.
   Ms ConfirmedAge() const;
   /// A peer confirmed `version` with the store at `age` before now. A newer
   /// version than the one in force starts a refresh and confirms nothing.
   void ConfirmFromPeer(uint64_t version, Ms age);
 
+  /// Every failure domain said lately that it does not reach the store and
+  /// knows no newer version, so that no change can be in force anywhere. Counts
+  /// for this process only and is never passed on.
+  void ConfirmOutage();
+
   /// Applies what a peer pushed, without the store. FailedPrecondition on a
   /// gap, and DataLoss on another digest; both start a refresh. A version that
   /// is in force already is OK.
--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -2641,6 +2641,7 @@
   std::string incarnation{};
   uint64_t config_version = 0;
   std::unique_ptr<knapweed::wire::LoadT> load{};
+  int64_t confirmed_age_ms = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2655,7 +2656,8 @@
     VT_MEMBER = 4,
     VT_INCARNATION = 6,
     VT_CONFIG_VERSION = 8,
-    VT_LOAD = 10
+    VT_LOAD = 10,
+    VT_CONFIRMED_AGE_MS = 12
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -2669,6 +2671,9 @@
   const knapweed::wire::Load *load() const {
     return GetPointer<const knapweed::wire::Load *>(VT_LOAD);
   }
+  int64_t confirmed_age_ms() const {
+    return GetField<int64_t>(VT_CONFIRMED_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBER) &&
@@ -2678,6 +2683,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_LOAD) &&
            verifier.VerifyTable(load()) &&
+           VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_MS, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2701,6 +2707,9 @@
   void add_load(flatbuffers::Offset<knapweed::wire::Load> load) {
     fbb_.AddOffset(Heartbeat::VT_LOAD, load);
   }
+  void add_confirmed_age_ms(int64_t confirmed_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_CONFIRMED_AGE_MS, confirmed_age_ms, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2717,8 +2726,10 @@
     flatbuffers::Offset<flatbuffers::String> member = 0,
     flatbuffers::Offset<flatbuffers::String> incarnation = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<knapweed::wire::Load> load = 0) {
+    flatbuffers::Offset<knapweed::wire::Load> load = 0,
+    int64_t confirmed_age_ms = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_confirmed_age_ms(confirmed_age_ms);
   builder_.add_config_version(config_version);
   builder_.add_load(load);
   builder_.add_incarnation(incarnation);
@@ -2736,7 +2747,8 @@
     const char *member = nullptr,
     const char *incarnation = nullptr,
     uint64_t config_version = 0,
-    flatbuffers::Offset<knapweed::wire::Load> load = 0) {
+    flatbuffers::Offset<knapweed::wire::Load> load = 0,
+    int64_t confirmed_age_ms = 0) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   return knapweed::wire::CreateHeartbeat(
@@ -2744,7 +2756,8 @@
       member__,
       incarnation__,
       config_version,
-      load);
+      load,
+      confirmed_age_ms);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3897,7 +3910,8 @@
       : member(o.member),
         incarnation(o.incarnation),
         config_version(o.config_version),
-        load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr) {
+        load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr),
+        confirmed_age_ms(o.confirmed_age_ms) {
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -3905,6 +3919,7 @@
   std::swap(incarnation, o.incarnation);
   std::swap(config_version, o.config_version);
   std::swap(load, o.load);
+  std::swap(confirmed_age_ms, o.confirmed_age_ms);
   return *this;
 }
 
@@ -3921,6 +3936,7 @@
   { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<knapweed::wire::LoadT>(_e->UnPack(_resolver)); }
+  { auto _e = confirmed_age_ms(); _o->confirmed_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3935,12 +3951,14 @@
   auto _incarnation = _o->incarnation.empty() ? 0 : _fbb.CreateString(_o->incarnation);
   auto _config_version = _o->config_version;
   auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
+  auto _confirmed_age_ms = _o->confirmed_age_ms;
   return knapweed::wire::CreateHeartbeat(
       _fbb,
       _member,
       _incarnation,
       _config_version,
-      _load);
+      _load,
+      _confirmed_age_ms);
 }
 
 inline LeavingT *Leaving::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -10,8 +10,9 @@
 #include "knapweed/entry/call_router.h"
 #include "knapweed/entry/caller_front.h"
 #include "knapweed/entry/peer_service.h"
+#include "knapweed/entry/periodic_task.h"
 #include "knapweed/entry/rate_gate.h"
-#include "knapweed/entry/sidecar_watch.h"
+#include "knapweed/entry/store_contact.h"
 #include "knapweed/entry/turn_runner.h"
 #include "knapweed/entry/upstream_directory.h"
 #include "knapweed/http/server.h"
@@ -27,6 +28,8 @@
 
 constexpr Logger kLog("entry");
 constexpr Ms kDrainPoll = Ms{50};
+constexpr Ms kSidecarEvery = Ms{500};
+constexpr Ms kContactEvery = Ms{1000};
 constexpr int kControlThreads = 4;
 
 using Json = nlohmann::json;
@@ -79,7 +82,7 @@
   UpstreamDirectory upstreams;
   ProgramTable programs;
   Membership membership;
-  SidecarWatch sidecar_watch;
+  StoreContact store_contact;
   TurnRunner runner;
   RateGate rates;
   CallRouter router;
@@ -88,6 +91,9 @@
   std::unique_ptr<RpcServer> rpc_server;
   std::unique_ptr<HttpServer> control_server;
   std::unique_ptr<HttpServer> caller_server;
+  PeriodicTask sidecar_task{
+      kSidecarEvery, [this] { upstreams.Update(membership.Sidecars()); }};
+  PeriodicTask contact_task{kContactEvery, [this] { store_contact.Step(); }};
 };
 
 Entry::Impl::Impl(EntryConfig c)
@@ -106,7 +112,8 @@
             return programs.Gain(partition, epoch, old_owner);
           },
           [this](PartitionId partition) { return programs.Lose(partition); }),
-      sidecar_watch(membership, upstreams),
+      store_contact(StoreContactParts{clock, rules, watcher, membership, rpc,
+                                      config.name}),
       runner(TurnRunnerParts{clock, rules, programs, upstreams, rpc, metrics,
                              config.partition_count}),
       rates(
@@ -115,8 +122,8 @@
                              config.partition_count}),
       front(CallerFrontParts{config, clock, rules, watcher, rates, router,
                              metrics}),
-      peers(PeerServiceParts{runner, rates, upstreams, watcher, membership,
-                             config.forwarded_threads}) {}
+      peers(PeerServiceParts{runner, rates, upstreams, rules, watcher,
+                             membership, config.forwarded_threads}) {}
 
 absl::Status Entry::Impl::Start() {
   const absl::Status refreshed = watcher.Refresh();
@@ -130,7 +137,8 @@
   if (!status.ok()) return status;
   status = membership.Start();
   if (!status.ok()) return status;
-  sidecar_watch.Start();
+  sidecar_task.Start();
+  contact_task.Start();
   kLog.Info("Serving.", {{"listen", config.listen.ToString()},
                          {"rpc", config.rpc.ToString()},
                          {"incarnation", incarnation},
--- a/src/entry/peer_service.cc
+++ b/src/entry/peer_service.cc
@@ -14,6 +14,7 @@
       : parts(p), pool(static_cast<size_t>(p.threads)), control_pool(2) {}
 
   void RunCall(const wire::CallT& call, const ReplyHandle& reply);
+  wire::HeartbeatT Heartbeat() const;
 
   PeerServiceParts parts;
   std::atomic<int> in_flight{0};
@@ -35,6 +36,13 @@
   in_flight.fetch_sub(1);
 }
 
+wire::HeartbeatT PeerService::Impl::Heartbeat() const {
+  wire::HeartbeatT heartbeat;
+  heartbeat.config_version = parts.rules.version();
+  heartbeat.confirmed_age_ms = parts.watcher.ConfirmedAge().count;
+  return heartbeat;
+}
+
 PeerService::PeerService(const PeerServiceParts& parts)
     : impl_(std::make_unique<Impl>(parts)) {}
 
@@ -57,6 +65,10 @@
     reply.Send(Wrap(impl_->parts.rates.Answer(*ask)));
     return;
   }
+  if (request.AsHeartbeat() != nullptr) {
+    reply.Send(Wrap(impl_->Heartbeat()));
+    return;
+  }
   if (request.AsConfigPush() != nullptr) {
     reply.Send(Wrap(wire::AckT{}));
     boost::asio::post(impl_->control_pool, [impl = impl_.get()] {
--- a/src/rules/rules_watcher.cc
+++ b/src/rules/rules_watcher.cc
@@ -52,6 +52,7 @@
   std::vector<std::function<void(const Rules&)>> callbacks;
 
   std::atomic<int64_t> confirmed_at{kNever};
+  std::atomic<int64_t> outage_confirmed_at{kNever};
 
   std::mutex wake_mu;
   std::condition_variable wake;
@@ -170,7 +171,16 @@
 absl::Status RulesWatcher::Refresh() { return impl_->Refresh(); }
 
 bool RulesWatcher::Confirmed() const {
-  return ConfirmedAge() <= impl_->options.confirm_within;
+  const Ms limit = impl_->options.confirm_within;
+  const int64_t outage_at = impl_->outage_confirmed_at.load();
+  if (outage_at != kNever && impl_->clock.Now() - Ms{outage_at} <= limit) {
+    return true;
+  }
+  return ConfirmedAge() <= limit;
+}
+
+void RulesWatcher::ConfirmOutage() {
+  impl_->outage_confirmed_at = impl_->clock.Now().count;
 }
 
 Ms RulesWatcher::ConfirmedAge() const {
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -9,6 +10,7 @@
 #include "knapweed/entry/caller_api.h"
 #include "knapweed/entry/entry_config.h"
 #include "knapweed/entry/prompt.h"
+#include "knapweed/entry/store_contact.h"
 #include "knapweed/entry/stream_cursor.h"
 #include "knapweed/rules/keys.h"
 #include "knapweed/rules/parse_rules.h"
@@ -286,6 +288,68 @@
   CHECK(body["messages"][2]["content"] == "c");
 }
 
+TEST_CASE(
+    "a cut-off entry trusts its keys only when no domain can know better") {
+  const DomainAnswer silent;
+  const DomainAnswer reaches{true, 7, Ms{400}};
+  const DomainAnswer reaches_newer{true, 8, Ms{400}};
+  const DomainAnswer cut_off{true, 7, Seconds(9)};
+  const DomainAnswer cut_off_newer{true, 8, Seconds(9)};
+  const DomainAnswer cut_off_older{true, 6, Seconds(9)};
+  struct Row {
+    std::string name;
+    std::vector<DomainAnswer> answers;
+    bool relayed;
+    bool outage;
+    uint64_t newer;
+  };
+  const std::vector<Row> rows = {
+      {"nobody to ask", {}, false, false, 0},
+      {"one reaches the store", {cut_off, reaches}, true, false, 0},
+      {"one reaches a newer version",
+       {cut_off, reaches_newer},
+       false,
+       false,
+       8},
+      {"one reaches, another knows a newer one",
+       {reaches, cut_off_newer},
+       false,
+       false,
+       8},
+      {"all are cut off", {cut_off, cut_off_older}, false, true, 0},
+      {"all are cut off, one knows more",
+       {cut_off, cut_off_newer},
+       false,
+       false,
+       8},
+      {"one is silent", {cut_off, silent}, false, false, 0},
+      {"one is silent, one reaches", {silent, reaches}, true, false, 0},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const ContactVerdict verdict = JudgeContact(7, row.answers);
+    CHECK(verdict.relayed == row.relayed);
+    CHECK(verdict.outage == row.outage);
+    CHECK(verdict.newer_version == row.newer);
+  }
+}
+
+TEST_CASE("one entry of each failure domain is asked, never oneself") {
+  std::vector<Member> members(5);
+  for (size_t i = 0; i < members.size(); ++i) {
+    members[i].id = MemberId("m" + std::to_string(i));
+    members[i].domain = FailureDomain(i < 3 ? "a" : "b");
+  }
+  std::map<std::string, int> asked;
+  for (uint64_t round = 0; round < 12; ++round) {
+    const auto picked = PickRepresentatives(members, MemberId("m0"), round);
+    REQUIRE(picked.size() == 2);
+    for (const Member& it : picked) ++asked[it.id.value];
+  }
+  CHECK(asked.size() == 4);
+  CHECK(asked.count("m0") == 0);
+}
+
 TEST_CASE("entry settings are checked whole") {
   const std::string good =
       "[entry]\nname = a\nfailure_domain = d\nlisten = 127.0.0.1:1\n"
