--- a/benchmarks/rig/policy_rig.cc
+++ b/benchmarks/rig/policy_rig.cc
@@ -156,11 +156,11 @@
   add("-held_up").placement.held_up_weight = 0;
   add("-stale_discount").placement.view_half_life = Seconds(1000000);
   add("-cross_domain").placement.cross_domain = Ms{0};
+  add("-fair_queue").fair_queue = false;
   add("-attained").attained_service = false;
   add("-ageing").ageing_tokens_per_ms = 0;
   add("-cache_events").cache_events = false;
   add("-own_dispatches").own_dispatches = false;
-  add("-pins").pins = false;
   add("-release").release = false;
   add("-breaker").breaker = false;
   add("-retry").retry = false;
--- a/include/knapweed/policy/pins.h
+++ b/include/knapweed/policy/pins.h
@@ -11,7 +11,11 @@
 struct PinOptions {
   /// Share of an engine's cache that pins may hold.
   double budget_share = 0.7;
+  /// Longest lease of a pin.
   Ms lease{15000};
+  /// Holding must be cheaper than computing again by this factor: what a pin
+  /// keeps out may be wanted sooner.
+  double margin = 16;
   /// Assumed tool time before any was seen.
   Ms first_tool_time{5000};
   /// Weight of the newest tool time in the mean.
@@ -68,8 +72,8 @@
 };
 
 /// Holds a paused program's cache while expected tool time x memory price is
-/// below the cost of computing it again, and within the pin budget. Never for a
-/// program that ended, loops or is lost.
+/// well below the cost of computing it again, and within the pin budget. Never
+/// for a program that ended, loops or is lost.
 PinDecision DecidePin(const PinCall& call, const EngineMemory& memory,
                       const PinOptions& options = {});
 
--- a/src/policy/pins.cc
+++ b/src/policy/pins.cc
@@ -39,8 +39,8 @@
   const double hold =
       call.expected_remaining.Seconds() * tokens * MemoryPrice(memory);
   const double recompute = tokens / memory.prefill_tokens_per_s;
-  if (hold >= recompute) return {};
-  return {true, options.lease};
+  if (hold * options.margin >= recompute) return {};
+  return {true, std::min(options.lease, call.expected_remaining * 2)};
 }
 
 }  // namespace knapweed
