Wait for a member's earlier lease before it joins again

Join now watches the earlier row for lease and margin, and a start gives up with AlreadyExists when the row keeps changing. A join whose answer was lost is taken up again.

Conclusion: a crash under the same id costs a lease, as a crash does anyway.

--- a/include/knapweed/membership/membership.h
+++ b/include/knapweed/membership/membership.h
@@ -96,7 +96,9 @@
              GainHandler on_gain, LossHandler on_loss);
   ~Membership();
 
-  /// Registers, and starts renewing and watching on its own threads.
+  /// Registers, and starts renewing and watching on its own threads. After a
+  /// crash it waits for the lease of its own earlier process; AlreadyExists
+  /// when another process of the same id keeps renewing.
   absl::Status Start();
   /// Hands all partitions over and leaves; blocks until done or the deadline.
   /// DeadlineExceeded when something was left for others to take over.
@@ -121,6 +123,8 @@
   /// The single steps, for tests and for those who bring their own threads.
   /// `Start` is `Join` and then `Renew` on one thread, `Watch` on a second and
   /// `GainPending` on a third, each in a loop.
+  /// `Join` returns AlreadyExists while an earlier process of the same id may
+  /// hold its lease.
   absl::Status Join();
   /// Renews the lease once.
   absl::Status Renew();
--- a/src/membership/lease.cc
+++ b/src/membership/lease.cc
@@ -43,16 +43,26 @@
   Transaction transaction;
   const uint64_t old_version = old.ok() ? old->version : 0;
   transaction.conditions.push_back({key, old_version});
-  transaction.conditions.push_back({fence, 0});
   const auto old_row = old.ok() ? DecodeMember(old->value) : std::nullopt;
-  if (old_row) {
-    // The same member before its restart: nobody needs to wait for its lease.
+  const bool joined_before =
+      old_row && old_row->member.incarnation == own_row.member.incarnation;
+  if (joined_before) {
+    // An earlier try took effect, and its answer was lost.
+    own_row.beat = old_row->beat;
+  } else {
+    transaction.conditions.push_back({fence, 0});
+    transaction.writes.push_back({fence, "open"});
+  }
+  if (old_row && !joined_before) {
+    if (!EarlierHasLapsed(*old_row, old_version)) {
+      return absl::AlreadyExistsError(
+          "a process with this member's id may still hold its lease");
+    }
     const std::string old_fence = FenceKey(old_row->member.incarnation);
     transaction.conditions.push_back({old_fence, kOpenFenceVersion});
     transaction.writes.push_back({old_fence, "restarted"});
   }
   ++own_row.beat;
-  transaction.writes.push_back({fence, "open"});
   transaction.writes.push_back({key, EncodeMember(own_row)});
   transaction.writes.push_back({std::string(kPartitionChangeKey), key});
   const Ms sent = clock.Now();
@@ -64,6 +74,19 @@
   return status;
 }
 
+/// Whether an earlier process of the same id, as after a crash, did not renew
+/// its lease for as long as this one watches it.
+bool Membership::Impl::EarlierHasLapsed(const MemberRow& row,
+                                        uint64_t version) {
+  const Ms now = clock.Now();
+  const std::string& incarnation = row.member.incarnation;
+  if (!earlier || earlier->key != incarnation || earlier->version != version) {
+    earlier = LeaseSighting{incarnation, version, row.lease};
+    earlier_since = now;
+  }
+  return now >= earlier_since + row.lease + options.margin;
+}
+
 absl::Status Membership::Impl::Renew() {
   std::lock_guard<std::mutex> lock(lease_mu);
   if (left.load()) return absl::FailedPreconditionError("this member has left");
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -16,6 +16,8 @@
 constexpr int64_t kJitterDivisor = 5;
 /// How long a planned stop waits between its looks at what is left.
 constexpr Ms kLeavePause{20};
+/// How long a start waits between its looks at an earlier process's lease.
+constexpr Ms kJoinPause{50};
 
 std::chrono::milliseconds Chrono(Ms span) {
   return std::chrono::milliseconds(span.count);
@@ -158,7 +160,14 @@
 Membership::~Membership() { impl_->StopThreads(); }
 
 absl::Status Membership::Start() {
+  // An earlier process of this id gets the time to prove that it is alive.
+  const Ms patience = (impl_->options.lease + impl_->options.margin) * 2;
+  const Ms deadline = impl_->clock.Now() + patience;
   absl::Status status = impl_->Join();
+  while (absl::IsAlreadyExists(status) && impl_->clock.Now() < deadline) {
+    SleepFor(kJoinPause);
+    status = impl_->Join();
+  }
   if (!status.ok()) return status;
   impl_->StartThreads();
   return status;
--- a/src/membership/membership_impl.h
+++ b/src/membership/membership_impl.h
@@ -41,6 +41,7 @@
   // lease.cc
   absl::Status Join();
   absl::Status TryJoin();
+  bool EarlierHasLapsed(const MemberRow& row, uint64_t version);
   absl::Status Renew();
   absl::Status AdoptOrFence();
   void OnFenced();
@@ -101,6 +102,8 @@
   std::mutex lease_mu;
   MemberRow own_row;
   uint64_t own_version = 0;
+  std::optional<LeaseSighting> earlier;
+  Ms earlier_since;
 
   /// Serialises reading the rows and changing partitions.
   std::mutex watch_mu;
--- /dev/null
+++ b/tests/membership__restart_test.cc
@@ -0,0 +1,83 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "knapweed/membership/rows.h"
+#include "standins/memory_store.h"
+
+namespace knapweed {
+namespace {
+
+struct Harness {
+  std::unique_ptr<Membership> Make(const std::string& incarnation) {
+    MembershipOptions options;
+    options.self.id = MemberId("a");
+    options.self.incarnation = incarnation;
+    options.self.rpc = Address{"127.0.0.1", 7000};
+    options.partition_count = 4;
+    return std::make_unique<Membership>(
+        store.Table(), clock, options,
+        [](PartitionId, Epoch, const std::string&) { return absl::OkStatus(); },
+        [](PartitionId) { return absl::OkStatus(); });
+  }
+
+  Clock clock = Clock::Manual(Seconds(1));
+  MemoryStore store;
+};
+
+TEST_CASE("a process of the same id joins once the earlier lease lapsed") {
+  struct Row {
+    std::string name;
+    bool renewed;
+    Ms waited;
+    bool joins;
+  };
+  const std::vector<Row> rows = {
+      {"at once", false, Ms{0}, false},
+      {"within the lease", false, Ms{5000}, false},
+      {"after lease and margin", false, Ms{5100}, true},
+      {"the earlier one is alive", true, Ms{5100}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Harness harness;
+    const auto earlier = harness.Make("a1");
+    REQUIRE(earlier->Join().ok());
+    const auto later = harness.Make("a2");
+    CHECK(absl::IsAlreadyExists(later->Join()));
+    harness.clock.Advance(row.waited);
+    if (row.renewed) CHECK(earlier->Renew().ok());
+    CHECK(later->Join().ok() == row.joins);
+    CHECK(!(earlier->LeaseHolds() && later->LeaseHolds()));
+  }
+}
+
+TEST_CASE("joining and renewing survive lost answers") {
+  struct Row {
+    std::string name;
+    StoreFaults faults;
+    bool at_once;
+  };
+  const std::vector<Row> rows = {
+      {"answer lost", {.lose_commit_answers = 1}, true},
+      {"request lost", {.lose_commits = 1}, false},
+      {"refused", {.fail_commits = 1}, false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Harness harness;
+    const auto member = harness.Make("a1");
+    harness.store.SetFaults(row.faults);
+    CHECK(member->Join().ok() == row.at_once);
+    CHECK(member->Join().ok());
+    harness.store.SetFaults(row.faults);
+    CHECK(member->Renew().ok() == row.at_once);
+    CHECK(member->Renew().ok());
+    CHECK(member->LeaseHolds());
+    CHECK(!member->Fenced());
+  }
+}
+
+}  // namespace
+}  // namespace knapweed
