--- /dev/null
+++ b/benchmarks/journal_bench.cc
@@ -0,0 +1,121 @@
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <vector>
+
+#include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
+#include "knapweed/journal/journal.h"
+#include "knapweed/membership/rows.h"
+#include "standins/memory_store.h"
+
+namespace knapweed {
+namespace {
+
+/// A turn of 250 tokens at four bytes each.
+constexpr size_t kTurnBytes = 1000;
+constexpr Ms kRunTime = Ms{1500};
+
+journal::RecordT TurnOf(uint64_t n) {
+  journal::RecordT record;
+  record.workspace = "w";
+  record.program = "p" + std::to_string(n % 100);
+  record.sequence = n;
+  record.added = {std::string(kTurnBytes, 'x')};
+  return record;
+}
+
+struct Harness {
+  explicit Harness(Ms latency) {
+    const std::string incarnation = RandomHexId();
+    store.Table().commit({{}, {{FenceKey(incarnation), "open"}}}).IgnoreError();
+    store.SetFaults({.latency = latency});
+    JournalOptions options;
+    options.incarnation = incarnation;
+    journal = std::make_unique<Journal>(store.Table(), store.Objects(), clock,
+                                        options);
+    journal->Start();
+  }
+
+  MemoryStore store;
+  Clock clock = Clock::Steady();
+  std::unique_ptr<Journal> journal;
+};
+
+/// Store writes for each turn at a rate of turns; the store takes 5 ms.
+void WritesPerTurn(benchmark::State& state) {
+  const int64_t rate = state.range(0);
+  for (auto unused : state) {
+    Harness harness(Ms{5});
+    const Ms start = harness.clock.Now();
+    uint64_t n = 0;
+    while (harness.clock.Now() - start < kRunTime) {
+      const Ms passed = harness.clock.Now() - start;
+      const auto due = static_cast<uint64_t>(passed.count * rate / 1000);
+      for (; n < due; ++n) harness.journal->Append({TurnOf(n)}).IgnoreError();
+      SleepFor(Ms{1});
+    }
+    harness.journal->Wait(harness.journal->end(), start + kRunTime * 2)
+        .IgnoreError();
+    const JournalProgress progress = harness.journal->Progress();
+    state.counters["writes_per_turn"] =
+        static_cast<double>(progress.commits) /
+        static_cast<double>(progress.records);
+    state.counters["commits_per_s"] =
+        static_cast<double>(progress.commits) / kRunTime.Seconds();
+  }
+}
+BENCHMARK(WritesPerTurn)
+    ->ArgName("turns_per_s")
+    ->Arg(10)
+    ->Arg(30)
+    ->Arg(100)
+    ->Arg(300)
+    ->Arg(1000)
+    ->Arg(3000)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+/// How long a turn's end waits to be durable, with turns of others beside it.
+void DurableTurn(benchmark::State& state) {
+  Harness harness(Ms{state.range(0)});
+  const int64_t rate = state.range(1);
+  uint64_t n = 0;
+  double total_ms = 0;
+  Ms last = harness.clock.Now();
+  for (auto unused : state) {
+    // The others' turns since the last one.
+    const Ms now = harness.clock.Now();
+    const auto due = static_cast<uint64_t>((now - last).count * rate / 1000);
+    last = now;
+    for (uint64_t i = 0; i < due; ++i) {
+      harness.journal->Append({TurnOf(++n)}).IgnoreError();
+    }
+    const auto position = harness.journal->Append({TurnOf(++n)});
+    harness.journal->Wait(*position, now + Seconds(5)).IgnoreError();
+    total_ms += static_cast<double>((harness.clock.Now() - now).count);
+    SleepFor(Ms{17});
+  }
+  state.counters["durable_ms"] =
+      total_ms / static_cast<double>(state.iterations());
+}
+BENCHMARK(DurableTurn)
+    ->ArgNames({"store_ms", "other_turns_per_s"})
+    ->Args({2, 0})
+    ->Args({10, 0})
+    ->Args({50, 0})
+    ->Args({2, 1000})
+    ->Args({10, 1000})
+    ->Args({50, 1000})
+    ->Iterations(30)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace knapweed
+
+int main(int argc, char** argv) {
+  knapweed::StartLog(knapweed::LogLevel::kError);
+  benchmark::Initialize(&argc, argv);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- /dev/null
+++ b/benchmarks/membership_bench.cc
@@ -0,0 +1,101 @@
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "knapweed/base/log.h"
+#include "knapweed/membership/rows.h"
+#include "standins/memory_store.h"
+
+namespace knapweed {
+namespace {
+
+Member MemberOf(int64_t n) {
+  Member member;
+  member.id = MemberId("entry-" + std::to_string(n));
+  member.incarnation = Sha256Hex(member.id.value).substr(0, 32);
+  member.rpc = Address{"127.0.0.1", 7000};
+  member.domain = FailureDomain("region-1-domain-1");
+  return member;
+}
+
+/// One look at the rows in which nothing changed, or something did.
+void Watch(benchmark::State& state) {
+  const int64_t members = state.range(0);
+  const auto partitions = static_cast<uint32_t>(state.range(1));
+  const bool changed = state.range(2) != 0;
+  MemoryStore store;
+  const TableService table = store.Table();
+  uint64_t member_bytes = 0;
+  for (int64_t n = 1; n < members; ++n) {
+    const std::string text = EncodeMember({MemberOf(n), Seconds(5), 1000});
+    const std::string key = MemberKey(MemberOf(n).id);
+    member_bytes += key.size() + text.size();
+    table.commit({{}, {{key, text}}}).IgnoreError();
+  }
+  for (uint32_t n = 0; n < partitions; ++n) {
+    const Member owner = MemberOf(1 + n % std::max<int64_t>(members - 1, 1));
+    const PartitionRow row{
+        owner.id, owner.incarnation, Epoch{9}, {{owner.incarnation, Epoch{9}}}};
+    table.commit({{}, {{PartitionKey(PartitionId{n}), EncodePartition(row)}}})
+        .IgnoreError();
+  }
+  Clock clock = Clock::Manual(Seconds(1));
+  MembershipOptions options;
+  options.self = MemberOf(0);
+  options.partition_count = partitions;
+  Membership membership(
+      table, clock, options,
+      [](PartitionId, Epoch, const std::string&) { return absl::OkStatus(); },
+      [](PartitionId) { return absl::OkStatus(); });
+  membership.Join().IgnoreError();
+  membership.Watch().IgnoreError();
+  const StoreCounts before = store.Counts();
+  for (auto unused : state) {
+    if (changed) {
+      state.PauseTiming();
+      table.commit({{}, {{std::string(kPartitionChangeKey), "x"}}})
+          .IgnoreError();
+      state.ResumeTiming();
+    }
+    benchmark::DoNotOptimize(membership.Watch());
+  }
+  const double looks = static_cast<double>(state.iterations());
+  state.counters["scans"] =
+      static_cast<double>(store.Counts().scans - before.scans) / looks;
+  state.counters["member_bytes"] = static_cast<double>(member_bytes);
+}
+BENCHMARK(Watch)
+    ->ArgNames({"members", "partitions", "changed"})
+    ->ArgsProduct({{4, 40, 120, 380}, {1024}, {0}})
+    ->ArgsProduct({{40}, {64, 256, 1024, 4096}, {1}})
+    ->Iterations(100)
+    ->Unit(benchmark::kMicrosecond);
+
+/// The owner of a partition as a request asks for it.
+void OwnerOf(benchmark::State& state) {
+  MemoryStore store;
+  Clock clock = Clock::Manual(Seconds(1));
+  MembershipOptions options;
+  options.self = MemberOf(0);
+  Membership membership(
+      store.Table(), clock, options,
+      [](PartitionId, Epoch, const std::string&) { return absl::OkStatus(); },
+      [](PartitionId) { return absl::OkStatus(); });
+  membership.Join().IgnoreError();
+  membership.Watch().IgnoreError();
+  membership.GainPending();
+  for (auto unused : state) {
+    benchmark::DoNotOptimize(membership.OwnerOf(PartitionId{7}));
+  }
+}
+BENCHMARK(OwnerOf)->Unit(benchmark::kNanosecond);
+
+}  // namespace
+}  // namespace knapweed
+
+int main(int argc, char** argv) {
+  knapweed::StartLog(knapweed::LogLevel::kError);
+  benchmark::Initialize(&argc, argv);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- /dev/null
+++ b/benchmarks/program_bench.cc
@@ -0,0 +1,241 @@
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <atomic>
+#include <ctime>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "knapweed/base/log.h"
+#include "knapweed/journal/log_rows.h"
+#include "knapweed/membership/rows.h"
+#include "knapweed/program/program_table.h"
+#include "standins/memory_store.h"
+
+namespace knapweed {
+namespace {
+
+constexpr uint32_t kPartitions = 21;
+/// A turn of 100 tokens at four bytes each.
+constexpr size_t kTurnBytes = 400;
+constexpr size_t kTokensPerTurn = 100;
+constexpr size_t kBatchBytes = 64 << 10;
+
+ProgramKey KeyOf(int64_t program) {
+  return {WorkspaceId("w"), ProgramId("p" + std::to_string(program))};
+}
+
+/// A store in which "a1" is dead, with the log of its programs, and "b1" has
+/// claimed its partitions.
+struct TakeoverStore {
+  TakeoverStore(int64_t programs, int64_t turns) {
+    const TableService table = store.Table();
+    std::vector<journal::RecordT> records;
+    size_t bytes = 0;
+    uint64_t batch = 0;
+    const auto write = [&] {
+      const std::string text = InlineRowText(PackBatch("a1", ++batch, records));
+      table.commit({{}, {{BatchKey("a1", batch), text}}}).IgnoreError();
+      records.clear();
+      bytes = 0;
+    };
+    for (int64_t t = 0; t < turns; ++t) {
+      for (int64_t p = 0; p < programs; ++p) {
+        journal::RecordT record;
+        record.workspace = "w";
+        record.program = KeyOf(p).program.value;
+        record.epoch = 1;
+        record.sequence = static_cast<uint64_t>(t) + 1;
+        record.run = static_cast<uint8_t>(RunState::kRan);
+        record.counts_turn = true;
+        record.added = {std::string(kTurnBytes, 'x')};
+        records.push_back(std::move(record));
+        bytes += kTurnBytes;
+        if (bytes > kBatchBytes) write();
+      }
+    }
+    if (!records.empty()) write();
+    const std::string fence = FenceKey("a1");
+    table.commit({{}, {{fence, "open"}}}).IgnoreError();
+    table.commit({{}, {{fence, "fenced"}}}).IgnoreError();
+    Claim();
+  }
+
+  void Claim() {
+    const TableService table = store.Table();
+    table.commit({{}, {{FenceKey("b1"), "open"}}}).IgnoreError();
+    const PartitionRow row{
+        MemberId("b"), "b1", Epoch{2}, {{"a1", Epoch{1}}, {"b1", Epoch{2}}}};
+    for (uint32_t n = 0; n < kPartitions; ++n) {
+      const std::string key = PartitionKey(PartitionId{n});
+      table.commit({{}, {{key, EncodePartition(row)}}}).IgnoreError();
+    }
+  }
+
+  uint64_t Reads() const {
+    const StoreCounts counts = store.Counts();
+    return counts.reads + counts.scans + counts.gets;
+  }
+
+  MemoryStore store;
+};
+
+std::unique_ptr<ProgramTable> MakeTable(const MemoryStore& store,
+                                        const Clock& clock) {
+  ProgramTableOptions options;
+  options.partition_count = kPartitions;
+  options.maintain_every = Ms{0};
+  return std::make_unique<ProgramTable>(store.Table(), store.Objects(), clock,
+                                        "b1", options);
+}
+
+void GainAll(ProgramTable& table) {
+  for (uint32_t n = 0; n < kPartitions; ++n) {
+    table.Gain(PartitionId{n}, Epoch{2}, "a1").IgnoreError();
+  }
+}
+
+/// Taking up a dead owner's partitions: time, reads, and the memory that its
+/// programs take afterwards.
+void Recovery(benchmark::State& state) {
+  const int64_t programs = state.range(0);
+  const int64_t turns = state.range(1);
+  const Clock clock = Clock::Steady();
+  for (auto unused : state) {
+    state.PauseTiming();
+    TakeoverStore store(programs, turns);
+    auto table = MakeTable(store.store, clock);
+    table->Start().IgnoreError();
+    const uint64_t reads = store.Reads();
+    const size_t memory = mallinfo2().uordblks;
+    state.ResumeTiming();
+    GainAll(*table);
+    state.PauseTiming();
+    state.counters["reads"] = static_cast<double>(store.Reads() - reads);
+    // Includes the log as read, which is kept for some seconds.
+    const size_t grown = mallinfo2().uordblks - memory;
+    state.counters["bytes_per_program"] =
+        static_cast<double>(grown) / static_cast<double>(programs);
+    table.reset();
+    state.ResumeTiming();
+  }
+}
+BENCHMARK(Recovery)
+    ->ArgNames({"programs", "turns"})
+    ->ArgsProduct({{50, 100, 200, 400}, {10}})
+    ->ArgsProduct({{100}, {20, 40, 80, 160}})
+    ->Iterations(3)
+    ->Unit(benchmark::kMillisecond);
+
+/// Memory of a program by its history, kept by an owner that wrote it itself.
+void HistoryMemory(benchmark::State& state) {
+  constexpr int kPrograms = 200;
+  const int64_t turns = state.range(0);
+  const Clock clock = Clock::Steady();
+  for (auto unused : state) {
+    TakeoverStore store(0, 0);
+    auto table = MakeTable(store.store, clock);
+    table->Start().IgnoreError();
+    GainAll(*table);
+    const size_t before = mallinfo2().uordblks;
+    size_t stored = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(kPrograms);
+    for (int p = 0; p < kPrograms; ++p) {
+      threads.emplace_back([&, p] {
+        for (int64_t t = 0; t < turns; ++t) {
+          CallOutcome outcome;
+          outcome.run = RunState::kRan;
+          outcome.added = {std::string(kTurnBytes, 'x')};
+          BeginResult begun =
+              table->Begin({KeyOf(p), ProgramId(""), "", 1}, {},
+                           clock.Now() + Seconds(5));
+          if (auto* hold = std::get_if<TurnHold>(&begun)) {
+            table->Finish(std::move(*hold), outcome).IgnoreError();
+          }
+        }
+      });
+    }
+    for (std::thread& it : threads) it.join();
+    // The store stands in the same process; what it keeps is not the owner's.
+    const auto rows = store.store.Table().scan("journal/b1/");
+    for (const Row& it : *rows) stored += it.value.size() + it.key.size();
+    const size_t grown = mallinfo2().uordblks - before;
+    size_t read_back = 0;
+    for (const Row& it : *rows) {
+      read_back += it.value.capacity() + it.key.capacity();
+    }
+    const double owner = static_cast<double>(grown - stored - read_back);
+    state.counters["bytes_per_program"] = owner / kPrograms;
+    state.counters["bytes_per_1000_tokens"] =
+        owner / kPrograms /
+        (static_cast<double>(turns * kTokensPerTurn) / 1000.0);
+  }
+}
+BENCHMARK(HistoryMemory)
+    ->ArgName("turns")
+    ->Arg(5)
+    ->Arg(10)
+    ->Arg(20)
+    ->Arg(40)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+/// Processor time of the whole process for one durable turn, by what the turn
+/// adds.
+void TurnCpu(benchmark::State& state) {
+  constexpr int kThreads = 64;
+  constexpr int kTurns = 30;
+  const auto bytes = static_cast<size_t>(state.range(0));
+  const Clock clock = Clock::Steady();
+  TakeoverStore store(0, 0);
+  auto table = MakeTable(store.store, clock);
+  table->Start().IgnoreError();
+  GainAll(*table);
+  std::atomic<uint64_t> done{0};
+  const std::clock_t start = std::clock();
+  for (auto unused : state) {
+    std::vector<std::thread> threads;
+    threads.reserve(kThreads);
+    for (int p = 0; p < kThreads; ++p) {
+      threads.emplace_back([&, p] {
+        for (int t = 0; t < kTurns; ++t) {
+          CallOutcome outcome;
+          outcome.run = RunState::kRan;
+          outcome.added = {std::string(bytes, 'x')};
+          BeginResult begun =
+              table->Begin({KeyOf(p), ProgramId(""), "", 1}, {},
+                           clock.Now() + Seconds(5));
+          auto* hold = std::get_if<TurnHold>(&begun);
+          if (hold == nullptr) continue;
+          if (table->Finish(std::move(*hold), outcome).ok()) ++done;
+        }
+      });
+    }
+    for (std::thread& it : threads) it.join();
+  }
+  const double cpu_s =
+      static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+  state.counters["cpu_us_per_turn"] =
+      1e6 * cpu_s / static_cast<double>(done.load());
+}
+BENCHMARK(TurnCpu)
+    ->ArgName("turn_bytes")
+    ->Arg(400)
+    ->Arg(1600)
+    ->Arg(6400)
+    ->Arg(25600)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace knapweed
+
+int main(int argc, char** argv) {
+  knapweed::StartLog(knapweed::LogLevel::kError);
+  benchmark::Initialize(&argc, argv);
+  benchmark::RunSpecifiedBenchmarks();
+  return 0;
+}
--- a/include/knapweed/journal/journal.h
+++ b/include/knapweed/journal/journal.h
@@ -25,8 +25,8 @@
   size_t max_row_bytes = 100 << 10;
   /// One commit takes no more records once it holds this much.
   size_t max_batch_bytes = 4 << 20;
-  /// Under load the writer waits for this many records, and no longer than
-  /// `max_gather`.
+  /// Under load the writer starts a commit for this many records, or
+  /// `max_gather` after the last start.
   uint32_t gather_records = 32;
   Ms max_gather = Ms{50};
 };
--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -21,16 +21,18 @@
 constexpr Logger kLog("journal");
 /// What a record takes besides its strings.
 constexpr size_t kRecordOverheadBytes = 128;
-/// Below this rate each record is written at once.
-constexpr double kIdleRecordsPerSecond = 20;
+/// Up to this rate each record is written at once; from there the wait grows
+/// with the rate, until it is whole at kBusyRecordsPerSecond.
+constexpr double kIdleRecordsPerSecond = 30;
+constexpr double kBusyRecordsPerSecond = 200;
+/// A busy log starts commits no closer together than this.
+constexpr double kLeastBusyGatherMs = 20;
 /// Weight of the newest batch in the running averages.
 constexpr double kNewestWeight = 0.2;
 constexpr Ms kFirstRetry{20};
 constexpr Ms kLastRetry{500};
 /// A waiter looks at the clock this often, since a manual clock wakes nobody.
 constexpr std::chrono::milliseconds kWaitStep(50);
-/// However slow the store is, a batch waits no longer than this for the next.
-constexpr Ms kLongestPause = Seconds(1);
 
 size_t BytesOf(const journal::RecordT& record) {
   size_t n = kRecordOverheadBytes;
@@ -72,7 +74,7 @@
   absl::Status Settle(const std::string& key, const std::string& text);
   bool Pause(Ms span);
   Ms Gather() const;
-  void Learn(size_t records, Ms took);
+  void Learn(size_t records, Ms start);
 
   const TableService table;
   const ObjectStore objects;
@@ -90,8 +92,7 @@
   bool fenced = false;
   bool stop = false;
   double records_per_s = 0;
-  double commit_ms = 0;
-  Ms last_commit;
+  Ms last_start;
   std::thread writer;
 };
 
@@ -110,25 +111,25 @@
   return batch;
 }
 
-/// How long to let a batch grow since the last commit: nothing on an idle log;
-/// under load until it is worth a write, and as long as the store takes for one
-/// when it is slow.
+/// How far apart the starts of two commits are: not at all on an idle log, and
+/// under load far enough for a batch to be worth a write. While the store is
+/// slower than that, batches grow behind the commit in flight.
 Ms Journal::Impl::Gather() const {
-  if (records_per_s < kIdleRecordsPerSecond) return Ms{0};
-  const double wanted_ms = 1000.0 * options.gather_records / records_per_s;
-  const double gather_ms =
-      std::min(wanted_ms, static_cast<double>(options.max_gather.count));
-  const double span_ms = std::max(gather_ms, commit_ms);
-  return std::min(Ms{static_cast<int64_t>(span_ms)}, kLongestPause);
+  const double span = kBusyRecordsPerSecond - kIdleRecordsPerSecond;
+  const double load = (records_per_s - kIdleRecordsPerSecond) / span;
+  if (load <= 0) return Ms{0};
+  const double whole_ms = static_cast<double>(options.max_gather.count);
+  const double enough_ms = 1000.0 * options.gather_records / records_per_s;
+  const double most_ms = std::max(enough_ms, kLeastBusyGatherMs);
+  const double ms = std::min(whole_ms * std::min(load, 1.0), most_ms);
+  return Ms{static_cast<int64_t>(ms)};
 }
 
-void Journal::Impl::Learn(size_t records, Ms took) {
-  const Ms now = clock.Now();
-  const double span_s = std::max((now - last_commit).Seconds(), 0.001);
-  last_commit = now;
+void Journal::Impl::Learn(size_t records, Ms start) {
+  const double span_s = std::max((start - last_start).Seconds(), 0.001);
+  last_start = start;
   const double rate = static_cast<double>(records) / span_s;
   records_per_s += kNewestWeight * (rate - records_per_s);
-  commit_ms += kNewestWeight * (static_cast<double>(took.count) - commit_ms);
 }
 
 void Journal::Impl::Run() {
@@ -136,7 +137,7 @@
   while (true) {
     wake_writer.wait(lock, [&] { return stop || !queue.empty(); });
     if (stop) return;
-    const Ms wait = last_commit + Gather() - clock.Now();
+    const Ms wait = last_start + Gather() - clock.Now();
     if (wait > Ms{0}) {
       wake_writer.wait_for(lock, std::chrono::milliseconds(wait.count),
                            [&] { return stop; });
@@ -162,7 +163,7 @@
     progress.records += batch.records.size();
     progress.bytes += batch.bytes;
     progress.pending_bytes -= batch.bytes;
-    Learn(batch.records.size(), clock.Now() - start);
+    Learn(batch.records.size(), start);
     wake_waiters.notify_all();
   }
 }
