Quarantine a crashing request at every entry, and free pins at an end

Cause: a crash was known to one sidecar only, so a re-sent request could crash the next upstream, and an ended program's cache stayed until its lease lapsed. Conclusion: entries tell each other of crashes, a suspect runs alone, and the end of a program releases its pins at once.

--- a/include/knapweed/entry/peer_service.h
+++ b/include/knapweed/entry/peer_service.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "knapweed/entry/crash_board.h"
 #include "knapweed/entry/rate_gate.h"
 #include "knapweed/entry/turn_runner.h"
 #include "knapweed/entry/upstream_directory.h"
@@ -18,6 +19,7 @@
   TurnRunner& runner;
   RateGate& rates;
   UpstreamDirectory& upstreams;
+  CrashBoard& crashes;
   const RulesHolder& rules;
   RulesWatcher& watcher;
   Membership& membership;
--- a/include/knapweed/entry/turn_runner.h
+++ b/include/knapweed/entry/turn_runner.h
@@ -7,6 +7,7 @@
 #include "knapweed/base/clock.h"
 #include "knapweed/base/metrics.h"
 #include "knapweed/base/outcome.h"
+#include "knapweed/entry/crash_board.h"
 #include "knapweed/entry/upstream_directory.h"
 #include "knapweed/membership/membership.h"
 #include "knapweed/policy/retry.h"
@@ -22,6 +23,7 @@
   const RulesHolder& rules;
   ProgramTable& programs;
   UpstreamDirectory& upstreams;
+  CrashBoard& crashes;
   RpcPool& rpc;
   Metrics& metrics;
   uint32_t partition_count;
@@ -58,6 +60,7 @@
                              const UpstreamPtr& upstream);
   void NoteResult(const Turn& turn, UpstreamState& upstream,
                   const wire::ResultT& result);
+  void ReleasePins(uint64_t program_hash);
   wire::ResultT Finish(Turn& turn, TurnHold hold, wire::ResultT result);
 
   TurnRunnerParts parts_;
--- a/include/knapweed/entry/upstream_directory.h
+++ b/include/knapweed/entry/upstream_directory.h
@@ -80,6 +80,8 @@
   void OnCacheReport(const UpstreamState& upstream, uint64_t program_hash,
                      const wire::ResultT& result);
   void ForgetProgram(uint64_t program_hash);
+  /// Upstreams where the program is believed to have a cached prompt.
+  std::vector<UpstreamPtr> PlacesOf(uint64_t program_hash) const;
 
   std::string DumpJson() const;
 
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -3,12 +3,14 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "knapweed/base/log.h"
 #include "knapweed/entry/call_router.h"
 #include "knapweed/entry/caller_front.h"
+#include "knapweed/entry/crash_board.h"
 #include "knapweed/entry/peer_service.h"
 #include "knapweed/entry/periodic_task.h"
 #include "knapweed/entry/rate_gate.h"
@@ -30,6 +32,7 @@
 constexpr Ms kDrainPoll = Ms{50};
 constexpr Ms kSidecarEvery = Ms{500};
 constexpr Ms kContactEvery = Ms{1000};
+constexpr Ms kCrashEvery = Ms{200};
 constexpr int kControlThreads = 4;
 
 using Json = nlohmann::json;
@@ -67,6 +70,7 @@
   absl::Status Start();
   absl::Status StartServers();
   void HandleControl(const HttpRequest& request, HttpResponder& responder);
+  void ClearQuarantine(const HttpRequest& request, HttpResponder& responder);
   std::string DumpJson() const;
   bool Idle() const;
 
@@ -83,6 +87,7 @@
   ProgramTable programs;
   Membership membership;
   StoreContact store_contact;
+  CrashBoard crashes;
   TurnRunner runner;
   RateGate rates;
   CallRouter router;
@@ -93,6 +98,7 @@
   std::unique_ptr<HttpServer> caller_server;
   PeriodicTask sidecar_task{
       kSidecarEvery, [this] { upstreams.Update(membership.Sidecars()); }};
+  PeriodicTask crash_task{kCrashEvery, [this] { crashes.Step(); }};
   PeriodicTask contact_task{kContactEvery, [this] { store_contact.Step(); }};
 };
 
@@ -114,15 +120,16 @@
           [this](PartitionId partition) { return programs.Lose(partition); }),
       store_contact(StoreContactParts{clock, rules, watcher, membership, rpc,
                                       config.name}),
-      runner(TurnRunnerParts{clock, rules, programs, upstreams, rpc, metrics,
-                             config.partition_count}),
+      crashes(membership, rpc, config.name),
+      runner(TurnRunnerParts{clock, rules, programs, upstreams, crashes, rpc,
+                             metrics, config.partition_count}),
       rates(
           RateGateParts{clock, rules, membership, rpc, config.partition_count}),
       router(CallRouterParts{clock, membership, runner, rpc, metrics,
                              config.partition_count}),
       front(CallerFrontParts{config, clock, rules, watcher, rates, router,
                              metrics}),
-      peers(PeerServiceParts{runner, rates, upstreams, rules, watcher,
+      peers(PeerServiceParts{runner, rates, upstreams, crashes, rules, watcher,
                              membership, config.forwarded_threads}) {}
 
 absl::Status Entry::Impl::Start() {
@@ -139,6 +146,7 @@
   if (!status.ok()) return status;
   sidecar_task.Start();
   contact_task.Start();
+  crash_task.Start();
   kLog.Info("Serving.", {{"listen", config.listen.ToString()},
                          {"rpc", config.rpc.ToString()},
                          {"incarnation", incarnation},
@@ -190,8 +198,24 @@
   } else {
     responder.Send(
         {404, json,
-         R"({"error":"GET /state, /metrics, /healthz or POST /drain"})"});
+         R"({"error":"GET /state, /metrics, /healthz, POST /drain or /quarantine/clear"})"});
+  }
+}
+
+// POST /quarantine/clear?digest=N, with N as the state dump prints it.
+void Entry::Impl::ClearQuarantine(const HttpRequest& request,
+                                  HttpResponder& responder) {
+  const std::vector<HttpHeader> json = {{"Content-Type", "application/json"}};
+  const std::string text = QueryParam(request.query, "digest");
+  uint64_t digest = 0;
+  const auto [stop, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), digest);
+  if (text.empty() || ec != std::errc() || *stop != '\0') {
+    responder.Send({400, json, R"({"error":"digest=N is needed"})"});
+    return;
   }
+  crashes.Clear(digest);
+  responder.Send({200, json, R"({"cleared":true})"});
 }
 
 std::string Entry::Impl::DumpJson() const {
@@ -206,6 +230,7 @@
       {"in_flight", front.in_flight()},
       {"forwarded_in_flight", peers.in_flight()},
       {"membership", Json::parse(membership.DumpJson(), nullptr, false)},
+      {"quarantine", Json::parse(crashes.DumpJson(), nullptr, false)},
       {"buckets", Json::parse(rates.DumpJson(), nullptr, false)},
       {"programs", Json::parse(programs.DumpJson(), nullptr, false)},
       {"upstreams", Json::parse(upstreams.DumpJson(), nullptr, false)},
--- a/src/entry/peer_service.cc
+++ b/src/entry/peer_service.cc
@@ -76,6 +76,11 @@
     });
     return;
   }
+  if (const wire::CrashReportT* report = request.AsCrashReport()) {
+    impl_->parts.crashes.OnReport(*report);
+    reply.Send(Wrap(wire::AckT{}));
+    return;
+  }
   if (const wire::LeavingT* leaving = request.AsLeaving()) {
     impl_->parts.upstreams.OnLeaving(leaving->name);
     impl_->parts.membership.Poke();
--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -292,6 +292,20 @@
 wire::ResultT TurnRunner::DispatchOnce(Turn& turn, TurnHold& hold,
                                        const UpstreamPtr& upstream) {
   const SidecarRecord& record = upstream->record;
+  const QuarantineVerdict verdict =
+      parts_.crashes.VerdictOf(DigestOf(turn.call));
+  if (verdict == QuarantineVerdict::kQuarantined) {
+    return FailureResult({ErrorCode::kQuarantined, RunState::kNotRun, Ms{0},
+                          "This request crashed several upstreams; it is not "
+                          "run again until an operator clears it."});
+  }
+  if (verdict == QuarantineVerdict::kSuspect &&
+      !parts_.crashes.WarnSidecar(DigestOf(turn.call), record.rpc)) {
+    parts_.upstreams.OnFailure(*upstream, UnitOf(turn.call));
+    return FailureResult({ErrorCode::kUpstreamFailed, RunState::kNotRun,
+                          kNoUpstreamRetryAfter,
+                          "The upstream can't be reached."});
+  }
   wire::DispatchT dispatch;
   dispatch.attempt = RandomHexId();
   if (turn.route.non_idempotent) {
@@ -339,6 +353,9 @@
   if (result != nullptr) {
     result->upstream = record.upstream.value;
     NoteResult(turn, *upstream, *result);
+    if (result->crashed) {
+      parts_.crashes.OnCrash(DigestOf(turn.call), record.upstream.value);
+    }
     return std::move(*result);
   }
   if (!answer.ok() && !absl::IsCancelled(answer.status())) {
@@ -391,9 +408,23 @@
        "Idempotency-Key."});
 }
 
+// Frees the program's cache at once where it is believed to be. A pin that is
+// missed here frees itself when its lease lapses.
+void TurnRunner::ReleasePins(uint64_t program_hash) {
+  for (const UpstreamPtr& it : parts_.upstreams.PlacesOf(program_hash)) {
+    wire::PinRenewalT renewal;
+    renewal.released.push_back(program_hash);
+    parts_.rpc.Get(it->record.rpc)
+        ->Call(Wrap(std::move(renewal)), kQueryTimeout)
+        .status()
+        .IgnoreError();
+  }
+}
+
 wire::ResultT TurnRunner::EndProgram(const wire::CallT& call) {
   const ProgramKey key{WorkspaceId(call.workspace), ProgramId(call.program)};
   const absl::Status ended = parts_.programs.End(key);
+  ReleasePins(ProgramHash(key));
   parts_.upstreams.ForgetProgram(ProgramHash(key));
   wire::ResultT result;
   result.status = 200;
--- a/src/entry/upstream_directory.cc
+++ b/src/entry/upstream_directory.cc
@@ -207,6 +207,20 @@
   cache_.ForgetProgram(program_hash);
 }
 
+std::vector<UpstreamPtr> UpstreamDirectory::PlacesOf(
+    uint64_t program_hash) const {
+  const std::shared_ptr<const Snapshot> upstreams =
+      std::atomic_load(&upstreams_);
+  std::vector<UpstreamPtr> found;
+  const std::lock_guard lock(cache_mu_);
+  for (const CachedPrefix& place : cache_.Find(program_hash)) {
+    for (const UpstreamPtr& it : *upstreams) {
+      if (it->number == place.upstream) found.push_back(it);
+    }
+  }
+  return found;
+}
+
 std::string UpstreamDirectory::DumpJson() const {
   const std::shared_ptr<const Snapshot> upstreams =
       std::atomic_load(&upstreams_);
