Run calls at an upstream behind a queue, a fence and an attempt memory

Cause: entries had nothing to dispatch to. The sidecar queues calls by the policy, refuses old epochs, passes each attempt on at most once, keeps caches pinned under leases, notices a dead engine and drains. Servers now let queued answers leave before they close.

--- /dev/null
+++ b/include/knapweed/sidecar/sidecar_config.h
@@ -0,0 +1,45 @@
+#ifndef KNAPWEED_SIDECAR_SIDECAR_CONFIG_H_
+#define KNAPWEED_SIDECAR_SIDECAR_CONFIG_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
+#include "knapweed/base/settings.h"
+#include "knapweed/sidecar/attempt_memory.h"
+
+namespace knapweed {
+
+/// The settings of a sidecar. An upstream without models is a plain service.
+struct SidecarConfig {
+  UpstreamId name;
+  FailureDomain domain;
+  std::string pool;
+  std::vector<std::string> models;
+  Address rpc;
+  Address control;
+  Address upstream;
+  int slots = 8;
+  size_t max_queued = 1024;
+  /// How long a planned stop waits for calls to end.
+  Ms drain_limit = Seconds(600);
+  /// How long holds found at the engine at start wait for a renewal.
+  Ms found_pin_lease = Seconds(30);
+  Address table;
+  Ms platform_timeout = Seconds(2);
+  uint32_t partition_count = 64;
+  AttemptMemoryOptions attempts;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+/// Reads and checks a settings file whole. InvalidArgument with one line per
+/// fault.
+absl::StatusOr<SidecarConfig> LoadSidecarConfig(const std::string& path);
+/// The same over settings already parsed.
+absl::StatusOr<SidecarConfig> ReadSidecarConfig(Settings& settings);
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_SIDECAR_SIDECAR_CONFIG_H_
--- /dev/null
+++ b/include/knapweed/sidecar/speed_meter.h
@@ -0,0 +1,48 @@
+#ifndef KNAPWEED_SIDECAR_SPEED_METER_H_
+#define KNAPWEED_SIDECAR_SPEED_METER_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "knapweed/sidecar/upstream_call.h"
+
+namespace knapweed {
+
+/// How fast the upstream works, as a moving mean over the calls that ended. Not
+/// safe from several threads.
+class SpeedMeter {
+ public:
+  void Record(const UpstreamOutcome& outcome) {
+    const wire::ResultT& result = outcome.result;
+    const Ms decode = outcome.whole - outcome.until_first_token;
+    Mix(result.completion_tokens, decode, &decode_tokens_per_s_);
+    const uint64_t computed =
+        result.prompt_tokens -
+        std::min(result.prompt_tokens, result.cached_tokens);
+    // Few tokens say more of the connection than of the engine.
+    if (computed >= kLeastPrefillTokens) {
+      Mix(computed, outcome.until_first_token, &prefill_tokens_per_s_);
+    }
+  }
+
+  /// Of one call; zero before the first.
+  double decode_tokens_per_s() const { return decode_tokens_per_s_; }
+  double prefill_tokens_per_s() const { return prefill_tokens_per_s_; }
+
+ private:
+  static constexpr double kNewestWeight = 0.1;
+  static constexpr uint64_t kLeastPrefillTokens = 64;
+
+  static void Mix(uint64_t tokens, Ms span, double* mean) {
+    if (tokens == 0 || span <= Ms{0}) return;
+    const double newest = static_cast<double>(tokens) / span.Seconds();
+    *mean = *mean == 0 ? newest : *mean + kNewestWeight * (newest - *mean);
+  }
+
+  double decode_tokens_per_s_ = 0;
+  double prefill_tokens_per_s_ = 0;
+};
+
+}  // namespace knapweed
+
+#endif  // KNAPWEED_SIDECAR_SPEED_METER_H_
--- a/include/knapweed/wire/rpc.h
+++ b/include/knapweed/wire/rpc.h
@@ -49,7 +49,7 @@
 /// Accepts connections and hands every frame to the handler. A malformed or
 /// oversized frame closes its connection with one log line and touches nothing
 /// else. The destructor waits for running handlers, so no handler may destroy
-/// its server.
+/// its server, and gives answers already sent a moment to leave.
 class RpcServer {
  public:
   static absl::StatusOr<std::unique_ptr<RpcServer>> Start(const Address& listen,
--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -1419,6 +1419,7 @@
   int64_t queue_ms = 0;
   std::unique_ptr<knapweed::wire::LoadT> load{};
   std::string upstream{};
+  bool crashed = false;
   ResultT() = default;
   ResultT(const ResultT &o);
   ResultT(ResultT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1438,7 +1439,8 @@
     VT_COMPLETION_TOKENS = 14,
     VT_QUEUE_MS = 16,
     VT_LOAD = 18,
-    VT_UPSTREAM = 20
+    VT_UPSTREAM = 20,
+    VT_CRASHED = 22
   };
   int32_t status() const {
     return GetField<int32_t>(VT_STATUS, 0);
@@ -1467,6 +1469,9 @@
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
+  bool crashed() const {
+    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_STATUS, 4) &&
@@ -1482,6 +1487,7 @@
            verifier.VerifyTable(load()) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
            verifier.EndTable();
   }
   ResultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1520,6 +1526,9 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(Result::VT_UPSTREAM, upstream);
   }
+  void add_crashed(bool crashed) {
+    fbb_.AddElement<uint8_t>(Result::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  }
   explicit ResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1541,7 +1550,8 @@
     uint64_t completion_tokens = 0,
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool crashed = false) {
   ResultBuilder builder_(_fbb);
   builder_.add_queue_ms(queue_ms);
   builder_.add_completion_tokens(completion_tokens);
@@ -1552,6 +1562,7 @@
   builder_.add_failure(failure);
   builder_.add_body(body);
   builder_.add_status(status);
+  builder_.add_crashed(crashed);
   return builder_.Finish();
 }
 
@@ -1570,7 +1581,8 @@
     uint64_t completion_tokens = 0,
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    bool crashed = false) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return knapweed::wire::CreateResult(
@@ -1583,7 +1595,8 @@
       completion_tokens,
       queue_ms,
       load,
-      upstream__);
+      upstream__,
+      crashed);
 }
 
 flatbuffers::Offset<Result> CreateResult(flatbuffers::FlatBufferBuilder &_fbb, const ResultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3389,7 +3402,8 @@
         completion_tokens(o.completion_tokens),
         queue_ms(o.queue_ms),
         load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr),
-        upstream(o.upstream) {
+        upstream(o.upstream),
+        crashed(o.crashed) {
 }
 
 inline ResultT &ResultT::operator=(ResultT o) FLATBUFFERS_NOEXCEPT {
@@ -3402,6 +3416,7 @@
   std::swap(queue_ms, o.queue_ms);
   std::swap(load, o.load);
   std::swap(upstream, o.upstream);
+  std::swap(crashed, o.crashed);
   return *this;
 }
 
@@ -3423,6 +3438,7 @@
   { auto _e = queue_ms(); _o->queue_ms = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<knapweed::wire::LoadT>(_e->UnPack(_resolver)); }
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = crashed(); _o->crashed = _e; }
 }
 
 inline flatbuffers::Offset<Result> Result::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3442,6 +3458,7 @@
   auto _queue_ms = _o->queue_ms;
   auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _crashed = _o->crashed;
   return knapweed::wire::CreateResult(
       _fbb,
       _status,
@@ -3452,7 +3469,8 @@
       _completion_tokens,
       _queue_ms,
       _load,
-      _upstream);
+      _upstream,
+      _crashed);
 }
 
 inline AttemptQueryT *AttemptQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/src/sidecar/engine_keeper.cc
@@ -0,0 +1,190 @@
+#include "knapweed/sidecar/engine_keeper.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "knapweed/base/log.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Logger kLog("engine");
+constexpr Ms kPeriod{200};
+
+std::string Text(const absl::Status& status) {
+  return std::string(status.message());
+}
+
+}  // namespace
+
+EngineKeeper::EngineKeeper(const Address& engine, Ms found_pin_lease,
+                           std::function<void(bool)> on_up)
+    : found_pin_lease_(found_pin_lease),
+      on_up_(std::move(on_up)),
+      engine_(engine),
+      tasks_(kPeriod, [this] { Periodic(); }) {
+  tasks_.Post([this] { Look(); });
+}
+
+std::string EngineKeeper::Life() const {
+  const std::lock_guard lock(mu_);
+  return LifeLocked();
+}
+
+// An engine process may start again under its old incarnation.
+std::string EngineKeeper::LifeLocked() const {
+  return absl::StrCat(incarnation_, "/", deaths_);
+}
+
+bool EngineKeeper::DiedSince(const std::string& life) {
+  Look();
+  const std::lock_guard lock(mu_);
+  return !up_ || LifeLocked() != life;
+}
+
+void EngineKeeper::Look() {
+  const std::lock_guard look_lock(look_mu_);
+  const absl::StatusOr<EngineStats> stats = ReadEngineStats(engine_);
+  if (stats.ok()) Adopt(*stats);
+  NoteUp(stats.ok());
+}
+
+void EngineKeeper::NoteUp(bool up) {
+  {
+    const std::lock_guard lock(mu_);
+    if (up_ == up) return;
+    up_ = up;
+    if (!up) {
+      ++deaths_;
+      incarnation_.clear();
+      pins_.Clear();
+    }
+  }
+  if (up) {
+    kLog.Info("The engine answers again.");
+  } else {
+    kLog.Warning("The engine does not answer.");
+  }
+  on_up_(up);
+}
+
+// Holds that are not ours come from an earlier life of this sidecar; nobody
+// else releases them.
+void EngineKeeper::Adopt(const EngineStats& stats) {
+  const std::lock_guard lock(mu_);
+  if (incarnation_ == stats.incarnation) return;
+  if (!incarnation_.empty()) {
+    kLog.Warning("The engine was restarted.",
+                 {{"incarnation", stats.incarnation}});
+  }
+  incarnation_ = stats.incarnation;
+  pins_.Clear();
+  for (const std::string& hold : stats.holds) {
+    pins_.Add(hold, clock_.Now() + found_pin_lease_);
+  }
+}
+
+void EngineKeeper::Periodic() {
+  std::vector<std::string> lapsed;
+  bool look = false;
+  {
+    const std::lock_guard lock(mu_);
+    look = !up_;
+    if (up_) lapsed = pins_.TakeLapsed(clock_.Now());
+  }
+  if (look) Look();
+  for (const std::string& hold : lapsed) Release(hold);
+}
+
+void EngineKeeper::Cancel(const AttemptId& attempt) {
+  tasks_.Post([this, attempt] {
+    const absl::Status status = CancelAtEngine(engine_, attempt.value);
+    if (status.ok() || absl::IsNotFound(status)) return;
+    kLog.Warning("Can't cancel a call.",
+                 {{"attempt", attempt.value}, {"error", Text(status)}});
+  });
+}
+
+void EngineKeeper::Hold(const std::string& hold, const AttemptId& attempt,
+                        Ms lease) {
+  const Ms lease_end = clock_.Now() + lease;
+  tasks_.Post([this, hold, attempt, lease_end] {
+    const absl::Status status = HoldCache(engine_, hold, attempt.value);
+    if (status.ok()) {
+      const std::lock_guard lock(mu_);
+      pins_.Add(hold, lease_end);
+      return;
+    }
+    kLog.Debug("Can't hold a program's cache.",
+               {{"hold", hold}, {"error", Text(status)}});
+  });
+}
+
+void EngineKeeper::Renew(const wire::PinRenewalT& renewal) {
+  const Ms now = clock_.Now();
+  std::vector<std::pair<std::string, Ms>> renewed;
+  for (const auto& pin : renewal.pins) {
+    renewed.emplace_back(HoldName(pin->program_hash), now + Ms{pin->lease_ms});
+  }
+  std::vector<std::string> released;
+  for (const uint64_t hash : renewal.released) {
+    released.push_back(HoldName(hash));
+  }
+  // In turn with the holds, so that a release never overtakes its hold.
+  tasks_.Post(
+      [this, renewed = std::move(renewed), released = std::move(released)] {
+        for (const auto& [hold, lease_end] : renewed) {
+          const std::lock_guard lock(mu_);
+          pins_.Renew(hold, lease_end);
+        }
+        for (const std::string& hold : released) {
+          bool held = false;
+          {
+            const std::lock_guard lock(mu_);
+            held = pins_.Remove(hold);
+          }
+          if (held) Release(hold);
+        }
+      });
+}
+
+void EngineKeeper::Release(const std::string& hold) {
+  const absl::Status status = ReleaseCache(engine_, hold);
+  if (status.ok() || absl::IsNotFound(status)) return;
+  kLog.Warning("Can't release a program's cache; trying again.",
+               {{"hold", hold}, {"error", Text(status)}});
+  {
+    const std::lock_guard lock(mu_);
+    pins_.Add(hold, clock_.Now() + kPeriod);
+  }
+  Look();
+}
+
+void EngineKeeper::ReleaseAll() {
+  tasks_.Post([this] {
+    std::map<std::string, Ms> holds;
+    {
+      const std::lock_guard lock(mu_);
+      holds = pins_.holds();
+      pins_.Clear();
+    }
+    for (const auto& [hold, lease_end] : holds) Release(hold);
+  });
+  tasks_.Flush();
+}
+
+nlohmann::json EngineKeeper::ToJson() const {
+  const std::lock_guard lock(mu_);
+  nlohmann::json pins = nlohmann::json::array();
+  for (const auto& [hold, lease_end] : pins_.holds()) {
+    pins.push_back(
+        {{"hold", hold}, {"lease_left_ms", (lease_end - clock_.Now()).count}});
+  }
+  return {{"incarnation", incarnation_},
+          {"up", up_},
+          {"deaths", deaths_},
+          {"pins", std::move(pins)}};
+}
+
+}  // namespace knapweed
--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -63,7 +63,7 @@
 
 bool Connection::Send(flatbuffers::DetachedBuffer frame, SentFlag sent) {
   const std::lock_guard lock(mu_);
-  if (closed_.load()) return false;
+  if (closed_.load() || ending_) return false;
   if (queued_bytes_ + frame.size() > kMaxQueuedBytes) {
     asio::post(*loop_, [self = shared_from_this()] {
       self->Fail("the peer reads too slowly");
@@ -84,6 +84,15 @@
   asio::post(*loop_, [self = shared_from_this()] { self->CloseOnLoop(); });
 }
 
+void Connection::CloseAfterWrites() {
+  {
+    const std::lock_guard lock(mu_);
+    ending_ = true;
+    if (writing_) return;
+  }
+  Close();
+}
+
 void Connection::Read() {
   socket_.async_read_some(asio::buffer(buf_.data() + end_, buf_.size() - end_),
                           [self = shared_from_this()](error_code ec, size_t n) {
@@ -172,13 +181,14 @@
 
 void Connection::OnWritten() {
   batch_.clear();
+  bool ended = false;
   {
     const std::lock_guard lock(mu_);
-    if (queue_.empty()) {
-      writing_ = false;
-      return;
-    }
+    writing_ = !queue_.empty();
+    ended = ending_ && !writing_;
+    if (!writing_ && !ended) return;
   }
+  if (ended) return CloseOnLoop();
   Write();
 }
 
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -41,6 +41,8 @@
   /// not sent and never will be.
   bool Send(flatbuffers::DetachedBuffer frame, SentFlag sent = nullptr);
   void Close();
+  /// Takes no more frames, and closes when those queued before are written.
+  void CloseAfterWrites();
   bool closed() const { return closed_.load(); }
 
  private:
@@ -77,6 +79,7 @@
   std::vector<Outgoing> queue_;
   size_t queued_bytes_ = 0;
   bool writing_ = false;
+  bool ending_ = false;
   std::vector<Outgoing> batch_;
 };
 
--- a/src/wire/rpc_server.cc
+++ b/src/wire/rpc_server.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <condition_variable>
 #include <future>
 #include <mutex>
 #include <unordered_set>
@@ -21,6 +22,8 @@
 constexpr int kServerThreads = 2;
 /// How long to wait before accepting again after the system refused to.
 constexpr std::chrono::milliseconds kAcceptRetry{100};
+/// How long a server that ends waits for peers to take their last answers.
+constexpr std::chrono::seconds kLastWrites{1};
 
 flatbuffers::DetachedBuffer TooLargeFrame(uint64_t correlation) {
   wire::FailureT failure;
@@ -111,29 +114,42 @@
   void Forget(const std::weak_ptr<Connection>& weak) {
     const std::lock_guard lock(mu);
     connections.erase(weak.lock());
+    all_closed.notify_all();
   }
 
-  // Returns when no connection can come any more and all were told to close.
+  // Accepts nothing more, gives answers that are on their way the time to
+  // leave, and closes every connection.
   void Stop() {
+    StopAccepting();
+    ForEach([](Connection& connection) { connection.CloseAfterWrites(); });
+    {
+      std::unique_lock lock(mu);
+      all_closed.wait_for(lock, kLastWrites,
+                          [this] { return connections.empty(); });
+    }
+    ForEach([](Connection& connection) { connection.Close(); });
+  }
+
+  void StopAccepting() {
     std::promise<void> stopped;
     asio::post(*accept_loop, [this, &stopped] {
       stopping = true;
       boost::system::error_code ec;
       acceptor.close(ec);
       retry.cancel();
-      CloseAll();
       stopped.set_value();
     });
     stopped.get_future().wait();
   }
 
-  void CloseAll() {
+  void ForEach(const std::function<void(Connection&)>& act) {
     const std::lock_guard lock(mu);
-    for (const auto& connection : connections) connection->Close();
+    for (const auto& connection : connections) act(*connection);
   }
 
   RpcHandler handler;
   std::mutex mu;
+  std::condition_variable all_closed;
   std::unordered_set<std::shared_ptr<Connection>> connections;
   // Of the accept loop only.
   bool stopping = false;
