--- /dev/null
+++ b/tools/knapweed_sidecar.cc
@@ -0,0 +1,38 @@
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <utility>
+
+#include <unistd.h>
+
+#include "knapweed/base/daemon_args.h"
+#include "knapweed/base/log.h"
+#include "knapweed/sidecar/sidecar.h"
+
+int main(int argc, const char** argv) {
+  using knapweed::Sidecar;
+  const knapweed::DaemonArgs args = knapweed::ParseDaemonArgs(
+      argc, argv, "knapweed-sidecar: the way in to one upstream.");
+  if (args.exit_now) return args.exit_code;
+  auto config = knapweed::LoadSidecarConfig(args.config_path);
+  if (!config.ok()) {
+    std::fprintf(stderr, "%s\n",
+                 std::string(config.status().message()).c_str());
+    return knapweed::kExitBadConfig;
+  }
+  if (args.check_only) return knapweed::kExitOk;
+  knapweed::StartLog(config->log_level);
+  knapweed::BlockStopSignals();
+  auto directory = knapweed::ConnectDirectory(*config);
+  auto sidecar =
+      Sidecar::Start(*std::move(config), std::move(directory),
+                     [] { kill(getpid(), SIGTERM); });
+  if (!sidecar.ok()) {
+    std::fprintf(stderr, "%s\n",
+                 std::string(sidecar.status().message()).c_str());
+    return knapweed::kExitFailed;
+  }
+  knapweed::WaitForStopSignal();
+  const bool clean = (*sidecar)->Drain().ok();
+  return clean ? knapweed::kExitOk : knapweed::kExitFailed;
+}
