--- a/tools/knapweed_sidecar.cc
+++ b/tools/knapweed_sidecar.cc
@@ -1,10 +1,10 @@
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdio>
 #include <string>
 #include <utility>
 
-#include <unistd.h>
-
 #include "knapweed/base/daemon_args.h"
 #include "knapweed/base/log.h"
 #include "knapweed/sidecar/sidecar.h"
@@ -24,9 +24,8 @@
   knapweed::StartLog(config->log_level);
   knapweed::BlockStopSignals();
   auto directory = knapweed::ConnectDirectory(*config);
-  auto sidecar =
-      Sidecar::Start(*std::move(config), std::move(directory),
-                     [] { kill(getpid(), SIGTERM); });
+  auto sidecar = Sidecar::Start(*std::move(config), std::move(directory),
+                                [] { kill(getpid(), SIGTERM); });
   if (!sidecar.ok()) {
     std::fprintf(stderr, "%s\n",
                  std::string(sidecar.status().message()).c_str());
