--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -1433,6 +1433,7 @@
   std::unique_ptr<knapweed::wire::LoadT> load{};
   std::string upstream{};
   bool pending = false;
+  bool crashed = false;
   ResultT() = default;
   ResultT(const ResultT &o);
   ResultT(ResultT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1453,7 +1454,8 @@
     VT_QUEUE_MS = 16,
     VT_LOAD = 18,
     VT_UPSTREAM = 20,
-    VT_PENDING = 22
+    VT_PENDING = 22,
+    VT_CRASHED = 24
   };
   int32_t status() const {
     return GetField<int32_t>(VT_STATUS, 0);
@@ -1485,6 +1487,9 @@
   bool pending() const {
     return GetField<uint8_t>(VT_PENDING, 0) != 0;
   }
+  bool crashed() const {
+    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_STATUS, 4) &&
@@ -1501,6 +1506,7 @@
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
            VerifyField<uint8_t>(verifier, VT_PENDING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
            verifier.EndTable();
   }
   ResultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1542,6 +1548,9 @@
   void add_pending(bool pending) {
     fbb_.AddElement<uint8_t>(Result::VT_PENDING, static_cast<uint8_t>(pending), 0);
   }
+  void add_crashed(bool crashed) {
+    fbb_.AddElement<uint8_t>(Result::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  }
   explicit ResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1564,7 +1573,8 @@
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    bool pending = false) {
+    bool pending = false,
+    bool crashed = false) {
   ResultBuilder builder_(_fbb);
   builder_.add_queue_ms(queue_ms);
   builder_.add_completion_tokens(completion_tokens);
@@ -1575,6 +1585,7 @@
   builder_.add_failure(failure);
   builder_.add_body(body);
   builder_.add_status(status);
+  builder_.add_crashed(crashed);
   builder_.add_pending(pending);
   return builder_.Finish();
 }
@@ -1595,7 +1606,8 @@
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
     const char *upstream = nullptr,
-    bool pending = false) {
+    bool pending = false,
+    bool crashed = false) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return knapweed::wire::CreateResult(
@@ -1609,7 +1621,8 @@
       queue_ms,
       load,
       upstream__,
-      pending);
+      pending,
+      crashed);
 }
 
 flatbuffers::Offset<Result> CreateResult(flatbuffers::FlatBufferBuilder &_fbb, const ResultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3454,7 +3467,8 @@
         queue_ms(o.queue_ms),
         load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr),
         upstream(o.upstream),
-        pending(o.pending) {
+        pending(o.pending),
+        crashed(o.crashed) {
 }
 
 inline ResultT &ResultT::operator=(ResultT o) FLATBUFFERS_NOEXCEPT {
@@ -3468,6 +3482,7 @@
   std::swap(load, o.load);
   std::swap(upstream, o.upstream);
   std::swap(pending, o.pending);
+  std::swap(crashed, o.crashed);
   return *this;
 }
 
@@ -3490,6 +3505,7 @@
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<knapweed::wire::LoadT>(_e->UnPack(_resolver)); }
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
   { auto _e = pending(); _o->pending = _e; }
+  { auto _e = crashed(); _o->crashed = _e; }
 }
 
 inline flatbuffers::Offset<Result> Result::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3510,6 +3526,7 @@
   auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
   auto _pending = _o->pending;
+  auto _crashed = _o->crashed;
   return knapweed::wire::CreateResult(
       _fbb,
       _status,
@@ -3521,7 +3538,8 @@
       _queue_ms,
       _load,
       _upstream,
-      _pending);
+      _pending,
+      _crashed);
 }
 
 inline AttemptQueryT *AttemptQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
