--- a/tests/fleet_walk.h
+++ b/tests/fleet_walk.h
@@ -26,6 +26,8 @@
     /// Calls a second over all askers together.
     double offered_per_s = 0;
     Ms length = Seconds(60);
+    /// Calls come only in every second span of this length, when set.
+    Ms on_off = Ms{0};
     Ms max_wait = Seconds(2);
     /// Chances a second of each fault.
     double crash = 0;
@@ -53,6 +55,8 @@
 
   uint64_t admitted() const { return admitted_.size(); }
   uint64_t refused() const { return refused_; }
+  /// What one bucket in one place, with the same calls and wait, would refuse.
+  uint64_t ideal_refused() const { return ideal_refused_; }
   uint64_t messages() const { return messages_; }
   uint64_t owners() const { return epoch_; }
 
@@ -159,7 +163,19 @@
     At(owner->paused_until, [this, owner, what] { AtOwner(owner, what); });
   }
 
+  void CountIdeal() {
+    FillBucket(ideal_, now_);
+    if (TimeUntil(ideal_, 1) > plan_.max_wait) {
+      ++ideal_refused_;
+    } else {
+      ideal_.tokens -= 1;
+    }
+  }
+
   void Arrive(int asker) {
+    if (plan_.on_off > Ms{0} && now_.count / plan_.on_off.count % 2 == 0)
+      return;
+    CountIdeal();
     const Ms give_up = now_ + plan_.max_wait;
     if (books_[asker].TakeAtHand(workspace_, now_)) return Admit();
     Ask(asker, give_up);
@@ -226,6 +242,8 @@
   Ms renew_at_;
   std::vector<Ms> admitted_;
   uint64_t refused_ = 0;
+  RateBucket ideal_ = {plan_.limit.rate_per_s, plan_.limit.burst, 0, Ms{0}};
+  uint64_t ideal_refused_ = 0;
   uint64_t messages_ = 0;
 };
 
--- a/tests/limits__fleet_test.cc
+++ b/tests/limits__fleet_test.cc
@@ -15,6 +15,8 @@
   };
   const std::vector<Row> rows = {
       {"no fault", {}},
+      {"bursts", {.on_off = Seconds(5)}},
+      {"bursts and delays", {.on_off = Seconds(5), .delays = true}},
       {"crashes", {.crash = 0.1}},
       {"pauses", {.pause = 0.1}},
       {"hand-overs", {.hand_over = 0.3}},
