Let racing changes of the configuration back off

Rounds after the first now wait a random time that doubles up to 200 ms. Conclusion: the test stays as strict; operators in step no longer starve one another.

--- a/src/rules/config_store.cc
+++ b/src/rules/config_store.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -19,6 +20,9 @@
 /// How often a change starts over after another one came first. Each round some
 /// operator's change goes through.
 constexpr int kMaxRounds = 32;
+/// The longest pause before starting over; it doubles from round to round.
+constexpr int64_t kFirstPauseMs = 2;
+constexpr int64_t kMaxPauseMs = 200;
 /// How often an uncertain answer of the store is asked about.
 constexpr int kMaxReadBacks = 4;
 /// Withdrawn keys stay listed for operators; beyond this many, some are
@@ -269,9 +273,19 @@
 /// change without a write.
 using ConfigEdit = std::function<std::optional<ChangeResult>(StoredConfig&)>;
 
+/// Lets racing operators go one after another instead of in step.
+void PauseBeforeRound(int round) {
+  if (round == 0) return;
+  thread_local std::minstd_rand random(std::random_device{}());
+  const int64_t most =
+      std::min(kFirstPauseMs << std::min(round, 10), kMaxPauseMs);
+  SleepFor(Ms{std::uniform_int_distribution<int64_t>(0, most)(random)});
+}
+
 /// Reads, edits and commits; starts over when another change came first.
 ChangeResult ChangeConfig(const ConfigStore& store, const ConfigEdit& edit) {
   for (int i = 0; i < kMaxRounds; ++i) {
+    PauseBeforeRound(i);
     const absl::StatusOr<ConfigHead> head = ReadConfigHead(store);
     if (!head.ok()) return Unavailable(head.status());
     const absl::StatusOr<StoredConfig> base = ReadConfig(store, *head);
