--- a/tests/program__faults_test.cc
+++ b/tests/program__faults_test.cc
@@ -89,16 +89,14 @@
       {"between intent and outcome",
        [](Pair& pair) {
          TurnHold hold = pair.Hold(pair.owner(), "two");
-         CHECK(
-             pair.owner().programs->RecordIntent(hold, IntentOf("t")).ok());
+         CHECK(pair.owner().programs->RecordIntent(hold, IntentOf("t")).ok());
        },
        {"one"},
        true},
       {"after the outcome",
        [](Pair& pair) {
          TurnHold hold = pair.Hold(pair.owner(), "other");
-         REQUIRE(
-             pair.owner().programs->RecordIntent(hold, IntentOf("t")).ok());
+         REQUIRE(pair.owner().programs->RecordIntent(hold, IntentOf("t")).ok());
          CHECK(pair.owner()
                    .programs->Finish(std::move(hold), Answer("other"))
                    .ok());
@@ -272,8 +270,7 @@
   TurnHold hold = pair.Hold(pair.owner(), "two");
   std::thread call([&] {
     SleepFor(Ms{30});
-    CHECK(
-        pair.owner().programs->Finish(std::move(hold), Answer("two")).ok());
+    CHECK(pair.owner().programs->Finish(std::move(hold), Answer("two")).ok());
   });
   CHECK(pair.owner().membership->Leave(Seconds(20)).ok());
   call.join();
@@ -304,8 +301,8 @@
     const absl::Status ended = owner.programs->End(kProgram);
     CHECK(ended.ok());
     for (int i = 0; i < 10; ++i) {
-      const CallIdentity other{{WorkspaceId("w"), ProgramId("p/x")},
-                               ProgramId("p/y"), "", 1};
+      const CallIdentity other{
+          {WorkspaceId("w"), ProgramId("p/x")}, ProgramId("p/y"), "", 1};
       BeginResult begun =
           owner.programs->Begin(other, {}, pair.time.clock.Now() + Seconds(1));
       REQUIRE(std::holds_alternative<TurnHold>(begun));
@@ -314,7 +311,8 @@
                 .ok());
     }
     for (int i = 0; i < 4; ++i) CHECK(owner.programs->Maintain().ok());
-    const std::string id = owner.membership->OwnerOf(kPartition)->member.id.value;
+    const std::string id =
+        owner.membership->OwnerOf(kPartition)->member.id.value;
     CHECK(owner.membership->Leave(Seconds(20)).ok());
     if (pair.members[0].get() != &owner) {
       std::swap(pair.members[0], pair.members[1]);
--- a/tests/program__walk_test.cc
+++ b/tests/program__walk_test.cc
@@ -81,7 +81,9 @@
   int moves() const { return moves_; }
 
  private:
-  int Pick(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
+  int Pick(int n) {
+    return std::uniform_int_distribution<int>(0, n - 1)(random_);
+  }
 
   void StartMember() {
     TestMember& member = cluster_.Add("m" + std::to_string(Pick(5)));
@@ -165,8 +167,8 @@
     const std::string request =
         "p" + std::to_string(program) + "-" + std::to_string(number);
     const CallIdentity call{KeyOf(program), ProgramId(""), request, 1};
-    BeginResult begun = member->programs->Begin(
-        call, {}, cluster_.time.clock.Now() + Ms{1});
+    BeginResult begun =
+        member->programs->Begin(call, {}, cluster_.time.clock.Now() + Ms{1});
     if (auto* outcome = std::get_if<CallOutcome>(&begun)) {
       CheckAnswer(program, request, outcome->body);
     }
