--- a/benchmarks/rig/policy_rig.cc
+++ b/benchmarks/rig/policy_rig.cc
@@ -86,7 +86,7 @@
 }
 
 std::vector<Scenario> Scenarios() {
-  std::vector<Scenario> all(11);
+  std::vector<Scenario> all(12);
   all[0].name = "half";
   all[0].load = 0.5;
   all[1].name = "busy";
@@ -110,6 +110,8 @@
   all[9].tight_memory = true;
   all[10].name = "tight_busy";
   all[10].tight_memory = true;
+  all[11].name = "flood_large";
+  all[11].flooding = 0;
   return all;
 }
 
@@ -250,6 +252,7 @@
   const Measures affinity = measure(1, baselines[3]);
   const Measures flood = measure(2, ours);
   const Measures crashing = measure(7, ours);
+  const Measures flood_large = measure(11, ours);
   const Measures tight = measure(10, ours);
   const Measures tight_least_load = measure(10, baselines[2]);
   const Measures tight_affinity = measure(10, baselines[3]);
@@ -266,6 +269,8 @@
       {at + ".tight_recomputed_at_80", tight.recomputed, 0.10},
       {at + ".recomputed_at_80", busy.recomputed, 0.10},
       {at + ".worst_to_median_in_flood", flood.worst_slowdown, 1.25},
+      {at + ".worst_to_median_in_large_flood", flood_large.worst_slowdown,
+       1.25},
       {at + ".refusals_within_rate", refused, 0},
       {at + ".crashes_of_one_request", static_cast<double>(crashing.crashes),
        2},
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -6,8 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "knapweed/policy/cache_view.h"
 #include "knapweed/policy/call_queue.h"
+#include "knapweed/policy/load_view.h"
 #include "knapweed/policy/placement.h"
+#include "knapweed/policy/retry.h"
 #include "tests/allocation_count.h"
 
 namespace knapweed {
@@ -233,16 +236,24 @@
   }
 }
 
-TEST_CASE("placement and queue allocate nothing on the path of a request") {
+TEST_CASE("decisions allocate nothing on the path of a request") {
   std::vector<UpstreamView> candidates;
   for (uint32_t i = 0; i < 730; ++i) candidates.push_back(Busy(i, i));
   CallQueue queue;
   for (uint64_t i = 0; i < 500; ++i) queue.Push(CallOf({i, i % 40}));
+  CacheView cache;
+  LoadView load;
+  RetryBudget retries;
   const uint64_t before = AllocationCount();
   for (uint64_t i = 500; i < 5000; ++i) {
     PlacementCall call;
     call.random = i;
     PlaceCall(call, candidates);
+    cache.Record({i, 1, 1000, 0, 10}, Ms{0});
+    candidates[0].cached_tokens = cache.ExpectedTokens(i, 1);
+    AddOwnDispatch(load, {Ms{0}, 10, 10});
+    FillLoad(load, Ms{1}, candidates[0]);
+    DecideRetry(retries, FailedAttempt{}, Ms{0}, 0.5);
     queue.Push(CallOf({i, i % 40}));
     queue.Pop(Ms{0});
   }
