--- a/include/knapweed/entry/peer_service.h
+++ b/include/knapweed/entry/peer_service.h
@@ -3,10 +3,12 @@
 
 #include <memory>
 
+#include "knapweed/entry/crash_board.h"
 #include "knapweed/entry/rate_gate.h"
 #include "knapweed/entry/turn_runner.h"
 #include "knapweed/entry/upstream_directory.h"
 #include "knapweed/membership/membership.h"
+#include "knapweed/rules/rules_holder.h"
 #include "knapweed/rules/rules_watcher.h"
 #include "knapweed/wire/rpc.h"
 
@@ -17,6 +19,8 @@
   TurnRunner& runner;
   RateGate& rates;
   UpstreamDirectory& upstreams;
+  CrashBoard& crashes;
+  const RulesHolder& rules;
   RulesWatcher& watcher;
   Membership& membership;
   int threads;
--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -1433,6 +1433,7 @@
   std::unique_ptr<knapweed::wire::LoadT> load{};
   std::string upstream{};
   bool pending = false;
+  bool crashed = false;
   ResultT() = default;
   ResultT(const ResultT &o);
   ResultT(ResultT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1453,7 +1454,8 @@
     VT_QUEUE_MS = 16,
     VT_LOAD = 18,
     VT_UPSTREAM = 20,
-    VT_PENDING = 22
+    VT_PENDING = 22,
+    VT_CRASHED = 24
   };
   int32_t status() const {
     return GetField<int32_t>(VT_STATUS, 0);
@@ -1485,6 +1487,9 @@
   bool pending() const {
     return GetField<uint8_t>(VT_PENDING, 0) != 0;
   }
+  bool crashed() const {
+    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_STATUS, 4) &&
@@ -1501,6 +1506,7 @@
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
            VerifyField<uint8_t>(verifier, VT_PENDING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
            verifier.EndTable();
   }
   ResultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1542,6 +1548,9 @@
   void add_pending(bool pending) {
     fbb_.AddElement<uint8_t>(Result::VT_PENDING, static_cast<uint8_t>(pending), 0);
   }
+  void add_crashed(bool crashed) {
+    fbb_.AddElement<uint8_t>(Result::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  }
   explicit ResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1564,7 +1573,8 @@
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    bool pending = false) {
+    bool pending = false,
+    bool crashed = false) {
   ResultBuilder builder_(_fbb);
   builder_.add_queue_ms(queue_ms);
   builder_.add_completion_tokens(completion_tokens);
@@ -1575,6 +1585,7 @@
   builder_.add_failure(failure);
   builder_.add_body(body);
   builder_.add_status(status);
+  builder_.add_crashed(crashed);
   builder_.add_pending(pending);
   return builder_.Finish();
 }
@@ -1595,7 +1606,8 @@
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
     const char *upstream = nullptr,
-    bool pending = false) {
+    bool pending = false,
+    bool crashed = false) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return knapweed::wire::CreateResult(
@@ -1609,7 +1621,8 @@
       queue_ms,
       load,
       upstream__,
-      pending);
+      pending,
+      crashed);
 }
 
 flatbuffers::Offset<Result> CreateResult(flatbuffers::FlatBufferBuilder &_fbb, const ResultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2641,6 +2654,7 @@
   std::string incarnation{};
   uint64_t config_version = 0;
   std::unique_ptr<knapweed::wire::LoadT> load{};
+  int64_t confirmed_age_ms = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2655,7 +2669,8 @@
     VT_MEMBER = 4,
     VT_INCARNATION = 6,
     VT_CONFIG_VERSION = 8,
-    VT_LOAD = 10
+    VT_LOAD = 10,
+    VT_CONFIRMED_AGE_MS = 12
   };
   const flatbuffers::String *member() const {
     return GetPointer<const flatbuffers::String *>(VT_MEMBER);
@@ -2669,6 +2684,9 @@
   const knapweed::wire::Load *load() const {
     return GetPointer<const knapweed::wire::Load *>(VT_LOAD);
   }
+  int64_t confirmed_age_ms() const {
+    return GetField<int64_t>(VT_CONFIRMED_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBER) &&
@@ -2678,6 +2696,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_LOAD) &&
            verifier.VerifyTable(load()) &&
+           VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_MS, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2701,6 +2720,9 @@
   void add_load(flatbuffers::Offset<knapweed::wire::Load> load) {
     fbb_.AddOffset(Heartbeat::VT_LOAD, load);
   }
+  void add_confirmed_age_ms(int64_t confirmed_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_CONFIRMED_AGE_MS, confirmed_age_ms, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2717,8 +2739,10 @@
     flatbuffers::Offset<flatbuffers::String> member = 0,
     flatbuffers::Offset<flatbuffers::String> incarnation = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<knapweed::wire::Load> load = 0) {
+    flatbuffers::Offset<knapweed::wire::Load> load = 0,
+    int64_t confirmed_age_ms = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_confirmed_age_ms(confirmed_age_ms);
   builder_.add_config_version(config_version);
   builder_.add_load(load);
   builder_.add_incarnation(incarnation);
@@ -2736,7 +2760,8 @@
     const char *member = nullptr,
     const char *incarnation = nullptr,
     uint64_t config_version = 0,
-    flatbuffers::Offset<knapweed::wire::Load> load = 0) {
+    flatbuffers::Offset<knapweed::wire::Load> load = 0,
+    int64_t confirmed_age_ms = 0) {
   auto member__ = member ? _fbb.CreateString(member) : 0;
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   return knapweed::wire::CreateHeartbeat(
@@ -2744,7 +2769,8 @@
       member__,
       incarnation__,
       config_version,
-      load);
+      load,
+      confirmed_age_ms);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3441,7 +3467,8 @@
         queue_ms(o.queue_ms),
         load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr),
         upstream(o.upstream),
-        pending(o.pending) {
+        pending(o.pending),
+        crashed(o.crashed) {
 }
 
 inline ResultT &ResultT::operator=(ResultT o) FLATBUFFERS_NOEXCEPT {
@@ -3455,6 +3482,7 @@
   std::swap(load, o.load);
   std::swap(upstream, o.upstream);
   std::swap(pending, o.pending);
+  std::swap(crashed, o.crashed);
   return *this;
 }
 
@@ -3477,6 +3505,7 @@
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<knapweed::wire::LoadT>(_e->UnPack(_resolver)); }
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
   { auto _e = pending(); _o->pending = _e; }
+  { auto _e = crashed(); _o->crashed = _e; }
 }
 
 inline flatbuffers::Offset<Result> Result::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3497,6 +3526,7 @@
   auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
   auto _pending = _o->pending;
+  auto _crashed = _o->crashed;
   return knapweed::wire::CreateResult(
       _fbb,
       _status,
@@ -3508,7 +3538,8 @@
       _queue_ms,
       _load,
       _upstream,
-      _pending);
+      _pending,
+      _crashed);
 }
 
 inline AttemptQueryT *AttemptQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3897,7 +3928,8 @@
       : member(o.member),
         incarnation(o.incarnation),
         config_version(o.config_version),
-        load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr) {
+        load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr),
+        confirmed_age_ms(o.confirmed_age_ms) {
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -3905,6 +3937,7 @@
   std::swap(incarnation, o.incarnation);
   std::swap(config_version, o.config_version);
   std::swap(load, o.load);
+  std::swap(confirmed_age_ms, o.confirmed_age_ms);
   return *this;
 }
 
@@ -3921,6 +3954,7 @@
   { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<knapweed::wire::LoadT>(_e->UnPack(_resolver)); }
+  { auto _e = confirmed_age_ms(); _o->confirmed_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3935,12 +3969,14 @@
   auto _incarnation = _o->incarnation.empty() ? 0 : _fbb.CreateString(_o->incarnation);
   auto _config_version = _o->config_version;
   auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
+  auto _confirmed_age_ms = _o->confirmed_age_ms;
   return knapweed::wire::CreateHeartbeat(
       _fbb,
       _member,
       _incarnation,
       _config_version,
-      _load);
+      _load,
+      _confirmed_age_ms);
 }
 
 inline LeavingT *Leaving::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
