Test what a fair queue puts ahead of a new call

Cause: admission refuses by TokensAhead, and no test held its figures, so that a flood by one workspace could have refused the calls of another. Five rows now check flood, weight and unknown workspaces; policy_test passes (10 cases).

--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -210,6 +210,24 @@
   CHECK(queue.Pop(Ms{0})->workspace_hash == first);
 }
 
+TEST_CASE("a flood does not stand ahead of other workspaces") {
+  CallQueue queue;
+  for (uint64_t i = 0; i < 100; ++i) queue.Push(CallOf({i, 1}));
+  queue.Push(CallOf({100, 2}));
+  struct Row {
+    uint64_t workspace;
+    double weight;
+    uint64_t ahead;
+  };
+  const std::vector<Row> rows = {
+      {1, 1, 10100}, {2, 1, 300}, {2, 2, 200}, {3, 1, 200}, {3, 0.01, 10100}};
+  for (const Row& row : rows) {
+    CAPTURE(row.workspace);
+    CAPTURE(row.weight);
+    CHECK(queue.TokensAhead(row.workspace, row.weight) == row.ahead);
+  }
+}
+
 TEST_CASE("cancelled and expired calls leave the queue") {
   CallQueue queue;
   queue.Push(CallOf({1, 1, 0, 100, 0, 1, 0, 50}));
