--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -6,8 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "knapweed/policy/cache_view.h"
 #include "knapweed/policy/call_queue.h"
+#include "knapweed/policy/load_view.h"
 #include "knapweed/policy/placement.h"
+#include "knapweed/policy/retry.h"
 #include "tests/allocation_count.h"
 
 namespace knapweed {
@@ -207,6 +210,24 @@
   CHECK(queue.Pop(Ms{0})->workspace_hash == first);
 }
 
+TEST_CASE("a flood does not stand ahead of other workspaces") {
+  CallQueue queue;
+  for (uint64_t i = 0; i < 100; ++i) queue.Push(CallOf({i, 1}));
+  queue.Push(CallOf({100, 2}));
+  struct Row {
+    uint64_t workspace;
+    double weight;
+    uint64_t ahead;
+  };
+  const std::vector<Row> rows = {
+      {1, 1, 10100}, {2, 1, 300}, {2, 2, 200}, {3, 1, 200}, {3, 0.01, 10100}};
+  for (const Row& row : rows) {
+    CAPTURE(row.workspace);
+    CAPTURE(row.weight);
+    CHECK(queue.TokensAhead(row.workspace, row.weight) == row.ahead);
+  }
+}
+
 TEST_CASE("cancelled and expired calls leave the queue") {
   CallQueue queue;
   queue.Push(CallOf({1, 1, 0, 100, 0, 1, 0, 50}));
@@ -233,16 +254,24 @@
   }
 }
 
-TEST_CASE("placement and queue allocate nothing on the path of a request") {
+TEST_CASE("decisions allocate nothing on the path of a request") {
   std::vector<UpstreamView> candidates;
   for (uint32_t i = 0; i < 730; ++i) candidates.push_back(Busy(i, i));
   CallQueue queue;
   for (uint64_t i = 0; i < 500; ++i) queue.Push(CallOf({i, i % 40}));
+  CacheView cache;
+  LoadView load;
+  RetryBudget retries;
   const uint64_t before = AllocationCount();
   for (uint64_t i = 500; i < 5000; ++i) {
     PlacementCall call;
     call.random = i;
     PlaceCall(call, candidates);
+    cache.Record({i, 1, 1000, 0, 10}, Ms{0});
+    candidates[0].cached_tokens = cache.ExpectedTokens(i, 1);
+    AddOwnDispatch(load, {Ms{0}, 10, 10});
+    FillLoad(load, Ms{1}, candidates[0]);
+    DecideRetry(retries, FailedAttempt{}, Ms{0}, 0.5);
     queue.Push(CallOf({i, i % 40}));
     queue.Pop(Ms{0});
   }
