--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -828,6 +828,7 @@
   uint8_t hops = 0;
   uint64_t config_version = 0;
   std::string request_id{};
+  bool ends_program = false;
 };
 
 struct Call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -846,7 +847,8 @@
     VT_DEADLINE_MS = 20,
     VT_HOPS = 22,
     VT_CONFIG_VERSION = 24,
-    VT_REQUEST_ID = 26
+    VT_REQUEST_ID = 26,
+    VT_ENDS_PROGRAM = 28
   };
   const flatbuffers::String *workspace() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
@@ -884,6 +886,9 @@
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
   }
+  bool ends_program() const {
+    return GetField<uint8_t>(VT_ENDS_PROGRAM, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKSPACE) &&
@@ -906,6 +911,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
            verifier.VerifyString(request_id()) &&
+           VerifyField<uint8_t>(verifier, VT_ENDS_PROGRAM, 1) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -953,6 +959,9 @@
   void add_request_id(flatbuffers::Offset<flatbuffers::String> request_id) {
     fbb_.AddOffset(Call::VT_REQUEST_ID, request_id);
   }
+  void add_ends_program(bool ends_program) {
+    fbb_.AddElement<uint8_t>(Call::VT_ENDS_PROGRAM, static_cast<uint8_t>(ends_program), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -977,7 +986,8 @@
     int64_t deadline_ms = 0,
     uint8_t hops = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<flatbuffers::String> request_id = 0) {
+    flatbuffers::Offset<flatbuffers::String> request_id = 0,
+    bool ends_program = false) {
   CallBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_deadline_ms(deadline_ms);
@@ -989,6 +999,7 @@
   builder_.add_parent(parent);
   builder_.add_program(program);
   builder_.add_workspace(workspace);
+  builder_.add_ends_program(ends_program);
   builder_.add_hops(hops);
   builder_.add_stream(stream);
   return builder_.Finish();
@@ -1012,7 +1023,8 @@
     int64_t deadline_ms = 0,
     uint8_t hops = 0,
     uint64_t config_version = 0,
-    const char *request_id = nullptr) {
+    const char *request_id = nullptr,
+    bool ends_program = false) {
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto program__ = program ? _fbb.CreateString(program) : 0;
   auto parent__ = parent ? _fbb.CreateString(parent) : 0;
@@ -1034,7 +1046,8 @@
       deadline_ms,
       hops,
       config_version,
-      request_id__);
+      request_id__,
+      ends_program);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1419,6 +1432,7 @@
   int64_t queue_ms = 0;
   std::unique_ptr<knapweed::wire::LoadT> load{};
   std::string upstream{};
+  bool pending = false;
   bool crashed = false;
   ResultT() = default;
   ResultT(const ResultT &o);
@@ -1440,7 +1454,8 @@
     VT_QUEUE_MS = 16,
     VT_LOAD = 18,
     VT_UPSTREAM = 20,
-    VT_CRASHED = 22
+    VT_PENDING = 22,
+    VT_CRASHED = 24
   };
   int32_t status() const {
     return GetField<int32_t>(VT_STATUS, 0);
@@ -1469,6 +1484,9 @@
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
+  bool pending() const {
+    return GetField<uint8_t>(VT_PENDING, 0) != 0;
+  }
   bool crashed() const {
     return GetField<uint8_t>(VT_CRASHED, 0) != 0;
   }
@@ -1487,6 +1505,7 @@
            verifier.VerifyTable(load()) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_PENDING, 1) &&
            VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
            verifier.EndTable();
   }
@@ -1526,6 +1545,9 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(Result::VT_UPSTREAM, upstream);
   }
+  void add_pending(bool pending) {
+    fbb_.AddElement<uint8_t>(Result::VT_PENDING, static_cast<uint8_t>(pending), 0);
+  }
   void add_crashed(bool crashed) {
     fbb_.AddElement<uint8_t>(Result::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
   }
@@ -1551,6 +1573,7 @@
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool pending = false,
     bool crashed = false) {
   ResultBuilder builder_(_fbb);
   builder_.add_queue_ms(queue_ms);
@@ -1563,6 +1586,7 @@
   builder_.add_body(body);
   builder_.add_status(status);
   builder_.add_crashed(crashed);
+  builder_.add_pending(pending);
   return builder_.Finish();
 }
 
@@ -1582,6 +1606,7 @@
     int64_t queue_ms = 0,
     flatbuffers::Offset<knapweed::wire::Load> load = 0,
     const char *upstream = nullptr,
+    bool pending = false,
     bool crashed = false) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
@@ -1596,6 +1621,7 @@
       queue_ms,
       load,
       upstream__,
+      pending,
       crashed);
 }
 
@@ -2228,6 +2254,8 @@
   double granted = 0.0;
   int64_t retry_after_ms = 0;
   int64_t valid_ms = 0;
+  int64_t start_after_ms = 0;
+  uint8_t code = 0;
 };
 
 struct BucketGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2237,7 +2265,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GRANTED = 4,
     VT_RETRY_AFTER_MS = 6,
-    VT_VALID_MS = 8
+    VT_VALID_MS = 8,
+    VT_START_AFTER_MS = 10,
+    VT_CODE = 12
   };
   double granted() const {
     return GetField<double>(VT_GRANTED, 0.0);
@@ -2248,11 +2278,19 @@
   int64_t valid_ms() const {
     return GetField<int64_t>(VT_VALID_MS, 0);
   }
+  int64_t start_after_ms() const {
+    return GetField<int64_t>(VT_START_AFTER_MS, 0);
+  }
+  uint8_t code() const {
+    return GetField<uint8_t>(VT_CODE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<double>(verifier, VT_GRANTED, 8) &&
            VerifyField<int64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_VALID_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_START_AFTER_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CODE, 1) &&
            verifier.EndTable();
   }
   BucketGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2273,6 +2311,12 @@
   void add_valid_ms(int64_t valid_ms) {
     fbb_.AddElement<int64_t>(BucketGrant::VT_VALID_MS, valid_ms, 0);
   }
+  void add_start_after_ms(int64_t start_after_ms) {
+    fbb_.AddElement<int64_t>(BucketGrant::VT_START_AFTER_MS, start_after_ms, 0);
+  }
+  void add_code(uint8_t code) {
+    fbb_.AddElement<uint8_t>(BucketGrant::VT_CODE, code, 0);
+  }
   explicit BucketGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2288,11 +2332,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     double granted = 0.0,
     int64_t retry_after_ms = 0,
-    int64_t valid_ms = 0) {
+    int64_t valid_ms = 0,
+    int64_t start_after_ms = 0,
+    uint8_t code = 0) {
   BucketGrantBuilder builder_(_fbb);
+  builder_.add_start_after_ms(start_after_ms);
   builder_.add_valid_ms(valid_ms);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_granted(granted);
+  builder_.add_code(code);
   return builder_.Finish();
 }
 
@@ -3252,6 +3300,7 @@
   { auto _e = hops(); _o->hops = _e; }
   { auto _e = config_version(); _o->config_version = _e; }
   { auto _e = request_id(); if (_e) _o->request_id = _e->str(); }
+  { auto _e = ends_program(); _o->ends_program = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3274,6 +3323,7 @@
   auto _hops = _o->hops;
   auto _config_version = _o->config_version;
   auto _request_id = _o->request_id.empty() ? 0 : _fbb.CreateString(_o->request_id);
+  auto _ends_program = _o->ends_program;
   return knapweed::wire::CreateCall(
       _fbb,
       _workspace,
@@ -3287,7 +3337,8 @@
       _deadline_ms,
       _hops,
       _config_version,
-      _request_id);
+      _request_id,
+      _ends_program);
 }
 
 inline DispatchT *Dispatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3403,6 +3454,7 @@
         queue_ms(o.queue_ms),
         load((o.load) ? new knapweed::wire::LoadT(*o.load) : nullptr),
         upstream(o.upstream),
+        pending(o.pending),
         crashed(o.crashed) {
 }
 
@@ -3416,6 +3468,7 @@
   std::swap(queue_ms, o.queue_ms);
   std::swap(load, o.load);
   std::swap(upstream, o.upstream);
+  std::swap(pending, o.pending);
   std::swap(crashed, o.crashed);
   return *this;
 }
@@ -3438,6 +3491,7 @@
   { auto _e = queue_ms(); _o->queue_ms = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<knapweed::wire::LoadT>(_e->UnPack(_resolver)); }
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = pending(); _o->pending = _e; }
   { auto _e = crashed(); _o->crashed = _e; }
 }
 
@@ -3458,6 +3512,7 @@
   auto _queue_ms = _o->queue_ms;
   auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _pending = _o->pending;
   auto _crashed = _o->crashed;
   return knapweed::wire::CreateResult(
       _fbb,
@@ -3470,6 +3525,7 @@
       _queue_ms,
       _load,
       _upstream,
+      _pending,
       _crashed);
 }
 
@@ -3730,6 +3786,8 @@
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = valid_ms(); _o->valid_ms = _e; }
+  { auto _e = start_after_ms(); _o->start_after_ms = _e; }
+  { auto _e = code(); _o->code = _e; }
 }
 
 inline flatbuffers::Offset<BucketGrant> BucketGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BucketGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3743,11 +3801,15 @@
   auto _granted = _o->granted;
   auto _retry_after_ms = _o->retry_after_ms;
   auto _valid_ms = _o->valid_ms;
+  auto _start_after_ms = _o->start_after_ms;
+  auto _code = _o->code;
   return knapweed::wire::CreateBucketGrant(
       _fbb,
       _granted,
       _retry_after_ms,
-      _valid_ms);
+      _valid_ms,
+      _start_after_ms,
+      _code);
 }
 
 inline HandoverT *Handover::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tools/knapweed_sidecar.cc
+++ b/tools/knapweed_sidecar.cc
@@ -1,10 +1,11 @@
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdio>
 #include <string>
 #include <utility>
 
-#include <unistd.h>
-
+#include "absl/strings/str_cat.h"
 #include "knapweed/base/daemon_args.h"
 #include "knapweed/base/log.h"
 #include "knapweed/sidecar/sidecar.h"
@@ -16,20 +17,19 @@
   if (args.exit_now) return args.exit_code;
   auto config = knapweed::LoadSidecarConfig(args.config_path);
   if (!config.ok()) {
-    std::fprintf(stderr, "%s\n",
-                 std::string(config.status().message()).c_str());
+    const std::string faults = absl::StrCat(config.status().message());
+    std::fprintf(stderr, "%s\n", faults.c_str());
     return knapweed::kExitBadConfig;
   }
   if (args.check_only) return knapweed::kExitOk;
   knapweed::StartLog(config->log_level);
   knapweed::BlockStopSignals();
   auto directory = knapweed::ConnectDirectory(*config);
-  auto sidecar =
-      Sidecar::Start(*std::move(config), std::move(directory),
-                     [] { kill(getpid(), SIGTERM); });
+  auto sidecar = Sidecar::Start(*std::move(config), std::move(directory),
+                                [] { kill(getpid(), SIGTERM); });
   if (!sidecar.ok()) {
-    std::fprintf(stderr, "%s\n",
-                 std::string(sidecar.status().message()).c_str());
+    const std::string fault = absl::StrCat(sidecar.status().message());
+    std::fprintf(stderr, "%s\n", fault.c_str());
     return knapweed::kExitFailed;
   }
   knapweed::WaitForStopSignal();
