--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "knapweed/base/log.h"
 #include "knapweed/http/server.h"
 #include "knapweed/sidecar/dispatcher.h"
@@ -24,7 +25,7 @@
 constexpr int kRowTries = 10;
 
 std::string Text(const absl::Status& status) {
-  return std::string(status.message());
+  return absl::StrCat(status.message());
 }
 
 wire::FailureT BadMessage() {
@@ -273,8 +274,8 @@
                     well ? R"({"ready":true})" : R"({"ready":false})"});
   } else if (request.method == "POST" && request.path == "/drain") {
     kLog.Info("An operator asked for a planned stop.");
-    responder.Send({202, json, R"({"draining":true})"});
     if (on_drain_asked) on_drain_asked();
+    responder.Send({202, json, R"({"draining":true})"});
   } else {
     responder.Send({404, json, R"({"error":"no such path"})"});
   }
--- a/tests/sidecar__engine_test.cc
+++ b/tests/sidecar__engine_test.cc
@@ -19,7 +19,8 @@
   const auto reply = HttpClient(engine).Call({"GET", "/stats", "", {}, ""});
   if (!reply.ok()) return {};
   std::vector<std::string> holds;
-  for (const Json& hold : Json::parse(reply->body)["holds"]) {
+  const Json stats = Json::parse(reply->body);
+  for (const Json& hold : stats["holds"]) {
     holds.push_back(hold["hold"]);
   }
   return holds;
