Let engines speed up once the streams have ended

Cause: the row about a withdrawn key took 52 s in a trial, most of it slow answers after its point was made. Conclusion: engines run fast again for the row's last calls.

--- a/tests/process/planned_scenarios.cc
+++ b/tests/process/planned_scenarios.cc
@@ -140,6 +140,9 @@
   }
   PrintFigure("key_withdrawn_streams_ended", longest.Seconds(), "s");
   CHECK(longest < Seconds(3));
+  for (size_t i = 0; i < fleet.options().engines; ++i) {
+    fleet.engine(i).Control({{"decode_tokens_per_s", 400}});
+  }
   for (size_t i = 0; i < fleet.entry_count(); ++i) {
     const std::string program = absl::StrCat("refused-", i);
     CHECK(SendTurn(fleet, i, "w", program, program, program, false, Seconds(5))
