Cut one failure domain off from the store in tests

Conclusion: a stand-in serves an address for each domain, and each can be cut; a row brings it about.

--- a/standins/standin.cc
+++ b/standins/standin.cc
@@ -1,5 +1,6 @@
 #include "standins/standin.h"
 
+#include <atomic>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -13,10 +14,21 @@
 constexpr int kServerThreads = 200;
 constexpr size_t kMaxBodyBytes = 64 << 20;
 
-void HandleControl(const Standin& standin, const HttpRequest& request,
+// One address of a stand-in.
+struct Served {
+  Standin standin;
+  std::atomic<bool> cut{false};
+};
+
+void HandleControl(Served& served, const HttpRequest& request,
                    HttpResponder& responder) {
-  const absl::Status status =
-      standin.control(json::parse(request.body, nullptr, false));
+  json fields = json::parse(request.body, nullptr, false);
+  const bool names_cut = fields.is_object() && fields.contains("cut");
+  if (names_cut) {
+    served.cut.store(fields["cut"] == true);
+    fields.erase("cut");
+  }
+  const absl::Status status = served.standin.control(fields);
   if (!status.ok()) {
     SendBadRequest(responder, status);
     return;
@@ -24,6 +36,21 @@
   SendJson(responder, 200, json::object());
 }
 
+void Handle(Served& served, const HttpRequest& request,
+            HttpResponder& responder) {
+  if (request.path == "/control") {
+    HandleControl(served, request, responder);
+  } else if (served.cut.load()) {
+    responder.Drop();
+  } else if (request.path == "/healthz") {
+    responder.Send({200, {}, "ok\n"});
+  } else if (request.path == "/record") {
+    SendJson(responder, 200, served.standin.record());
+  } else {
+    served.standin.handle(request, responder);
+  }
+}
+
 }  // namespace
 
 void to_json(json& to, const Ms& from) { to = from.count; }
@@ -60,18 +87,11 @@
   options.listen = listen;
   options.threads = kServerThreads;
   options.max_body = kMaxBodyBytes;
+  const auto served = std::make_shared<Served>();
+  served->standin = std::move(standin);
   return HttpServer::Start(
-      options, [standin = std::move(standin)](const HttpRequest& request,
-                                              HttpResponder& responder) {
-        if (request.path == "/healthz") {
-          responder.Send({200, {}, "ok\n"});
-        } else if (request.path == "/record") {
-          SendJson(responder, 200, standin.record());
-        } else if (request.path == "/control") {
-          HandleControl(standin, request, responder);
-        } else {
-          standin.handle(request, responder);
-        }
+      options, [served](const HttpRequest& request, HttpResponder& responder) {
+        Handle(*served, request, responder);
       });
 }
 
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -61,7 +61,8 @@
 nlohmann::json HeadersToJson(const HttpRequest& request);
 
 /// Serves a stand-in, with /healthz, /control and /record besides its own
-/// paths.
+/// paths. The control field "cut" belongs to this address alone: while it is
+/// true every other request is dropped unanswered, as on a broken network.
 absl::StatusOr<std::unique_ptr<HttpServer>> ServeStandin(const Address& listen,
                                                          Standin standin);
 
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "standins/free_port.h"
 #include "tests/process/caller.h"
 
@@ -24,7 +25,6 @@
 constexpr Ms kStartLimit = Seconds(20);
 constexpr Ms kPollEvery{20};
 constexpr Ms kPlatformTimeout = Seconds(2);
-constexpr size_t kDomains = 3;
 
 std::string Tool(const std::string& name) {
   return absl::StrCat(KNAPWEED_TOOL_DIR, "/", name);
@@ -37,6 +37,19 @@
   return path;
 }
 
+std::vector<Address> MakeAddresses(size_t n) {
+  std::vector<Address> addresses;
+  for (size_t i = 0; i < n; ++i) addresses.push_back(FreeLoopbackAddress());
+  return addresses;
+}
+
+std::string Join(const std::vector<Address>& addresses) {
+  const auto append = [](std::string* out, const Address& it) {
+    out->append(it.ToString());
+  };
+  return absl::StrJoin(addresses, ",", append);
+}
+
 bool Answers(const Address& address) {
   HttpClient client(address);
   return client.Call({"GET", "/healthz", "", {}, ""}).ok();
@@ -72,13 +85,15 @@
 }
 
 StandinProcess::StandinProcess(const std::string& role, const std::string& dir,
-                               const std::string& name)
-    : address(FreeLoopbackAddress()),
-      client(address),
+                               const std::string& name, size_t address_count)
+    : addresses(MakeAddresses(address_count)),
+      client(addresses.front()),
       process({Tool("knapweed-standin"), "--role", role, "--listen",
-               address.ToString()},
+               Join(addresses)},
               absl::StrCat(dir, "/", name, ".log")) {
-  REQUIRE(WaitUntil(kStartLimit, [&] { return Answers(address); }));
+  for (const Address& it : addresses) {
+    REQUIRE(WaitUntil(kStartLimit, [&] { return Answers(it); }));
+  }
 }
 
 void StandinProcess::Control(const json& faults) {
@@ -87,6 +102,13 @@
   REQUIRE(reply->status == 200);
 }
 
+void StandinProcess::Cut(size_t i, bool cut) {
+  HttpClient at(addresses[i]);
+  const json field = {{"cut", cut}};
+  const auto reply = at.Call({"POST", "/control", "", {}, field.dump()});
+  REQUIRE(reply.ok());
+}
+
 json StandinProcess::Get(const std::string& path) {
   const auto reply = client.Call({"GET", path, "", {}, ""});
   return reply.ok() ? json::parse(reply->body, nullptr, false) : json();
@@ -114,9 +136,16 @@
 }
 
 void Fleet::StartPlatform() {
-  platform_ = std::make_unique<StandinProcess>("platform", dir_, "platform");
-  config_.table = ConnectTableService(platform_->address, kPlatformTimeout);
-  config_.objects = ConnectObjectStore(platform_->address, kPlatformTimeout);
+  platform_ = std::make_unique<StandinProcess>("platform", dir_, "platform",
+                                               kDomains + 1);
+  config_.table =
+      ConnectTableService(platform_->addresses[0], kPlatformTimeout);
+  config_.objects =
+      ConnectObjectStore(platform_->addresses[0], kPlatformTimeout);
+}
+
+const Address& Fleet::PlatformOf(size_t domain) const {
+  return platform_->addresses[1 + domain % kDomains];
 }
 
 void Fleet::Configure() {
@@ -134,15 +163,15 @@
     const std::string name = absl::StrCat("engine-", i);
     engines_.push_back(std::make_unique<StandinProcess>("engine", dir_, name));
     engines_.back()->Control(options_.engine_options);
-    StartSidecar(absl::StrCat("up-", name), engines_.back()->address, "chat",
-                 i);
+    StartSidecar(absl::StrCat("up-", name), engines_.back()->addresses[0],
+                 "chat", i);
   }
   for (size_t i = 0; i < options_.services; ++i) {
     const std::string name = absl::StrCat("service-", i);
     services_.push_back(
         std::make_unique<StandinProcess>("service", dir_, name));
-    StartSidecar(absl::StrCat("up-", name), services_.back()->address, "desk",
-                 i);
+    StartSidecar(absl::StrCat("up-", name), services_.back()->addresses[0],
+                 "desk", i);
   }
 }
 
@@ -167,7 +196,7 @@
       "\nrpc = ", FreeLoopbackAddress().ToString(),
       "\ncontrol = ", made.control.ToString(),
       "\nslots = 8\n\n[upstream]\naddress = ", upstream.ToString(),
-      "\n\n[platform]\ntable = ", platform_->address.ToString(), "\n");
+      "\n\n[platform]\ntable = ", PlatformOf(domain).ToString(), "\n");
   made.process = StartDaemon("knapweed-sidecar", name, ini);
 }
 
@@ -176,7 +205,7 @@
   made.name = absl::StrCat("entry-", i);
   made.listen = FreeLoopbackAddress();
   made.control = FreeLoopbackAddress();
-  const std::string store = platform_->address.ToString();
+  const std::string store = PlatformOf(i).ToString();
   const std::string ini = absl::StrCat(
       "[entry]\nname = ", made.name, "\nfailure_domain = d", i % kDomains,
       "\nlisten = ", made.listen.ToString(),
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -26,19 +26,24 @@
   nlohmann::json engine_options = nlohmann::json::object();
 };
 
+inline constexpr size_t kDomains = 3;
+
 /// The rules file of a fleet; `more_route` is one further route, if any.
 std::string RulesText(const FleetOptions& options,
                       const std::string& more_route = "");
 
 /// A stand-in process and a client of its control paths.
 struct StandinProcess {
+  /// Serves `address_count` addresses; the first is the one that tests use.
   StandinProcess(const std::string& role, const std::string& dir,
-                 const std::string& name);
+                 const std::string& name, size_t address_count = 1);
 
   void Control(const nlohmann::json& faults);
+  /// Breaks or mends the network before one of the addresses.
+  void Cut(size_t i, bool cut);
   nlohmann::json Get(const std::string& path);
 
-  Address address;
+  std::vector<Address> addresses;
   HttpClient client;
   ChildProcess process;
 };
@@ -81,6 +86,8 @@
 
  private:
   void StartPlatform();
+  /// Each failure domain reaches the platform by an address of its own.
+  const Address& PlatformOf(size_t domain) const;
   void Configure();
   void StartUpstreams();
   void StartSidecar(const std::string& name, const Address& upstream,
--- a/tests/process/store_scenarios.cc
+++ b/tests/process/store_scenarios.cc
@@ -109,6 +109,22 @@
   programs.SayAll("third", kLimit, 0);
 }
 
+// One failure domain reaches its peers, but not the store.
+void DomainCutOff(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "cut", kPrograms);
+  programs.SayAll("first", kLimit);
+  BookAll(context, "cut", kBookings, kLimit, kAnswered, [&] {
+    fleet.platform().Cut(1, true);
+    programs.SayAll("second", kLimit, 0);
+  });
+  SleepFor(fleet.options().lease * 2);
+  programs.SayAll("third", kLimit, 0);
+  fleet.platform().Cut(1, false);
+  programs.SayAll("fourth", kLimit, 0);
+  BookAll(context, "healed", kBookings, kLimit, kAnswered);
+}
+
 }  // namespace
 
 std::span<const Scenario> StoreScenarios() {
@@ -119,6 +135,7 @@
       {"store_slow", Slow},
       {"store_down_longer_than_lease", Down},
       {"store_down_and_owner_killed", DownAndOwnerKilled},
+      {"domain_cut_off_from_store", DomainCutOff},
   };
   return *kRows;
 }
--- a/tests/standins_test.cc
+++ b/tests/standins_test.cc
@@ -143,6 +143,16 @@
   CHECK(record[0]["attempt"] == "a1");
 }
 
+TEST_CASE("a cut address answers nothing until it is mended") {
+  Served tool(MakeToolStandin());
+  CHECK(tool.Post("/tool/x", json::object()).ok());
+  REQUIRE(tool.Post("/control", {{"cut", true}}).ok());
+  CHECK_FALSE(tool.Post("/tool/x", json::object()).ok());
+  REQUIRE(tool.Post("/control", {{"cut", false}}).ok());
+  CHECK(tool.Post("/tool/x", json::object()).ok());
+  CHECK(tool.Get("/record").size() == 2);
+}
+
 TEST_CASE("each fault of the plain service shows in its record") {
   struct FaultCase {
     std::string name;
--- a/tools/knapweed_standin.cc
+++ b/tools/knapweed_standin.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,7 +27,7 @@
 
 struct Arguments {
   std::string role;
-  Address listen;
+  std::vector<Address> listen;
   json fields = json::object();
 };
 
@@ -45,6 +46,15 @@
   return true;
 }
 
+bool ReadAddresses(const char* text, std::vector<Address>* addresses) {
+  if (text == nullptr) return false;
+  const std::vector<std::string> words = absl::StrSplit(text, ',');
+  for (const std::string& it : words) {
+    if (!knapweed::ParseAddress(it, &addresses->emplace_back())) return false;
+  }
+  return true;
+}
+
 // Nothing when there is no such role.
 std::optional<Standin> MakeStandin(const std::string& role) {
   if (role == "platform") return knapweed::MakePlatformStandin();
@@ -66,12 +76,15 @@
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  const auto server =
-      knapweed::ServeStandin(arguments.listen, *std::move(standin));
-  if (!server.ok()) {
-    std::fprintf(stderr, "knapweed-standin: %s\n",
-                 absl::StrCat(server.status().message()).c_str());
-    return EXIT_FAILURE;
+  std::vector<std::unique_ptr<knapweed::HttpServer>> servers;
+  for (const Address& listen : arguments.listen) {
+    auto server = knapweed::ServeStandin(listen, *standin);
+    if (!server.ok()) {
+      std::fprintf(stderr, "knapweed-standin: %s\n",
+                   absl::StrCat(server.status().message()).c_str());
+      return EXIT_FAILURE;
+    }
+    servers.push_back(*std::move(server));
   }
   int signal = 0;
   sigwait(&signals, &signal);
@@ -90,7 +103,7 @@
       {"role", 'r', POPT_ARG_STRING, &role, 0,
        "platform, engine, service or tool", "ROLE"},
       {"listen", 'l', POPT_ARG_STRING, &listen, 0, "where to serve HTTP",
-       "IP:PORT"},
+       "IP:PORT,..."},
       {"set", 's', POPT_ARG_STRING, &set, kSet,
        "an option or fault of the role, as for POST /control; may be repeated",
        "NAME=VALUE"},
@@ -119,8 +132,8 @@
     arguments.fields["models"] = names;
   }
   if (role == nullptr) return Usage("--role is missing");
-  if (listen == nullptr || !knapweed::ParseAddress(listen, &arguments.listen)) {
-    return Usage("--listen takes IP:PORT");
+  if (!ReadAddresses(listen, &arguments.listen)) {
+    return Usage("--listen takes IP:PORT, or several with commas between");
   }
   arguments.role = role;
   poptFreeContext(context);
