--- a/tests/process/owner_scenarios.cc
+++ b/tests/process/owner_scenarios.cc
@@ -12,6 +12,8 @@
 constexpr size_t kPrograms = 12;
 constexpr size_t kBookings = 9;
 constexpr Ms kLimit = Seconds(25);
+// How long an engine keeps a paused program's cache without a renewal.
+constexpr Ms kPinLease = Seconds(30);
 // By then the calls of a scenario have reached their upstreams.
 constexpr Ms kUnderWay{500};
 
@@ -135,6 +137,31 @@
   programs.SayAll("fifth", kLimit, 2);
 }
 
+size_t Holds(Fleet& fleet) {
+  size_t n = 0;
+  for (size_t i = 0; i < fleet.options().engines; ++i) {
+    n += fleet.engine(i).Get("/stats")["holds"].size();
+  }
+  return n;
+}
+
+// Nobody is left who knows the programs, and one sidecar forgot its holds.
+void HoldsFreed(ScenarioContext& context) {
+  Fleet& fleet = context.fleet;
+  ProgramSet programs(context, "held", kPrograms);
+  programs.SayAll("first", kLimit);
+  CHECK(WaitUntil(kLimit, [&] { return Holds(fleet) > 0; }));
+  for (size_t i = 0; i < fleet.entry_count(); ++i) {
+    fleet.entry(i).process->Kill();
+  }
+  fleet.sidecar(0).process->Kill();
+  fleet.sidecar(0).process->Restart();
+  const Clock clock = Clock::Steady();
+  const Ms start = clock.Now();
+  CHECK(WaitUntil(kPinLease + Seconds(5), [&] { return Holds(fleet) == 0; }));
+  PrintFigure("holds_freed_after_deaths", (clock.Now() - start).Seconds(), "s");
+}
+
 }  // namespace
 
 std::span<const Scenario> OwnerScenarios() {
@@ -147,6 +174,7 @@
       {"sidecar_killed_and_restarted", SidecarRestarted},
       {"entry_and_sidecar_killed", EntryAndSidecarKilled},
       {"owner_killed_twice", KilledTwice},
+      {"holds_freed_after_deaths", HoldsFreed},
   };
   return *kRows;
 }
