Count a booking as settled when its unknown outcome is said twice

Cause: the interface says in the field run whether a call's outcome is unknown; the code beside it may be another one, and the checks of bookings had asked for one code. An answer must now come twice in the same way, so that a passing error does not count. At most once is still judged by the records alone.

--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -78,8 +78,9 @@
   CallerReply last;
 };
 
-/// Sends a booking until it is answered, or its outcome is final, or the limit
-/// is over. It ended as not run when every reply said so.
+/// Sends a booking until it is answered, or is said twice running and in the
+/// same way to be unknown, or the limit is over. It ended as not run when every
+/// reply said so.
 Booking BookUntilSettled(Fleet& fleet, const std::string& reference, Ms limit,
                          size_t entry);
 
