See a non-idempotent call through, and call nothing kept that may be lost

Cause: the death of the entry that forwarded a booking cancelled it at its owner, which then recorded an unknown outcome for good; and an owner cut off from the store answered turns as pending that its successor never saw. Conclusion: such a dispatch is never cancelled, an open outcome stays an open intent that the same request settles, and pending is said only in an outage that every failure domain confirms.

--- a/include/knapweed/entry/call_router.h
+++ b/include/knapweed/entry/call_router.h
@@ -3,6 +3,7 @@
 
 #include "knapweed/base/clock.h"
 #include "knapweed/base/metrics.h"
+#include "knapweed/entry/store_contact.h"
 #include "knapweed/entry/turn_runner.h"
 #include "knapweed/membership/membership.h"
 #include "knapweed/wire/rpc.h"
@@ -14,6 +15,7 @@
   const Clock& clock;
   Membership& membership;
   TurnRunner& runner;
+  const StoreContact& contact;
   RpcPool& rpc;
   Metrics& metrics;
   uint32_t partition_count;
--- a/include/knapweed/entry/store_contact.h
+++ b/include/knapweed/entry/store_contact.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEED_ENTRY_STORE_CONTACT_H_
 #define KNAPWEED_ENTRY_STORE_CONTACT_H_
 
+#include <atomic>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -60,6 +61,9 @@
  public:
   explicit StoreContact(StoreContactParts parts);
 
+  /// Whether every failure domain said lately that the store is out, so that no
+  /// other entry can take anything over.
+  bool InOutage() const;
   /// One round; blocks until the entries answered or timed out.
   void Step();
 
@@ -68,6 +72,7 @@
 
   const StoreContactParts parts_;
   uint64_t round_ = 0;
+  std::atomic<int64_t> outage_until_ms_{0};
 };
 
 }  // namespace knapweed
--- a/include/knapweed/entry/turn_runner.h
+++ b/include/knapweed/entry/turn_runner.h
@@ -8,6 +8,7 @@
 #include "knapweed/base/metrics.h"
 #include "knapweed/base/outcome.h"
 #include "knapweed/entry/crash_board.h"
+#include "knapweed/entry/store_contact.h"
 #include "knapweed/entry/upstream_directory.h"
 #include "knapweed/membership/membership.h"
 #include "knapweed/policy/retry.h"
@@ -21,9 +22,11 @@
 struct TurnRunnerParts {
   const Clock& clock;
   const RulesHolder& rules;
+  const Membership& membership;
   ProgramTable& programs;
   UpstreamDirectory& upstreams;
   CrashBoard& crashes;
+  const StoreContact& contact;
   RpcPool& rpc;
   Metrics& metrics;
   uint32_t partition_count;
@@ -46,11 +49,16 @@
 
  private:
   struct Turn;
+  enum class Resolution : uint8_t;
 
   wire::ResultT RunHeld(Turn& turn, TurnHold hold);
+  static bool MustBeKept(const Turn& turn, const wire::ResultT& result);
   /// Settles what became of an attempt whose owner died before its outcome.
-  bool ResolveOpenIntent(Turn& turn, const TurnHold& hold,
-                         wire::ResultT* result);
+  Resolution ResolveOpenIntent(Turn& turn, const TurnHold& hold,
+                               wire::ResultT* result);
+  bool IsRegistered(const Intent& intent) const;
+  /// Whether this process may act for the turn's partition now.
+  bool MayServe(const Turn& turn) const;
   /// Waits a bounded time while no upstream takes work; null when none did.
   UpstreamPtr PlaceOrWait(Turn& turn, int dispatch);
   bool MayRetry(const Turn& turn, const wire::ResultT& result,
--- a/src/entry/call_router.cc
+++ b/src/entry/call_router.cc
@@ -70,7 +70,8 @@
     return Failed(ErrorCode::kNotOwner, RunState::kNotRun, kOwnerRetryAfter,
                   "The program has no owner at the moment.");
   }
-  if (owner->self || owner->lapsed_self) {
+  const bool keeps = owner->lapsed_self && parts_.contact.InOutage();
+  if (owner->self || keeps) {
     return call.ends_program ? parts_.runner.EndProgram(call)
                              : parts_.runner.Run(call, sink);
   }
--- a/src/entry/store_contact.cc
+++ b/src/entry/store_contact.cc
@@ -12,6 +12,8 @@
 constexpr Logger kLog("contact");
 /// An entry whose last confirmation is older does not reach the store.
 constexpr Ms kReachesStore = Ms{2500};
+/// How long an outage counts after every domain reported it.
+constexpr Ms kOutageHolds = Seconds(3);
 constexpr Ms kAskTimeout = Ms{800};
 
 }  // namespace
@@ -73,6 +75,10 @@
   return answer;
 }
 
+bool StoreContact::InOutage() const {
+  return parts_.clock.Now() < Ms{outage_until_ms_.load()};
+}
+
 void StoreContact::Step() {
   if (parts_.watcher.ConfirmedAge() <= kReachesStore) return;
   const std::vector<Member> members = parts_.membership.Members();
@@ -86,7 +92,10 @@
     parts_.watcher.ConfirmFromPeer(verdict.newer_version, Ms{0});
   }
   if (verdict.relayed) parts_.watcher.ConfirmFromPeer(version, verdict.age);
-  if (verdict.outage) parts_.watcher.ConfirmOutage();
+  if (verdict.outage) {
+    parts_.watcher.ConfirmOutage();
+    outage_until_ms_ = (parts_.clock.Now() + kOutageHolds).count;
+  }
   kLog.Debug("Asked the other failure domains.",
              {{"domains", answers.size()},
               {"relayed", verdict.relayed ? "yes" : "no"},
--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -34,9 +34,9 @@
   return result;
 }
 
-bool IsNotRun(const wire::ResultT& result) {
-  return result.failure != nullptr &&
-         result.failure->run == static_cast<uint8_t>(RunState::kNotRun);
+wire::ResultT NotServed() {
+  return FailureResult({ErrorCode::kNotOwner, RunState::kNotRun,
+                        kOwnerRetryAfter, "The program's owner changes."});
 }
 
 // Why a dispatch that brought no answer failed. Only a request that certainly
@@ -118,6 +118,9 @@
 
 }  // namespace
 
+/// What became of an attempt whose owner died before its outcome.
+enum class TurnRunner::Resolution : uint8_t { kNeverRan, kSettled, kOpen };
+
 struct TurnRunner::Turn {
   Turn(const wire::CallT& c, const ChunkSink& s)
       : call(c), sink(s), cursor(s) {}
@@ -144,6 +147,7 @@
   turn.program_hash = ProgramHash(turn.key);
   turn.partition = PartitionOf(turn.key, parts_.partition_count);
   turn.deadline = parts_.clock.Now() + Ms{call.deadline_ms};
+  if (!MayServe(turn)) return NotServed();
   ProgramBudget budget;
   {
     const RulesHolder::ReadGuard rules = parts_.rules.Read();
@@ -169,11 +173,23 @@
   return RunHeld(turn, std::get<TurnHold>(std::move(begun)));
 }
 
+bool TurnRunner::MayServe(const Turn& turn) const {
+  const std::optional<PartitionOwner> owner =
+      parts_.membership.OwnerOf(turn.partition);
+  if (!owner.has_value()) return false;
+  return owner->self || (owner->lapsed_self && parts_.contact.InOutage());
+}
+
 wire::ResultT TurnRunner::RunHeld(Turn& turn, TurnHold hold) {
   if (hold.open_intent() != nullptr) {
     wire::ResultT resolved;
-    if (ResolveOpenIntent(turn, hold, &resolved)) {
-      return Finish(turn, std::move(hold), std::move(resolved));
+    switch (ResolveOpenIntent(turn, hold, &resolved)) {
+      case Resolution::kSettled:
+        return Finish(turn, std::move(hold), std::move(resolved));
+      case Resolution::kOpen:
+        return resolved;
+      case Resolution::kNeverRan:
+        break;
     }
   }
   if (turn.route.kind == RouteKind::kModel) {
@@ -184,16 +200,32 @@
     turn.body = turn.call.body;
   }
   wire::ResultT result = DispatchWithRetries(turn, hold);
-  const bool retryable_model =
-      turn.route.kind == RouteKind::kModel && result.failure != nullptr;
-  if (retryable_model || (IsNotRun(result) && !turn.intent_recorded)) {
-    return result;  // Nothing that must last: the hold ends without a record.
-  }
+  if (!MustBeKept(turn, result)) return result;
   return Finish(turn, std::move(hold), std::move(result));
 }
 
-bool TurnRunner::ResolveOpenIntent(Turn& turn, const TurnHold& hold,
-                                   wire::ResultT* result) {
+// Whether a result ends its call for good. A failed idempotent call may simply
+// run again. An open outcome stays open in the journal as an intent, since the
+// sidecar may still learn it: the same request asked again settles it there.
+bool TurnRunner::MustBeKept(const Turn& turn, const wire::ResultT& result) {
+  if (result.failure == nullptr) return true;
+  if (!turn.route.non_idempotent || !turn.intent_recorded) return false;
+  return result.failure->run != static_cast<uint8_t>(RunState::kUnknown);
+}
+
+// Whether the sidecar that an intent names is still the one that is registered.
+bool TurnRunner::IsRegistered(const Intent& intent) const {
+  for (const SidecarRecord& it : parts_.membership.Sidecars()) {
+    if (it.upstream == intent.upstream) {
+      return it.incarnation == intent.sidecar_incarnation;
+    }
+  }
+  return false;
+}
+
+TurnRunner::Resolution TurnRunner::ResolveOpenIntent(Turn& turn,
+                                                     const TurnHold& hold,
+                                                     wire::ResultT* result) {
   const Intent& intent = *hold.open_intent();
   wire::AttemptQueryT query;
   query.attempt = intent.attempt.value;
@@ -205,17 +237,29 @@
         client->Call(Wrap(query), kQueryTimeout);
     const wire::AttemptReplyT* reply =
         answer.ok() ? answer->AsAttemptReply() : nullptr;
-    if (reply == nullptr || reply->incarnation != intent.sidecar_incarnation) {
-      break;
+    if (reply == nullptr) {
+      if (!IsRegistered(intent)) break;
+      SleepFor(kResolvePause);
+      continue;
+    }
+    if (reply->incarnation != intent.sidecar_incarnation) break;
+    if (reply->state == static_cast<uint8_t>(RunState::kNotRun)) {
+      return Resolution::kNeverRan;
     }
-    if (reply->state == static_cast<uint8_t>(RunState::kNotRun)) return false;
     if (reply->state == static_cast<uint8_t>(RunState::kRan) && reply->result) {
       *result = *reply->result;
-      return true;
+      return Resolution::kSettled;
     }
     if (reply->state != kAttemptRunning) break;
     SleepFor(kResolvePause);
   }
+  if (parts_.clock.Now() >= turn.deadline) {
+    *result = FailureResult({ErrorCode::kDeadlineExceeded, RunState::kUnknown,
+                             kOwnerRetryAfter,
+                             "The call's outcome is not known yet; ask again "
+                             "with the same Idempotency-Key."});
+    return Resolution::kOpen;
+  }
   kLog.Warning("The outcome of a non-idempotent call is unknown.",
                {{"workspace", turn.key.workspace.value},
                 {"attempt", intent.attempt.value}});
@@ -223,7 +267,7 @@
       FailureResult({ErrorCode::kOutcomeUnknown, RunState::kUnknown, Ms{0},
                      "The call may have run; its upstream's record is "
                      "gone. It is never run again by itself."});
-  return true;
+  return Resolution::kSettled;
 }
 
 UpstreamPtr TurnRunner::PlaceOrWait(Turn& turn, int dispatch) {
@@ -292,6 +336,8 @@
 wire::ResultT TurnRunner::DispatchOnce(Turn& turn, TurnHold& hold,
                                        const UpstreamPtr& upstream) {
   const SidecarRecord& record = upstream->record;
+  // The lease may have lapsed while the call waited here.
+  if (!MayServe(turn)) return NotServed();
   const QuarantineVerdict verdict =
       parts_.crashes.VerdictOf(DigestOf(turn.call));
   if (verdict == QuarantineVerdict::kQuarantined) {
@@ -345,7 +391,9 @@
       parts_.rpc.Get(record.rpc)
           ->Call(Wrap(std::move(dispatch)), left,
                  [&turn](std::string_view piece) {
-                   return turn.cursor.Push(piece);
+                   // A call that may run only once is seen through to its
+                   // outcome, also when nobody waits for it any more.
+                   return turn.cursor.Push(piece) || turn.route.non_idempotent;
                  });
   wire::ResultT* result = answer.ok() ? answer->AsResult() : nullptr;
   parts_.upstreams.OnAnswer(*upstream,
@@ -389,7 +437,10 @@
   parts_.metrics.GetCounter("turn.cached_tokens").Add(result.cached_tokens);
   const absl::Status kept = parts_.programs.Finish(std::move(hold), outcome);
   if (kept.ok()) return result;
-  if (absl::IsUnavailable(kept)) {
+  // In an outage nobody else can take the program over, so what is kept in
+  // memory is not lost to another owner. An entry that is merely cut off must
+  // not let its caller count on the answer.
+  if (absl::IsUnavailable(kept) && parts_.contact.InOutage()) {
     result.pending = true;
     parts_.metrics.GetCounter("turn.pending").Add();
     return result;
