Spend the failure domain's own share of a rate while the store is out

Conclusion: an entry spends its domain's share only in an outage that every domain has confirmed for 8 s; a bucket's owner withholds the share of each domain that has an entry it has not seen renew lately.

--- a/include/knapweed/entry/rate_gate.h
+++ b/include/knapweed/entry/rate_gate.h
@@ -10,6 +10,8 @@
 #include "knapweed/base/clock.h"
 #include "knapweed/base/ids.h"
 #include "knapweed/base/outcome.h"
+#include "knapweed/entry/share_watch.h"
+#include "knapweed/entry/store_contact.h"
 #include "knapweed/limits/bucket_owner.h"
 #include "knapweed/limits/fleet_limiter.h"
 #include "knapweed/membership/membership.h"
@@ -23,7 +25,10 @@
   const Clock& clock;
   const RulesHolder& rules;
   const Membership& membership;
+  const StoreContact& contact;
   RpcPool& rpc;
+  MemberId self;
+  FailureDomain domain;
   uint32_t partition_count;
 };
 
@@ -43,6 +48,9 @@
   wire::BucketGrantT Answer(const wire::BucketAskT& ask);
   /// This process gained a partition: buckets in it start now.
   void OnGain(PartitionId partition);
+  /// Holds back what entries out of contact may spend, and forgets what fell
+  /// quiet. Run it periodically.
+  void Step();
   /// The buckets that live here, as JSON.
   std::string DumpJson() const;
 
@@ -50,11 +58,15 @@
   PartitionId HomeOf(const WorkspaceId& workspace) const;
   std::optional<BucketLease> LeaseOf(const WorkspaceId& workspace) const;
   std::optional<RateLimit> LimitOf(const WorkspaceId& workspace) const;
+  /// The part of every rate that this process may spend by itself now.
+  double OwnShare() const;
+  double ShareOf(const FailureDomain& domain) const;
   absl::StatusOr<BucketAnswer> Ask(const BucketQuestion& question, Ms timeout);
 
   const RateGateParts parts_;
   mutable std::mutex mu_;
   std::unordered_map<uint32_t, Ms> gained_at_;
+  ShareWatch share_watch_;
   BucketOwner owner_;
   FleetLimiter limiter_;
 };
--- a/include/knapweed/entry/store_contact.h
+++ b/include/knapweed/entry/store_contact.h
@@ -64,6 +64,8 @@
   /// Whether every failure domain said lately that the store is out, so that no
   /// other entry can take anything over.
   bool InOutage() const;
+  /// For how long that has been so without a break; zero when it is not.
+  Ms OutageFor() const;
   /// One round; blocks until the entries answered or timed out.
   void Step();
 
@@ -73,6 +75,7 @@
   const StoreContactParts parts_;
   uint64_t round_ = 0;
   std::atomic<int64_t> outage_until_ms_{0};
+  std::atomic<int64_t> outage_since_ms_{0};
 };
 
 }  // namespace knapweed
--- a/include/knapweed/membership/membership.h
+++ b/include/knapweed/membership/membership.h
@@ -72,6 +72,12 @@
   bool lapsed_self = false;
 };
 
+/// One run of a member and how often it has renewed its lease.
+struct MemberBeat {
+  Member member;
+  uint64_t beat = 0;
+};
+
 /// Called with a partition and its new epoch after this process gained it,
 /// before it is served; recovers the partition's programs. After an error it is
 /// called again, until it succeeds or the partition is lost. `old_owner` is the
@@ -114,6 +120,8 @@
   bool Fenced() const;
   std::string Incarnation() const;
   std::vector<Member> Members() const;
+  /// Every member's renewals so far, as last read from the store.
+  std::vector<MemberBeat> Beats() const;
   std::vector<SidecarRecord> Sidecars() const;
   /// A hint from a peer or a broken connection that something changed; the
   /// watcher looks at once.
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -32,6 +32,7 @@
 constexpr Ms kDrainPoll = Ms{50};
 constexpr Ms kSidecarEvery = Ms{500};
 constexpr Ms kContactEvery = Ms{1000};
+constexpr Ms kRateEvery = Ms{500};
 constexpr Ms kCrashEvery = Ms{200};
 constexpr int kControlThreads = 4;
 
@@ -98,6 +99,7 @@
   std::unique_ptr<HttpServer> caller_server;
   PeriodicTask sidecar_task{
       kSidecarEvery, [this] { upstreams.Update(membership.Sidecars()); }};
+  PeriodicTask rate_task{kRateEvery, [this] { rates.Step(); }};
   PeriodicTask crash_task{kCrashEvery, [this] { crashes.Step(); }};
   PeriodicTask contact_task{kContactEvery, [this] { store_contact.Step(); }};
 };
@@ -124,8 +126,8 @@
       runner(TurnRunnerParts{clock, rules, membership, programs, upstreams,
                              crashes, store_contact, rpc, metrics,
                              config.partition_count}),
-      rates(
-          RateGateParts{clock, rules, membership, rpc, config.partition_count}),
+      rates(RateGateParts{clock, rules, membership, store_contact, rpc,
+                          config.name, config.domain, config.partition_count}),
       router(CallRouterParts{clock, membership, runner, store_contact, rpc,
                              metrics, config.partition_count}),
       front(CallerFrontParts{config, clock, rules, watcher, rates, router,
@@ -148,6 +150,7 @@
   sidecar_task.Start();
   contact_task.Start();
   crash_task.Start();
+  rate_task.Start();
   kLog.Info("Serving.", {{"listen", config.listen.ToString()},
                          {"rpc", config.rpc.ToString()},
                          {"incarnation", incarnation},
--- a/src/entry/rate_gate.cc
+++ b/src/entry/rate_gate.cc
@@ -7,6 +7,8 @@
 namespace knapweed {
 namespace {
 
+/// Longer than any lease that was renewed before the outage began.
+constexpr Ms kOwnShareAfter = Seconds(8);
 /// BucketGrant.code of an answer, and of the two ways to get none.
 constexpr uint8_t kAnswered = 0;
 constexpr uint8_t kNotBucketOwner = 1;
@@ -45,15 +47,43 @@
 
 RateGate::RateGate(const RateGateParts& parts)
     : parts_(parts),
+      share_watch_(parts.self),
       owner_({[this](const WorkspaceId& it) { return LeaseOf(it); },
               [this](const WorkspaceId& it) { return LimitOf(it); }}),
       limiter_({[this](const BucketQuestion& question, Ms timeout) {
                   return Ask(question, timeout);
                 },
-                [] { return 0.0; },
+                [this] { return OwnShare(); },
                 [this](const WorkspaceId& it) { return LimitOf(it); },
                 [this] { return parts_.clock.Now(); }, SleepFor}) {}
 
+double RateGate::ShareOf(const FailureDomain& domain) const {
+  const RulesHolder::ReadGuard rules = parts_.rules.Read();
+  const DomainRule* rule = FindDomain(*rules, domain);
+  return rule == nullptr ? 0 : rule->share;
+}
+
+double RateGate::OwnShare() const {
+  if (parts_.membership.LeaseHolds()) return 0;
+  if (parts_.contact.OutageFor() < kOwnShareAfter) return 0;
+  int entries = 0;
+  for (const Member& it : parts_.membership.Members()) {
+    entries += it.domain == parts_.domain ? 1 : 0;
+  }
+  return entries == 0 ? 0 : ShareOf(parts_.domain) / entries;
+}
+
+void RateGate::Step() {
+  const Ms now = parts_.clock.Now();
+  double withheld = 0;
+  for (const FailureDomain& it :
+       share_watch_.OutOfContact(parts_.membership.Beats(), now)) {
+    withheld += ShareOf(it);
+  }
+  owner_.SetWithheld(std::min(withheld, 1.0), now);
+  limiter_.Prune();
+}
+
 PartitionId RateGate::HomeOf(const WorkspaceId& workspace) const {
   return PartitionOf({workspace, ProgramId("")}, parts_.partition_count);
 }
--- a/src/entry/store_contact.cc
+++ b/src/entry/store_contact.cc
@@ -79,6 +79,11 @@
   return parts_.clock.Now() < Ms{outage_until_ms_.load()};
 }
 
+Ms StoreContact::OutageFor() const {
+  if (!InOutage()) return Ms{0};
+  return parts_.clock.Now() - Ms{outage_since_ms_.load()};
+}
+
 void StoreContact::Step() {
   if (parts_.watcher.ConfirmedAge() <= kReachesStore) return;
   const std::vector<Member> members = parts_.membership.Members();
@@ -94,6 +99,7 @@
   if (verdict.relayed) parts_.watcher.ConfirmFromPeer(version, verdict.age);
   if (verdict.outage) {
     parts_.watcher.ConfirmOutage();
+    if (!InOutage()) outage_since_ms_ = parts_.clock.Now().count;
     outage_until_ms_ = (parts_.clock.Now() + kOutageHolds).count;
   }
   kLog.Debug("Asked the other failure domains.",
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -216,6 +216,15 @@
   return impl_->View()->self_incarnation;
 }
 
+std::vector<MemberBeat> Membership::Beats() const {
+  const auto view = impl_->View();
+  std::vector<MemberBeat> beats;
+  for (const auto& [incarnation, row] : view->members) {
+    beats.push_back({row.member, row.beat});
+  }
+  return beats;
+}
+
 std::vector<Member> Membership::Members() const {
   std::vector<Member> members;
   for (const auto& [incarnation, row] : impl_->View()->members) {
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -10,6 +10,7 @@
 #include "knapweed/entry/caller_api.h"
 #include "knapweed/entry/entry_config.h"
 #include "knapweed/entry/prompt.h"
+#include "knapweed/entry/share_watch.h"
 #include "knapweed/entry/store_contact.h"
 #include "knapweed/entry/stream_cursor.h"
 #include "knapweed/rules/keys.h"
@@ -334,6 +335,45 @@
   }
 }
 
+TEST_CASE("shares are withheld for domains that may spend them") {
+  struct Row {
+    std::string name;
+    // Beats of entry b at 0 s, 1 s, 4 s, 7 s and 30 s; 0 when it is not listed.
+    std::vector<uint64_t> beats;
+    std::vector<bool> withheld;
+  };
+  const std::vector<Row> rows = {
+      {"renews", {5, 6, 9, 12, 40}, {true, false, false, false, false}},
+      {"stale from the start", {5, 5, 5, 5, 5}, {true, true, true, true, true}},
+      {"goes stale", {5, 6, 6, 6, 6}, {true, false, false, true, true}},
+      {"comes back", {5, 6, 6, 6, 7}, {true, false, false, true, false}},
+      {"vanishes", {5, 6, 0, 0, 0}, {true, false, false, true, false}},
+      {"joins later", {0, 1, 2, 4, 30}, {false, false, false, false, false}},
+  };
+  const int64_t seconds[] = {0, 1, 4, 7, 30};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ShareWatch watch(MemberId("a"));
+    MemberBeat own;
+    own.member.id = MemberId("a");
+    own.member.incarnation = "a1";
+    own.member.domain = FailureDomain("da");
+    MemberBeat other;
+    other.member.id = MemberId("b");
+    other.member.incarnation = "b1";
+    other.member.domain = FailureDomain("db");
+    for (size_t i = 0; i < row.beats.size(); ++i) {
+      CAPTURE(i);
+      std::vector<MemberBeat> beats = {own};
+      other.beat = row.beats[i];
+      if (other.beat > 0) beats.push_back(other);
+      const auto domains = watch.OutOfContact(beats, Seconds(seconds[i]));
+      CHECK(domains.count(FailureDomain("db")) == (row.withheld[i] ? 1 : 0));
+      CHECK(domains.count(FailureDomain("da")) == 0);
+    }
+  }
+}
+
 TEST_CASE("one entry of each failure domain is asked, never oneself") {
   std::vector<Member> members(5);
   for (size_t i = 0; i < members.size(); ++i) {
