--- /dev/null
+++ b/benchmarks/wire_bench.cc
@@ -0,0 +1,99 @@
+#include <benchmark/benchmark.h>
+
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "knapweed/wire/rpc.h"
+#include "standins/free_port.h"
+#include "tests/allocation_count.h"
+
+namespace knapweed {
+namespace {
+
+constexpr Ms kTimeout = Seconds(10);
+
+wire::BodyUnion DispatchOf(int64_t body_bytes) {
+  wire::DispatchT dispatch;
+  dispatch.attempt = "0123456789abcdef0123456789abcdef";
+  dispatch.workspace = "workspace";
+  dispatch.program = "program";
+  dispatch.path = "/v1/chat/completions";
+  dispatch.model = "model";
+  dispatch.body = std::string(static_cast<size_t>(body_bytes), 'x');
+  return Wrap(std::move(dispatch));
+}
+
+void EncodeAndDecode(benchmark::State& state) {
+  const wire::BodyUnion body = DispatchOf(state.range(0));
+  const uint64_t before = AllocationCount();
+  for (auto _ : state) {
+    const auto frame = EncodeFrame(7, body);
+    benchmark::DoNotOptimize(DecodeFrame({frame.data(), frame.size()}));
+  }
+  state.counters["allocations"] =
+      static_cast<double>(AllocationCount() - before) /
+      static_cast<double>(state.iterations());
+}
+BENCHMARK(EncodeAndDecode)->Arg(100)->Arg(1000)->Arg(10000)->Arg(100000);
+
+void RoundTrips(benchmark::State& state) {
+  static const Address listen = FreeLoopbackAddress();
+  static const auto server = RpcServer::Start(
+      listen, [](const wire::BodyUnion&, const ReplyHandle& reply) {
+        reply.Send(Wrap(wire::AckT{}));
+      });
+  static RpcClient client(listen);
+  const wire::BodyUnion body = DispatchOf(state.range(0));
+  for (auto _ : state) {
+    if (!client.Call(body, kTimeout).ok()) state.SkipWithError("no answer");
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(RoundTrips)->Arg(1000)->ThreadRange(1, 16)->UseRealTime();
+
+// Resident memory of this process in KiB, both ends of each connection
+// included; zero when the system doesn't tell.
+double ResidentKib() {
+  FILE* file = std::fopen("/proc/self/statm", "r");
+  if (file == nullptr) return 0;
+  long all = 0;       // NOLINT(google-runtime-int)
+  long resident = 0;  // NOLINT(google-runtime-int)
+  const int n = std::fscanf(file, "%ld %ld", &all, &resident);
+  std::fclose(file);
+  constexpr double kPageKib = 4;
+  return n == 2 ? static_cast<double>(resident) * kPageKib : 0;
+}
+
+// The slope over the sizes is the memory of one idle connection.
+void MemoryPerConnection(benchmark::State& state) {
+  const Address listen = FreeLoopbackAddress();
+  const auto server = RpcServer::Start(
+      listen, [](const wire::BodyUnion&, const ReplyHandle& reply) {
+        reply.Send(Wrap(wire::AckT{}));
+      });
+  const wire::BodyUnion body = DispatchOf(1000);
+  for (auto _ : state) {
+    const double before = ResidentKib();
+    std::vector<std::unique_ptr<RpcClient>> clients;
+    for (int64_t i = 0; i < state.range(0); ++i) {
+      clients.push_back(std::make_unique<RpcClient>(listen));
+      if (!clients.back()->Call(body, kTimeout).ok()) {
+        state.SkipWithError("no answer");
+      }
+    }
+    state.counters["resident_kib"] = ResidentKib() - before;
+  }
+}
+BENCHMARK(MemoryPerConnection)
+    ->Arg(100)
+    ->Arg(200)
+    ->Arg(400)
+    ->Arg(800)
+    ->Iterations(1);
+
+}  // namespace
+}  // namespace knapweed
+
+BENCHMARK_MAIN();
