--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -74,7 +74,7 @@
   void StopEntering();
   SidecarRecord Record(bool leaving) const;
   void WriteLeavingRow() const;
-  absl::Status RemoveRow() const;
+  void RemoveRow() const;
 
   UpstreamOutcome RunCall(const ActiveCall& call);
   UpstreamOutcome RunModel(const ActiveCall& call, Ms left);
@@ -169,15 +169,15 @@
   kLog.Warning("Can't mark the row as leaving.", {{"error", Text(status)}});
 }
 
-absl::Status Sidecar::Impl::RemoveRow() const {
+// A row that stays harms nobody: entries find that nothing listens.
+void Sidecar::Impl::RemoveRow() const {
   absl::Status status;
   for (int i = 0; i < kRowTries; ++i) {
     if (i > 0) SleepFor(kTableRetry);
     status = directory.remove(Record(true));
-    if (status.ok()) return status;
+    if (status.ok()) return;
   }
   kLog.Warning("Can't remove the row.", {{"error", Text(status)}});
-  return status;
 }
 
 UpstreamOutcome Sidecar::Impl::RunCall(const ActiveCall& call) {
@@ -329,9 +329,9 @@
     status = absl::DeadlineExceededError("calls still ran at the drain limit");
   }
   if (impl_->engine != nullptr) impl_->engine->ReleaseAll();
-  const absl::Status removed = impl_->RemoveRow();
+  impl_->RemoveRow();
   kLog.Info("Drained.", {{"upstream", impl_->config.name.value}});
-  return status.ok() ? removed : status;
+  return status;
 }
 
 bool Sidecar::ready() const { return impl_->entered.load(); }
