Check a suspect again before it runs alone

Cause: a suspect that waited to run alone skipped the checks of fence, deadline and quarantine that other queued calls pass, so it could run for an owner that had lost its partition. Before: no test; after: a test that fences one while it waits finds it refused and not run. Conclusion: every call passes the same checks when it leaves the queue.

--- a/benchmarks/wire_bench.cc
+++ b/benchmarks/wire_bench.cc
@@ -39,12 +39,12 @@
 BENCHMARK(EncodeAndDecode)->Arg(100)->Arg(1000)->Arg(10000)->Arg(100000);
 
 void RoundTrips(benchmark::State& state) {
-  static const Address listen = FreeLoopbackAddress();
-  static const auto server = RpcServer::Start(
-      listen, [](const wire::BodyUnion&, const ReplyHandle& reply) {
+  static const Address kListen = FreeLoopbackAddress();
+  static const auto kServer = RpcServer::Start(
+      kListen, [](const wire::BodyUnion&, const ReplyHandle& reply) {
         reply.Send(Wrap(wire::AckT{}));
       });
-  static RpcClient client(listen);
+  static RpcClient client(kListen);
   const wire::BodyUnion body = DispatchOf(state.range(0));
   for (auto _ : state) {
     if (!client.Call(body, kTimeout).ok()) state.SkipWithError("no answer");
--- a/src/sidecar/dispatcher.cc
+++ b/src/sidecar/dispatcher.cc
@@ -250,12 +250,12 @@
 }
 
 Dispatcher::CallPtr Dispatcher::TakeNext() {
-  if (alone_next_ != nullptr) {
-    return StartCall(std::exchange(alone_next_, nullptr), true);
+  CallPtr call = std::exchange(alone_next_, nullptr);
+  if (call == nullptr) {
+    const auto popped = queue_.Pop(clock_.Now());
+    if (!popped.has_value()) return nullptr;
+    call = queued_.at(popped->ticket);
   }
-  const auto popped = queue_.Pop(clock_.Now());
-  if (!popped.has_value()) return nullptr;
-  const CallPtr call = queued_.at(popped->ticket);
   const wire::DispatchT& dispatch = call->dispatch;
   if (clock_.Now() >= call->deadline) {
     EndQueued(call, ErrorCode::kDeadlineExceeded, kBusyRetryAfter,
--- a/tests/sidecar__engine_test.cc
+++ b/tests/sidecar__engine_test.cc
@@ -179,6 +179,29 @@
   CHECK(alone);
 }
 
+TEST_CASE("a suspect that waits to run alone is still fenced") {
+  SidecarRig rig(Kind::kEngine);
+  rig.StartAndWait();
+  rig.Control({{"decode_tokens_per_s", 20}});
+  wire::CrashReportT report;
+  report.digest = HashBytes("suspect");
+  report.upstream = "u2";
+  report.crashes = 1;
+  rig.Ask(Wrap(report));
+  std::thread running(
+      [&] { CHECK(Verdict(rig.Send(ModelDispatch("runs"))) == "ok"); });
+  WaitFor([&] { return rig.Count("state", "running") == 1; });
+  std::thread suspect([&] {
+    const wire::ResultT result = rig.Send(ModelDispatch("waits", "suspect"));
+    CHECK(Verdict(result) == "fenced not_run");
+  });
+  WaitFor([&] { return rig.State()["load"]["queued"] == 1; });
+  CHECK(rig.QueryState("other", 6) == 0);
+  running.join();
+  suspect.join();
+  CHECK(rig.Record().size() == 1);
+}
+
 TEST_CASE("while the engine is down calls go elsewhere at once") {
   SidecarRig rig(Kind::kEngine, 1);
   rig.StartAndWait();
