Hold the keys of a configuration once

Cause: the stored and the compiled form of each version kept their own copy of all keys, the largest state that the configuration has, and an apply made two more. KeyList shares one list until it is edited. KeyRecord moved to key_list.h, which rules.h includes.

--- a/benchmarks/rules_bench.cc
+++ b/benchmarks/rules_bench.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "knapweed/rules/config.h"
 #include "knapweed/rules/keys.h"
@@ -31,12 +32,12 @@
 
 StoredConfig MakeConfig(int64_t workspaces, int64_t keys) {
   StoredConfig config{1, 1, RulesText(workspaces), {}};
-  config.keys.reserve(keys);
+  std::vector<KeyRecord>& list = config.keys.Edit();
+  list.reserve(keys);
   for (int64_t n = 0; n < keys; ++n) {
-    config.keys.push_back(
-        MakeKey(WorkspaceId(WorkspaceName(n % workspaces))).record);
+    list.push_back(MakeKey(WorkspaceId(WorkspaceName(n % workspaces))).record);
   }
-  std::sort(config.keys.begin(), config.keys.end(),
+  std::sort(list.begin(), list.end(),
             [](const auto& a, const auto& b) { return a.id < b.id; });
   return config;
 }
--- a/include/knapweed/rules/config.h
+++ b/include/knapweed/rules/config.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "absl/status/statusor.h"
 #include "knapweed/rules/rules.h"
@@ -20,7 +19,7 @@
   /// `version` only keys changed.
   uint64_t rules_version = 0;
   std::string rules_text;
-  std::vector<KeyRecord> keys;
+  KeyList keys;
 };
 
 /// What a process sends to its peers about a new version. `delta` leads from
--- a/include/knapweed/rules/rules.h
+++ b/include/knapweed/rules/rules.h
@@ -8,6 +8,7 @@
 
 #include "knapweed/base/clock.h"
 #include "knapweed/base/ids.h"
+#include "knapweed/rules/key_list.h"
 
 namespace knapweed {
 
@@ -57,17 +58,6 @@
   double share = 0;
 };
 
-/// A caller's key as kept: never the key itself.
-struct KeyRecord {
-  std::string id;
-  WorkspaceId workspace;
-  std::string salt;
-  std::string digest;
-  bool withdrawn = false;
-
-  bool operator==(const KeyRecord&) const = default;
-};
-
 /// One accepted configuration; immutable once published. Each list is sorted by
 /// its name, path or id, which the lookups below rely on.
 struct Rules {
@@ -77,7 +67,7 @@
   std::vector<WorkspaceRule> workspaces;
   std::vector<BudgetRule> budgets;
   std::vector<DomainRule> domains;
-  std::vector<KeyRecord> keys;
+  KeyList keys;
 };
 
 /// Puts every list into the order that the lookups need. Call it on rules that
--- a/src/rules/config.cc
+++ b/src/rules/config.cc
@@ -153,7 +153,7 @@
   for (const Json& id : in.Array("dropped")) {
     if (!id.is_string()) return NotAConfig("a dropped key");
     const auto& text = id.get_ref<const std::string&>();
-    std::erase_if(config->keys,
+    std::erase_if(config->keys.Edit(),
                   [&](const KeyRecord& key) { return key.id == text; });
   }
   return in.ok() ? absl::OkStatus() : NotAConfig("its keys");
@@ -189,9 +189,10 @@
   config.version = in.Number("version");
   config.rules_version = in.Number("rules_version");
   config.rules_text = in.String("rules");
-  if (!KeysFromJson(in.Array("keys"), &config.keys) || !in.ok())
+  std::vector<KeyRecord>& keys = config.keys.Edit();
+  if (!KeysFromJson(in.Array("keys"), &keys) || !in.ok())
     return NotAConfig("a member is missing or has another type");
-  std::ranges::sort(config.keys, {}, IdOf);
+  std::ranges::sort(keys, {}, IdOf);
   return config;
 }
 
@@ -243,11 +244,12 @@
 
 void PutStoredKey(StoredConfig& config, KeyRecord key) {
   const std::string_view id = key.id;
-  const auto it = std::ranges::lower_bound(config.keys, id, {}, IdOf);
-  if (it != config.keys.end() && it->id == key.id) {
+  std::vector<KeyRecord>& keys = config.keys.Edit();
+  const auto it = std::ranges::lower_bound(keys, id, {}, IdOf);
+  if (it != keys.end() && it->id == key.id) {
     *it = std::move(key);
   } else {
-    config.keys.insert(it, std::move(key));
+    keys.insert(it, std::move(key));
   }
 }
 
--- a/src/rules/config_store.cc
+++ b/src/rules/config_store.cc
@@ -322,7 +322,8 @@
   const auto withdrawn = [](const KeyRecord& key) { return key.withdrawn; };
   if (std::ranges::count_if(config.keys, withdrawn) <= kMaxWithdrawnKeys)
     return;
-  config.keys.erase(std::ranges::find_if(config.keys, withdrawn));
+  std::vector<KeyRecord>& keys = config.keys.Edit();
+  keys.erase(std::ranges::find_if(keys, withdrawn));
 }
 
 }  // namespace
--- a/src/rules/rules.cc
+++ b/src/rules/rules.cc
@@ -12,9 +12,9 @@
 
 /// The element whose name, as `name_of` reads it, is `name`; the list is sorted
 /// by that name.
-template <typename T, typename NameOf>
-const T* FindByName(const std::vector<T>& list, std::string_view name,
-                    NameOf name_of) {
+template <typename List, typename NameOf>
+auto FindByName(const List& list, std::string_view name, NameOf name_of)
+    -> decltype(&*list.begin()) {
   const auto it = std::ranges::lower_bound(list, name, {}, name_of);
   if (it == list.end() || name_of(*it) != name) return nullptr;
   return &*it;
@@ -39,7 +39,9 @@
   std::ranges::sort(rules.workspaces, {}, WorkspaceOf);
   std::ranges::sort(rules.budgets, {}, BudgetOwnerOf);
   std::ranges::sort(rules.domains, {}, DomainOf);
-  std::ranges::sort(rules.keys, {}, KeyIdOf);
+  if (!std::ranges::is_sorted(rules.keys, {}, KeyIdOf)) {
+    std::ranges::sort(rules.keys.Edit(), {}, KeyIdOf);
+  }
 }
 
 const RouteRule* FindRoute(const Rules& rules, std::string_view path) {
--- a/src/rules/rules_holder.cc
+++ b/src/rules/rules_holder.cc
@@ -62,7 +62,7 @@
     return;
   }
   auto copy = std::make_shared<Rules>(*committed);
-  for (KeyRecord& key : copy->keys)
+  for (KeyRecord& key : copy->keys.Edit())
     key.withdrawn |= denied.contains(key.digest);
   Swap(std::move(copy));
 }
--- a/tests/rules__config_test.cc
+++ b/tests/rules__config_test.cc
@@ -39,7 +39,7 @@
   const KeyRecord k1{"1", WorkspaceId("w"), "s", "d", false};
   const KeyRecord k1_withdrawn{"1", WorkspaceId("w"), "s", "d", true};
   const KeyRecord k2{"2", WorkspaceId("w"), "s", "d", false};
-  const std::vector<std::vector<KeyRecord>> key_sets = {
+  const std::vector<KeyList> key_sets = {
       {}, {k1}, {k1_withdrawn}, {k2}, {k1, k2}};
   for (const std::string& from : texts) {
     for (const std::string& to : texts) {
@@ -364,8 +364,8 @@
   for (uint64_t version = 1; version <= kVersions; ++version) {
     auto rules = std::make_unique<Rules>();
     rules->version = version;
-    rules->keys.resize(version % 7);
-    for (KeyRecord& key : rules->keys) key.id = std::to_string(version);
+    rules->keys.Edit().resize(version % 7);
+    for (KeyRecord& key : rules->keys.Edit()) key.id = std::to_string(version);
     CHECK(holder.Publish(std::move(rules)));
   }
   for (std::thread& reader : readers) reader.join();
