--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -189,6 +189,26 @@
   CHECK(bench.Drain(Seconds(91)) == 10);
 }
 
+TEST_CASE("a new limit holds from the next question on") {
+  struct Row {
+    RateLimit limit;
+    uint32_t at_once;
+    uint32_t after_a_second;
+  };
+  // The bucket was full at a cap of 15.98 before.
+  const std::vector<Row> rows = {
+      {{2, 5}, 3, 2}, {{20, 41}, 15, 20}, {{10, 21}, 15, 10}};
+  for (const Row& row : rows) {
+    CAPTURE(row.limit.rate_per_s);
+    OwnerBench bench;
+    bench.owner.SetWithheld(0, Seconds(50));
+    CHECK(bench.Take(Seconds(50)) == 1);
+    bench.limit = row.limit;
+    CHECK(bench.Drain(Seconds(50) + Ms{100}) == row.at_once);
+    CHECK(bench.Drain(Seconds(51) + Ms{100}) == row.after_a_second);
+  }
+}
+
 /// A limiter on a clock that only its own sleeping moves.
 struct LimiterBench {
   Clock clock = Clock::Manual(Seconds(50));
