--- a/src/sidecar/sse_parser.cc
+++ b/src/sidecar/sse_parser.cc
@@ -14,7 +14,8 @@
   while (true) {
     const size_t end = rest_.find('\n', begin);
     if (end == std::string::npos) break;
-    TakeLine(std::string_view(rest_).substr(begin, end - begin));
+    const std::string_view text = rest_;
+    TakeLine(text.substr(begin, end - begin));
     begin = end + 1;
   }
   rest_.erase(0, begin);
