Move busy partitions late, and off the watching thread

Cause: giving a partition to a newcomer refuses its callers until the calls in flight have ended, up to 30 s, and the watcher waited for that as well, so that a death went unseen meanwhile. Moves now run on a thread of their own; a partition with calls in flight stays for up to a minute.

Figures: a test holds 40 calls over all partitions through 20 s of a newcomer's rounds: none moves, and they move within 4 s after the calls end. Conclusion: a join no longer delays takeovers; its share of busy partitions comes late.

--- a/benchmarks/journal_bench.cc
+++ b/benchmarks/journal_bench.cc
@@ -58,9 +58,8 @@
     harness.journal->Wait(harness.journal->end(), start + kRunTime * 2)
         .IgnoreError();
     const JournalProgress progress = harness.journal->Progress();
-    state.counters["writes_per_turn"] =
-        static_cast<double>(progress.commits) /
-        static_cast<double>(progress.records);
+    state.counters["writes_per_turn"] = static_cast<double>(progress.commits) /
+                                        static_cast<double>(progress.records);
     state.counters["commits_per_s"] =
         static_cast<double>(progress.commits) / kRunTime.Seconds();
   }
--- a/benchmarks/program_bench.cc
+++ b/benchmarks/program_bench.cc
@@ -149,9 +149,8 @@
           CallOutcome outcome;
           outcome.run = RunState::kRan;
           outcome.added = {std::string(kTurnBytes, 'x')};
-          BeginResult begun =
-              table->Begin({KeyOf(p), ProgramId(""), "", 1}, {},
-                           clock.Now() + Seconds(5));
+          BeginResult begun = table->Begin({KeyOf(p), ProgramId(""), "", 1}, {},
+                                           clock.Now() + Seconds(5));
           if (auto* hold = std::get_if<TurnHold>(&begun)) {
             table->Finish(std::move(*hold), outcome).IgnoreError();
           }
@@ -205,9 +204,8 @@
           CallOutcome outcome;
           outcome.run = RunState::kRan;
           outcome.added = {std::string(bytes, 'x')};
-          BeginResult begun =
-              table->Begin({KeyOf(p), ProgramId(""), "", 1}, {},
-                           clock.Now() + Seconds(5));
+          BeginResult begun = table->Begin({KeyOf(p), ProgramId(""), "", 1}, {},
+                                           clock.Now() + Seconds(5));
           auto* hold = std::get_if<TurnHold>(&begun);
           if (hold == nullptr) continue;
           if (table->Finish(std::move(*hold), outcome).ok()) ++done;
--- a/include/knapweed/membership/membership.h
+++ b/include/knapweed/membership/membership.h
@@ -55,6 +55,11 @@
   uint32_t partition_count = 64;
   /// Partitions given to a better placed member in one round.
   uint32_t moves_per_round = 8;
+  /// Whether calls of a partition are in flight; such a one stays where it is
+  /// for up to `move_patience`, since giving it away refuses its callers until
+  /// those calls have ended.
+  std::function<bool(PartitionId)> busy;
+  Ms move_patience = Seconds(60);
   /// Without it a fenced process stays fenced and owns nothing.
   RejoinHandler on_rejoin;
 };
@@ -121,18 +126,21 @@
   std::string DumpJson() const;
 
   /// The single steps, for tests and for those who bring their own threads.
-  /// `Start` is `Join` and then `Renew` on one thread, `Watch` on a second and
-  /// `GainPending` on a third, each in a loop.
+  /// `Start` is `Join` and then `Renew`, `Watch`, `GainPending` and
+  /// `MoveToBetter`, each in a loop on a thread of its own.
   /// `Join` returns AlreadyExists while an earlier process of the same id may
   /// hold its lease.
   absl::Status Join();
   /// Renews the lease once.
   absl::Status Renew();
-  /// Reads the rows, fences members whose lease lapsed, claims and gives away
-  /// partitions. Does nothing but read while the own lease does not hold.
+  /// Reads the rows, fences members whose lease lapsed, and claims partitions.
+  /// Does nothing but read while the own lease does not hold.
   absl::Status Watch();
   /// Calls the gain handler for partitions that are owned and not yet served.
   void GainPending();
+  /// Gives partitions to members that rendezvous hashing puts before this one,
+  /// such as one that has just joined.
+  void MoveToBetter();
 
  private:
   struct Impl;
--- a/include/knapweed/program/program_table.h
+++ b/include/knapweed/program/program_table.h
@@ -152,6 +152,8 @@
   /// journal, and drops its programs. DeadlineExceeded when that took too long:
   /// the partition must not be given away, and `Gain` serves it again.
   absl::Status Lose(PartitionId partition);
+  /// Whether calls of the partition are in flight.
+  bool Busy(PartitionId partition) const;
   /// One round of what the table's own thread does: shortens the log, copies
   /// what was taken over, ends idle programs, deletes logs that nobody needs.
   absl::Status Maintain();
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -55,6 +55,9 @@
   options.lease = config.lease;
   options.renew_every = config.renew_every;
   options.partition_count = config.partition_count;
+  options.busy = [&programs](PartitionId partition) {
+    return programs.Busy(partition);
+  };
   options.on_rejoin = [&programs](const std::string& next) {
     return programs.Restart(next);
   };
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -36,6 +36,7 @@
       served(options.partition_count),
       releasing(options.partition_count),
       detector(options.margin, options.lease / 2),
+      move_wanted(options.partition_count),
       random(HashBytes(options.self.incarnation)) {
   own_row.member = options.self;
   own_row.lease = options.lease;
@@ -135,10 +136,24 @@
   }
 }
 
+/// On a thread of its own: a partition's calls may take long to end, and
+/// nothing else is to wait for them.
+void Membership::Impl::RunMove() {
+  std::unique_lock<std::mutex> lock(thread_mu);
+  while (!stop) {
+    Sleep(lock, options.scan_every, nullptr);
+    if (stop) return;
+    lock.unlock();
+    MoveToBetter();
+    lock.lock();
+  }
+}
+
 void Membership::Impl::StartThreads() {
   threads.emplace_back([this] { RunRenew(); });
   threads.emplace_back([this] { RunWatch(); });
   threads.emplace_back([this] { RunGain(); });
+  threads.emplace_back([this] { RunMove(); });
 }
 
 void Membership::Impl::StopThreads() {
@@ -181,7 +196,7 @@
   while (!whole && impl_->clock.Now() < deadline) {
     whole = true;
     {
-      std::lock_guard<std::mutex> lock(impl_->watch_mu);
+      std::lock_guard<std::mutex> lock(impl_->move_mu);
       const std::vector<Member> candidates = impl_->Candidates();
       for (uint32_t n = 0; n < impl_->options.partition_count; ++n) {
         const PartitionId partition{n};
@@ -244,6 +259,8 @@
 
 void Membership::GainPending() { impl_->GainPending(); }
 
+void Membership::MoveToBetter() { impl_->MoveToBetter(); }
+
 std::string Membership::DumpJson() const {
   using Json = nlohmann::json;
   const auto view = impl_->View();
--- a/src/membership/membership_impl.h
+++ b/src/membership/membership_impl.h
@@ -81,6 +81,7 @@
   void RunRenew();
   void RunWatch();
   void RunGain();
+  void RunMove();
 
   const TableService table;
   const Clock& clock;
@@ -109,12 +110,17 @@
   std::mutex watch_mu;
   FailureDetector detector;
   std::map<std::string, uint64_t> change_versions;
-  bool read_partitions = true;
+  std::atomic<bool> read_partitions{true};
 
   /// Guards the publication of views and `served`.
   std::mutex view_mu;
   std::mutex gain_mu;
 
+  /// Serialises giving partitions away.
+  std::mutex move_mu;
+  /// Since when each partition has had a better place.
+  std::vector<std::optional<Ms>> move_wanted;
+
   std::mutex thread_mu;
   std::condition_variable wake;
   bool stop = false;
--- a/src/membership/watch.cc
+++ b/src/membership/watch.cc
@@ -30,10 +30,7 @@
   // during which this process may have been paused.
   if (!LeaseHolds()) return absl::OkStatus();
   FenceLapsed(clock.Now());
-  if (!leaving.load()) {
-    ClaimOrphans();
-    MoveToBetter();
-  }
+  if (!leaving.load()) ClaimOrphans();
   return absl::OkStatus();
 }
 
@@ -233,13 +230,23 @@
 }
 
 void Membership::Impl::MoveToBetter() {
+  std::lock_guard<std::mutex> lock(move_mu);
   const std::vector<Member> candidates = Candidates();
   uint32_t moves = 0;
   for (uint32_t n = 0; n < options.partition_count; ++n) {
+    if (leaving.load() || !LeaseHolds()) return;
     const PartitionId partition{n};
-    if (served[n].load() == 0 || !Owns(partition)) continue;
-    const Member* target = PreferredOwner(partition, candidates);
-    if (target == nullptr || target->id == options.self.id) continue;
+    const Member* target = nullptr;
+    if (served[n].load() != 0 && Owns(partition)) {
+      target = PreferredOwner(partition, candidates);
+    }
+    if (target == nullptr || target->id == options.self.id) {
+      move_wanted[n].reset();
+      continue;
+    }
+    if (!move_wanted[n]) move_wanted[n] = clock.Now();
+    const bool patient = clock.Now() - *move_wanted[n] < options.move_patience;
+    if (patient && options.busy && options.busy(partition)) continue;
     if (++moves > options.moves_per_round) return;
     absl::Status status = Release(partition, *target);
     if (!status.ok()) return;
--- a/src/program/program_table.cc
+++ b/src/program/program_table.cc
@@ -461,6 +461,11 @@
   return impl_->Lose(partition);
 }
 
+bool ProgramTable::Busy(PartitionId partition) const {
+  std::lock_guard<std::mutex> lock(impl_->mu);
+  return impl_->partitions[partition.n].in_flight != 0;
+}
+
 absl::Status ProgramTable::Maintain() { return impl_->Maintain(); }
 
 std::vector<ProgramKey> ProgramTable::LivePrograms() const {
--- a/tests/member_cluster.h
+++ b/tests/member_cluster.h
@@ -105,6 +105,7 @@
     options.on_rejoin = [this](const std::string& name) {
       return programs->Restart(name);
     };
+    options.busy = [this](PartitionId id) { return programs->Busy(id); };
     membership = std::make_unique<Membership>(
         table, clock, options,
         [this](PartitionId partition, Epoch epoch, const std::string& old) {
@@ -122,6 +123,7 @@
     membership->Renew().IgnoreError();
     membership->Watch().IgnoreError();
     membership->GainPending();
+    membership->MoveToBetter();
   }
   uint32_t Owned() const {
     uint32_t n = 0;
--- a/tests/program__faults_test.cc
+++ b/tests/program__faults_test.cc
@@ -279,6 +279,29 @@
   CHECK(pair.History() == History{"one", "two"});
 }
 
+TEST_CASE("a busy partition moves to a newcomer only after some patience") {
+  TestCluster cluster;
+  TestMember& first = cluster.Add("a");
+  REQUIRE(first.Start().ok());
+  for (int i = 0; i < 3; ++i) cluster.Step();
+  std::vector<TurnHold> holds;
+  for (int i = 0; i < 40; ++i) {
+    const ProgramKey key{WorkspaceId("w"), ProgramId("p" + std::to_string(i))};
+    BeginResult begun = first.programs->Begin({key, ProgramId(""), "", 1}, {},
+                                              cluster.time.clock.Now());
+    REQUIRE(std::holds_alternative<TurnHold>(begun));
+    holds.push_back(std::move(std::get<TurnHold>(begun)));
+  }
+  REQUIRE(cluster.Add("b").Start().ok());
+  cluster.Pass(Seconds(20));
+  CHECK(first.Owned() == TestMember::kPartitions);
+  // Once the calls end, nothing holds the partitions.
+  holds.clear();
+  cluster.Pass(Seconds(4));
+  CHECK(first.Owned() < TestMember::kPartitions);
+  CHECK(first.Owned() + cluster.members[1]->Owned() == TestMember::kPartitions);
+}
+
 TEST_CASE("a stop that can't wait for a call is told so, and the call fails") {
   Pair pair;
   REQUIRE(pair.Turn(pair.owner(), "one").ok());
