Read the membership view under a lock that orders

Cause: a thread sanitizer build of the new test of members on their own threads showed a data race in the atomic shared pointer of libstdc++ 12, whose load releases its inner lock without ordering. A mutex around the copy of the pointer takes its place.

Conclusion: the cost is a short lock in OwnerOf; its time was not measured again.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -47,7 +47,9 @@
 }
 
 void Membership::Impl::Publish(std::shared_ptr<const MembershipView> next) {
-  view.store(std::move(next));
+  // The old view is freed outside the lock.
+  std::lock_guard<std::mutex> lock(pointer_mu);
+  view.swap(next);
 }
 
 bool Membership::Impl::Owns(PartitionId partition) const {
--- a/src/membership/membership_impl.h
+++ b/src/membership/membership_impl.h
@@ -72,7 +72,10 @@
   // membership.cc
   std::optional<PartitionOwner> OwnerOf(PartitionId partition) const;
   std::vector<Member> Candidates() const;
-  std::shared_ptr<const MembershipView> View() const { return view.load(); }
+  std::shared_ptr<const MembershipView> View() const {
+    std::lock_guard<std::mutex> lock(pointer_mu);
+    return view;
+  }
   void Publish(std::shared_ptr<const MembershipView> next);
   bool Owns(PartitionId partition) const;
   void StartThreads();
@@ -89,7 +92,11 @@
   const GainHandler on_gain;
   const LossHandler on_loss;
 
-  std::atomic<std::shared_ptr<const MembershipView>> view;
+  /// Guards the pointer alone, for as long as a copy of it takes. The library's
+  /// atomic shared pointer is a lock as well, and its load releases that lock
+  /// without ordering (libstdc++ 12).
+  mutable std::mutex pointer_mu;
+  std::shared_ptr<const MembershipView> view;
   std::atomic<int64_t> lease_until{0};
   std::atomic<bool> fenced{false};
   std::atomic<bool> leaving{false};
--- /dev/null
+++ b/tests/membership__threads_test.cc
@@ -0,0 +1,77 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "knapweed/base/log.h"
+#include "knapweed/membership/membership.h"
+#include "standins/memory_store.h"
+
+namespace knapweed {
+namespace {
+
+constexpr uint32_t kPartitions = 16;
+constexpr Ms kLongestWait = Seconds(20);
+
+std::unique_ptr<Membership> MakeMember(const MemoryStore& store,
+                                       const Clock& clock,
+                                       const std::string& id) {
+  MembershipOptions options;
+  options.self.id = MemberId(id);
+  options.self.incarnation = id + "1";
+  options.self.rpc = Address{"127.0.0.1", 7000};
+  options.lease = Ms{500};
+  options.renew_every = Ms{100};
+  options.scan_every = Ms{50};
+  options.partition_count = kPartitions;
+  return std::make_unique<Membership>(
+      store.Table(), clock, options,
+      [](PartitionId, Epoch, const std::string&) { return absl::OkStatus(); },
+      [](PartitionId) { return absl::OkStatus(); });
+}
+
+uint32_t Owned(const Membership& member) {
+  uint32_t n = 0;
+  for (uint32_t p = 0; p < kPartitions; ++p) {
+    const auto owner = member.OwnerOf(PartitionId{p});
+    if (owner && owner->self) ++n;
+  }
+  return n;
+}
+
+/// Waits until the two own everything between them, each something.
+bool Share(const Membership& a, const Membership& b, const Clock& clock) {
+  const Ms deadline = clock.Now() + kLongestWait;
+  while (clock.Now() < deadline) {
+    const uint32_t first = Owned(a);
+    const uint32_t second = Owned(b);
+    if (first > 0 && second > 0 && first + second == kPartitions) return true;
+    SleepFor(Ms{10});
+  }
+  return false;
+}
+
+TEST_CASE("members on their own threads share, take over and hand over") {
+  StartLog(LogLevel::kError);
+  for (const bool planned : {false, true}) {
+    CAPTURE(planned);
+    const Clock clock = Clock::Steady();
+    MemoryStore store;
+    auto a = MakeMember(store, clock, "a");
+    auto b = MakeMember(store, clock, "b");
+    REQUIRE(a->Start().ok());
+    REQUIRE(b->Start().ok());
+    REQUIRE(Share(*a, *b, clock));
+    const Ms gone = clock.Now();
+    if (planned) CHECK(a->Leave(kLongestWait).ok());
+    a.reset();
+    while (Owned(*b) < kPartitions && clock.Now() < gone + kLongestWait) {
+      SleepFor(Ms{5});
+    }
+    CHECK(Owned(*b) == kPartitions);
+    MESSAGE("taken over after " << (clock.Now() - gone).count << " ms");
+  }
+}
+
+}  // namespace
+}  // namespace knapweed
