Reserve a turn's tokens before its dispatch

Cause: parallel sub-agents could overrun the budget of their tree, since tokens were only counted once a turn had ended.

--- a/include/knapweed/entry/turn_runner.h
+++ b/include/knapweed/entry/turn_runner.h
@@ -52,6 +52,7 @@
   enum class Resolution : uint8_t;
 
   wire::ResultT RunHeld(Turn& turn, TurnHold hold);
+  bool PreparePrompt(Turn& turn, TurnHold& hold);
   static bool MustBeKept(const Turn& turn, const wire::ResultT& result);
   /// Settles what became of an attempt whose owner died before its outcome.
   Resolution ResolveOpenIntent(Turn& turn, const TurnHold& hold,
--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -193,9 +193,11 @@
     }
   }
   if (turn.route.kind == RouteKind::kModel) {
-    turn.request = ReadModelRequest(turn.call.body);
-    turn.body = BuildEngineBody(turn.request, hold.history());
-    turn.prompt_tokens = EstimateTokens(hold.history(), turn.request.messages);
+    if (!PreparePrompt(turn, hold)) {
+      return FailureResult(
+          {ErrorCode::kBudgetExhausted, RunState::kNotRun, Ms{0},
+           "The program's token budget does not cover this call."});
+    }
   } else {
     turn.body = turn.call.body;
   }
@@ -204,6 +206,19 @@
   return Finish(turn, std::move(hold), std::move(result));
 }
 
+// Builds the engine's request within what the program's tree may still use;
+// false when that does not even cover the prompt and one token of answer.
+bool TurnRunner::PreparePrompt(Turn& turn, TurnHold& hold) {
+  turn.request = ReadModelRequest(turn.call.body);
+  turn.prompt_tokens = EstimateTokens(hold.history(), turn.request.messages);
+  const uint64_t want = turn.prompt_tokens + turn.request.max_tokens;
+  const uint64_t reserved = parts_.programs.ReserveTokens(hold, want);
+  if (reserved <= turn.prompt_tokens) return false;
+  turn.request.max_tokens = reserved - turn.prompt_tokens;
+  turn.body = BuildEngineBody(turn.request, hold.history());
+  return true;
+}
+
 // Whether a result ends its call for good. A failed idempotent call may simply
 // run again. An open outcome stays open in the journal as an intent, since the
 // sidecar may still learn it: the same request asked again settles it there.
