--- a/src/entry/call_router.cc
+++ b/src/entry/call_router.cc
@@ -7,12 +7,14 @@
 
 #include "knapweed/entry/caller_api.h"
 #include "knapweed/entry/stream_cursor.h"
+#include "knapweed/policy/retry.h"
 
 namespace knapweed {
 namespace {
 
 constexpr Ms kFirstPause = Ms{50};
-constexpr Ms kLongestPause = Ms{500};
+constexpr Ms kLongestPause = Ms{150};
+constexpr Ms kHopMargin = Ms{200};
 constexpr Ms kOwnerRetryAfter = Seconds(1);
 
 wire::ResultT Failed(ErrorCode code, RunState run, Ms retry_after,
@@ -76,9 +78,14 @@
                              : parts_.runner.Run(call, sink);
   }
   parts_.metrics.GetCounter("call.forwarded").Add();
+  // The owner gives up a little earlier, so that its own word on whether the
+  // call ran comes back in time.
+  wire::CallT forwarded = call;
+  const Ms whole{call.deadline_ms};
+  forwarded.deadline_ms = TimeForNextHop(whole, Ms{0}, kHopMargin).count;
   absl::StatusOr<wire::BodyUnion> answer =
       parts_.rpc.Get(owner->member.rpc)
-          ->Call(Wrap(call), Ms{call.deadline_ms}, sink);
+          ->Call(Wrap(std::move(forwarded)), whole, sink);
   if (!answer.ok()) return FromRpcError(answer.status());
   wire::ResultT* result = answer->AsResult();
   if (result != nullptr) return std::move(*result);
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -142,7 +142,7 @@
   const absl::Status refreshed = watcher.Refresh();
   if (!refreshed.ok()) {
     kLog.Warning("No configuration yet.",
-                 {{"error", std::string(refreshed.message())}});
+                 {{"error", std::string{refreshed.message()}}});
   }
   absl::Status status = programs.Start();
   if (!status.ok()) return status;
@@ -268,7 +268,7 @@
   const absl::Status left = impl.membership.Leave(impl.config.drain_limit);
   if (!left.ok()) {
     kLog.Warning("Not everything was handed over.",
-                 {{"error", std::string(left.message())}});
+                 {{"error", std::string{left.message()}}});
   }
   while (!impl.Idle() && impl.clock.Now() < give_up) SleepFor(kDrainPoll);
   impl.caller_server.reset();
--- a/src/entry/stream_cursor.cc
+++ b/src/entry/stream_cursor.cc
@@ -8,7 +8,7 @@
   if (diverged_) return false;
   const size_t known = std::min(piece.size(), sent_.size() - position_);
   if (piece.substr(0, known) !=
-      std::string_view(sent_).substr(position_, known)) {
+      std::string_view{sent_}.substr(position_, known)) {
     diverged_ = true;
     return false;
   }
--- a/src/entry/turn_runner.cc
+++ b/src/entry/turn_runner.cc
@@ -21,6 +21,8 @@
 constexpr Ms kResolvePause = Ms{200};
 constexpr Ms kQueryTimeout = Seconds(2);
 constexpr Ms kNoUpstreamRetryAfter = Seconds(2);
+/// What the sidecar leaves of a deadline for its answer to come back.
+constexpr Ms kHopMargin = Ms{100};
 constexpr Ms kOwnerRetryAfter = Ms{500};
 /// How long an engine keeps a program's cache past a turn unless renewed.
 constexpr Ms kPinLease = Seconds(30);
@@ -34,6 +36,12 @@
   return result;
 }
 
+wire::ResultT CannotBeMadeSafe() {
+  return FailureResult({ErrorCode::kStoreUnavailable, RunState::kNotRun,
+                        kNoUpstreamRetryAfter,
+                        "The call can't be made safe at the moment."});
+}
+
 wire::ResultT NotServed() {
   return FailureResult({ErrorCode::kNotOwner, RunState::kNotRun,
                         kOwnerRetryAfter, "The program's owner changes."});
@@ -298,7 +306,7 @@
     query.expected_output_tokens = turn.request.max_tokens;
     query.tried = turn.tried;
     query.random = RandomOf(turn.call, dispatch);
-    const UpstreamPtr upstream = parts_.upstreams.Place(query);
+    UpstreamPtr upstream = parts_.upstreams.Place(query);
     if (upstream != nullptr || parts_.clock.Now() >= give_up) return upstream;
     if (turn.sink && !turn.sink("")) return nullptr;
     // One that failed this call before is better than none.
@@ -310,8 +318,11 @@
 bool TurnRunner::MayRetry(const Turn& turn, const wire::ResultT& result,
                           uint32_t attempts, Ms* wait) {
   if (turn.cursor.diverged()) return false;
+  // Another upstream is of no help against the store.
+  const auto code = static_cast<ErrorCode>(result.failure->code);
+  if (code == ErrorCode::kStoreUnavailable) return false;
   FailedAttempt attempt;
-  attempt.code = static_cast<ErrorCode>(result.failure->code);
+  attempt.code = code;
   attempt.run = static_cast<RunState>(result.failure->run);
   attempt.idempotent = !turn.route.non_idempotent;
   attempt.attempts = attempts;
@@ -370,14 +381,11 @@
   wire::DispatchT dispatch;
   dispatch.attempt = RandomHexId();
   if (turn.route.non_idempotent) {
+    if (parts_.contact.InOutage()) return CannotBeMadeSafe();
     const Intent intent{AttemptId(dispatch.attempt), record.upstream,
                         record.incarnation, record.rpc};
     const absl::Status recorded = parts_.programs.RecordIntent(hold, intent);
-    if (!recorded.ok()) {
-      return FailureResult({ErrorCode::kStoreUnavailable, RunState::kNotRun,
-                            kNoUpstreamRetryAfter,
-                            "The call can't be made safe at the moment."});
-    }
+    if (!recorded.ok()) return CannotBeMadeSafe();
     turn.intent_recorded = true;
   }
   const Ms left = turn.deadline - parts_.clock.Now();
@@ -395,7 +403,8 @@
   dispatch.digest = DigestOf(turn.call);
   dispatch.non_idempotent = turn.route.non_idempotent;
   dispatch.stream = turn.call.stream;
-  dispatch.deadline_ms = left.count;
+  dispatch.deadline_ms =
+      TimeForNextHop(turn.deadline, parts_.clock.Now(), kHopMargin).count;
   dispatch.weight = turn.weight;
   dispatch.attained_tokens = hold.attained_tokens();
   dispatch.prompt_tokens = turn.prompt_tokens;
@@ -463,7 +472,7 @@
   kLog.Warning("An outcome could not be kept.",
                {{"workspace", turn.key.workspace.value},
                 {"program", turn.key.program.value},
-                {"error", std::string(kept.message())}});
+                {"error", std::string{kept.message()}}});
   const bool lost = absl::IsAborted(kept) || absl::IsFailedPrecondition(kept);
   const RunState run =
       outcome.run == RunState::kNotRun ? RunState::kNotRun : RunState::kUnknown;
--- a/tools/knapweed_demo.cc
+++ b/tools/knapweed_demo.cc
@@ -155,7 +155,7 @@
   const Ms took = clock_.Now() - start;
   if (!reply.ok() || reply->status != 200) {
     Expect(false,
-           reply.ok() ? reply->body : std::string(reply.status().message()));
+           reply.ok() ? reply->body : std::string{reply.status().message()});
     return;
   }
   program.history.push_back({"user", text});
--- a/tools/knapweed_entry.cc
+++ b/tools/knapweed_entry.cc
@@ -15,7 +15,7 @@
   auto config = knapweed::LoadEntryConfig(args.config_path);
   if (!config.ok()) {
     std::fprintf(stderr, "%s\n",
-                 std::string(config.status().message()).c_str());
+                 std::string{config.status().message()}.c_str());
     return knapweed::kExitBadConfig;
   }
   if (args.check_only) return knapweed::kExitOk;
@@ -23,7 +23,7 @@
   knapweed::BlockStopSignals();
   auto entry = Entry::Start(*std::move(config));
   if (!entry.ok()) {
-    std::fprintf(stderr, "%s\n", std::string(entry.status().message()).c_str());
+    std::fprintf(stderr, "%s\n", std::string{entry.status().message()}.c_str());
     return knapweed::kExitFailed;
   }
   knapweed::WaitForStopSignal();
