--- a/benchmarks/policy_bench.cc
+++ b/benchmarks/policy_bench.cc
@@ -47,7 +47,7 @@
   state.counters["allocations"] =
       static_cast<double>(AllocationCount() - before);
 }
-BENCHMARK(PlaceOne)->Arg(14)->Arg(730);
+BENCHMARK(PlaceOne)->Arg(14)->Arg(60)->Arg(240)->Arg(730);
 
 QueuedCall RandomCall(uint64_t ticket, std::mt19937_64& random) {
   QueuedCall call;
@@ -86,7 +86,7 @@
   state.counters["allocations"] =
       static_cast<double>(AllocationCount() - before);
 }
-BENCHMARK(QueueOne)->Arg(100)->Arg(10000);
+BENCHMARK(QueueOne)->Arg(100)->Arg(500)->Arg(2000)->Arg(10000);
 
 }  // namespace
 }  // namespace knapweed
