--- a/tools/knapweed_load.cc
+++ b/tools/knapweed_load.cc
@@ -92,12 +92,11 @@
   const LoadResult through = Drive(options.entries, options.key, options);
   Print("direct", direct);
   Print("through", through);
-  std::printf("ratio    %8.2f calls/s  p50 %7.2f     p99 %7.2f\n",
-              through.calls_per_s / direct.calls_per_s,
-              static_cast<double>(through.p50_us) /
-                  static_cast<double>(direct.p50_us),
-              static_cast<double>(through.p99_us) /
-                  static_cast<double>(direct.p99_us));
+  std::printf(
+      "ratio    %8.2f calls/s  p50 %7.2f     p99 %7.2f\n",
+      through.calls_per_s / direct.calls_per_s,
+      static_cast<double>(through.p50_us) / static_cast<double>(direct.p50_us),
+      static_cast<double>(through.p99_us) / static_cast<double>(direct.p99_us));
   return direct.failed + through.failed == 0 ? kExitOk : kExitFailed;
 }
 
@@ -120,10 +119,10 @@
     return false;
   }
   options->key = key;
-  Settings settings = Settings::Parse(
-      "[load]\nentries = " + std::string{entries} +
-          "\nengine = " + std::string{engine} + "\n",
-      "command line");
+  Settings settings =
+      Settings::Parse("[load]\nentries = " + std::string{entries} +
+                          "\nengine = " + std::string{engine} + "\n",
+                      "command line");
   options->entries = settings.GetAddresses("load", "entries", "");
   options->engine = settings.GetAddress("load", "engine");
   return settings.Check().ok() && !options->entries.empty() &&
