--- a/tools/knapweed_load.cc
+++ b/tools/knapweed_load.cc
@@ -52,6 +52,7 @@
   std::vector<int64_t> took(static_cast<size_t>(options.calls));
   const int64_t start = NowMicros();
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(options.threads));
   for (int i = 0; i < options.threads; ++i) {
     threads.emplace_back([&, i] {
       HttpClient client(servers[static_cast<size_t>(i) % servers.size()]);
