--- a/include/knapweed/base/daemon_args.h
+++ b/include/knapweed/base/daemon_args.h
@@ -3,6 +3,9 @@
 
 #include <string>
 
+#include "knapweed/base/log.h"
+#include "knapweed/base/settings.h"
+
 namespace knapweed {
 
 inline constexpr char kVersionText[] = "0.1.0";
@@ -27,6 +30,9 @@
 /// two last ask for, and what is wrong with the rest.
 DaemonArgs ParseDaemonArgs(int argc, const char** argv, const char* summary);
 
+/// Reads [log] level: debug, info (when it is not set), warning or error.
+LogLevel ReadLogLevel(Settings& settings);
+
 /// Blocks SIGTERM, SIGINT and SIGPIPE in this thread and those it starts, so
 /// that `WaitForStopSignal` receives the first two. Call before any thread.
 void BlockStopSignals();
--- a/src/base/daemon_args.cc
+++ b/src/base/daemon_args.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 
 namespace knapweed {
 namespace {
@@ -69,6 +70,25 @@
   return args;
 }
 
+LogLevel ReadLogLevel(Settings& settings) {
+  struct Level {
+    std::string_view name;
+    LogLevel level;
+  };
+  static constexpr Level kLevels[] = {{"debug", LogLevel::kDebug},
+                                      {"info", LogLevel::kInfo},
+                                      {"warning", LogLevel::kWarning},
+                                      {"error", LogLevel::kError}};
+  const std::string text = settings.GetString("log", "level", "info");
+  for (const Level& it : kLevels) {
+    if (text == it.name) return it.level;
+  }
+  settings.AddFault(
+      "log", "level",
+      "is '" + text + "'; expected debug, info, warning or error");
+  return LogLevel::kInfo;
+}
+
 void BlockStopSignals() {
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -4,13 +4,13 @@
 #include <ini.h>
 
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <fstream>
 #include <sstream>
 
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
+#include "knapweed/base/parse.h"
 
 namespace knapweed {
 namespace {
@@ -21,30 +21,6 @@
   return full;
 }
 
-bool ParseInt(std::string_view text, int64_t* n) {
-  const char* end = text.data() + text.size();
-  const auto [stop, ec] = std::from_chars(text.data(), end, *n);
-  return ec == std::errc() && stop == end;
-}
-
-bool ParseSpan(std::string_view text, Ms* span) {
-  struct Unit {
-    std::string_view suffix;
-    int64_t ms;
-  };
-  static constexpr Unit kUnits[] = {{"ms", 1}, {"s", 1000}, {"m", 60000}};
-  for (const Unit& unit : kUnits) {
-    if (!text.ends_with(unit.suffix)) continue;
-    int64_t n = 0;
-    if (!ParseInt(text.substr(0, text.size() - unit.suffix.size()), &n) ||
-        n < 0)
-      return false;
-    *span = Ms{n * unit.ms};
-    return true;
-  }
-  return false;
-}
-
 }  // namespace
 
 bool ParseAddress(std::string_view text, Address* address) {
@@ -54,7 +30,7 @@
   in_addr parsed{};
   if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) return false;
   int64_t port = 0;
-  if (!ParseInt(text.substr(colon + 1), &port) || port < 1 || port > 65535)
+  if (!ParseNumber(text.substr(colon + 1), &port) || port < 1 || port > 65535)
     return false;
   *address = Address{host, static_cast<uint16_t>(port)};
   return true;
@@ -158,7 +134,7 @@
   const Value* value = Find(section, key);
   if (value == nullptr) return fallback;
   int64_t n = 0;
-  if (ParseInt(value->text, &n) && n >= low && n <= high) return n;
+  if (ParseNumber(value->text, &n) && n >= low && n <= high) return n;
   AddFault(section, key,
            "is '" + value->text + "'; expected a whole number from " +
                std::to_string(low) + " to " + std::to_string(high));
@@ -181,9 +157,10 @@
   if (value == nullptr) return fallback;
   Ms span;
   if (ParseSpan(value->text, &span)) return span;
-  AddFault(section, key,
-           "is '" + value->text +
-               "'; expected a number with its unit: ms, s or m, as in 250ms");
+  AddFault(
+      section, key,
+      "is '" + value->text +
+          "'; expected a number with its unit: ms, s, m or h, as in 250ms");
   return fallback;
 }
 
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -1,10 +1,11 @@
 #include "knapweed/entry/caller_api.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "knapweed/base/parse.h"
+
 namespace knapweed {
 namespace {
 
@@ -54,9 +55,7 @@
   const std::string_view text = FindHeader(request.headers, kDeadlineHeader);
   if (text.empty()) return config.default_deadline;
   int64_t n = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, ec] = std::from_chars(text.data(), end, n);
-  if (ec != std::errc() || stop != end || n < 1) {
+  if (!ParseNumber(text, &n) || n < 1) {
     return BadRequest(std::string(kDeadlineHeader) +
                       " must be a whole number of milliseconds.");
   }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -3,11 +3,11 @@
 #include <signal.h>
 #include <unistd.h>
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "knapweed/base/log.h"
+#include "knapweed/base/parse.h"
 #include "knapweed/entry/call_router.h"
 #include "knapweed/entry/caller_front.h"
 #include "knapweed/entry/crash_board.h"
@@ -215,9 +215,7 @@
   const std::vector<HttpHeader> json = {{"Content-Type", "application/json"}};
   const std::string text = QueryParam(request.query, "digest");
   uint64_t digest = 0;
-  const auto [stop, ec] =
-      std::from_chars(text.data(), text.data() + text.size(), digest);
-  if (text.empty() || ec != std::errc() || *stop != '\0') {
+  if (!ParseNumber(text, &digest)) {
     responder.Send({400, json, R"({"error":"digest=N is needed"})"});
     return;
   }
--- a/src/entry/entry_config.cc
+++ b/src/entry/entry_config.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "knapweed/base/daemon_args.h"
+
 namespace knapweed {
 namespace {
 
@@ -10,18 +12,6 @@
 constexpr int64_t kMinBodyBytes = 1024;
 constexpr int64_t kMaxBodyBytes = 16 << 20;
 
-LogLevel ReadLogLevel(Settings& settings) {
-  const std::string text = settings.GetString("log", "level", "info");
-  if (text == "debug") return LogLevel::kDebug;
-  if (text == "info") return LogLevel::kInfo;
-  if (text == "warning") return LogLevel::kWarning;
-  if (text == "error") return LogLevel::kError;
-  settings.AddFault(
-      "log", "level",
-      "is '" + text + "'; expected debug, info, warning or error");
-  return LogLevel::kInfo;
-}
-
 void ReadAddresses(Settings& settings, EntryConfig& config) {
   config.name = MemberId(settings.GetString("entry", "name"));
   config.domain = FailureDomain(settings.GetString("entry", "failure_domain"));
--- a/src/rules/rule_line.cc
+++ b/src/rules/rule_line.cc
@@ -1,41 +1,16 @@
 #include "rule_line.h"
 
-#include <charconv>
 #include <cmath>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_split.h"
+#include "knapweed/base/parse.h"
 
 namespace knapweed {
 namespace {
 
 constexpr std::string_view kBlanks = " \t\r";
 
-template <typename T>
-bool ParseWhole(std::string_view text, T* n) {
-  const char* end = text.data() + text.size();
-  const auto [stop, ec] = std::from_chars(text.data(), end, *n);
-  return ec == std::errc() && stop == end;
-}
-
-bool ParseSpan(std::string_view text, Ms* span) {
-  struct Unit {
-    std::string_view suffix;
-    uint32_t ms;
-  };
-  static constexpr Unit kUnits[] = {
-      {"ms", 1}, {"s", 1000}, {"m", 60'000}, {"h", 3'600'000}};
-  for (const Unit& unit : kUnits) {
-    if (!text.ends_with(unit.suffix)) continue;
-    uint32_t n = 0;
-    text.remove_suffix(unit.suffix.size());
-    if (!ParseWhole(text, &n) || n == 0) return false;
-    *span = Ms{static_cast<int64_t>(n) * unit.ms};
-    return true;
-  }
-  return false;
-}
-
 bool IsBlank(std::string_view text) {
   return text.find_first_not_of(kBlanks) == std::string_view::npos;
 }
@@ -132,7 +107,7 @@
   const std::optional<RuleWord> value = Value(key);
   if (!value) return fallback;
   double n = 0;
-  if (ParseWhole(value->text, &n) && std::isfinite(n)) return n;
+  if (ParseNumber(value->text, &n) && std::isfinite(n)) return n;
   Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
                            "; expected a number, as in 2.5");
   return fallback;
@@ -142,7 +117,7 @@
   const std::optional<RuleWord> value = Value(key);
   if (!value) return 0;
   uint64_t n = 0;
-  if (ParseWhole(value->text, &n) && n > 0) return n;
+  if (ParseNumber(value->text, &n) && n > 0) return n;
   Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
                            "; expected a whole number from 1");
   return 0;
@@ -151,7 +126,8 @@
 Ms RuleLine::Span(std::string_view key) {
   const std::optional<RuleWord> value = Value(key);
   Ms span;
-  if (!value || ParseSpan(value->text, &span)) return span;
+  if (!value) return span;
+  if (ParseSpan(value->text, &span) && span > Ms{0}) return span;
   Fault(value->column, std::string(key) + " is " + Quoted(value->text) +
                            "; expected a number with its unit: ms, s, m or h, "
                            "as in 30m");
--- a/src/sidecar/sidecar_config.cc
+++ b/src/sidecar/sidecar_config.cc
@@ -1,5 +1,7 @@
 #include "knapweed/sidecar/sidecar_config.h"
 
+#include "knapweed/base/daemon_args.h"
+
 namespace knapweed {
 namespace {
 
@@ -11,25 +13,6 @@
 /// No caller goes on trying for longer than this.
 constexpr Ms kLeastAttemptKeep = Seconds(60);
 
-LogLevel ReadLogLevel(Settings& settings) {
-  struct Level {
-    std::string_view name;
-    LogLevel level;
-  };
-  static constexpr Level kLevels[] = {{"debug", LogLevel::kDebug},
-                                      {"info", LogLevel::kInfo},
-                                      {"warning", LogLevel::kWarning},
-                                      {"error", LogLevel::kError}};
-  const std::string text = settings.GetString("log", "level", "info");
-  for (const Level& it : kLevels) {
-    if (text == it.name) return it.level;
-  }
-  settings.AddFault(
-      "log", "level",
-      "is '" + text + "'; expected debug, info, warning or error");
-  return LogLevel::kInfo;
-}
-
 void ReadAttempts(Settings& settings, AttemptMemoryOptions* attempts) {
   attempts->keep = settings.GetMs("attempts", "keep", attempts->keep);
   if (attempts->keep < kLeastAttemptKeep) {
