Wait for a lease and 2 s, not a fixed 8 s, before spending a share

Cause: with short leases most of an outage passed before an entry spent its failure domain's share, and the withholding side used a fixed 5 s as well. Conclusion: both sides follow the lease; withholding still starts first.

--- a/include/knapweed/entry/rate_gate.h
+++ b/include/knapweed/entry/rate_gate.h
@@ -29,6 +29,7 @@
   RpcPool& rpc;
   MemberId self;
   FailureDomain domain;
+  Ms lease;
   uint32_t partition_count;
 };
 
--- a/include/knapweed/entry/share_watch.h
+++ b/include/knapweed/entry/share_watch.h
@@ -18,7 +18,10 @@
 /// safe from several threads.
 class ShareWatch {
  public:
-  explicit ShareWatch(MemberId self) : self_(std::move(self)) {}
+  /// A member not seen to renew for `in_contact` may be out of contact; shorter
+  /// than what an entry waits before it spends its share.
+  ShareWatch(MemberId self, Ms in_contact)
+      : self_(std::move(self)), in_contact_(in_contact) {}
 
   /// Takes in the renewals as last read from the store. A member that was
   /// there at the first look counts as out of contact until it renews: how old
@@ -35,6 +38,7 @@
   };
 
   const MemberId self_;
+  const Ms in_contact_;
   bool looked_ = false;
   /// By incarnation.
   std::map<std::string, Sighting> seen_;
--- a/src/entry/rate_gate.cc
+++ b/src/entry/rate_gate.cc
@@ -7,8 +7,9 @@
 namespace knapweed {
 namespace {
 
-/// Longer than any lease that was renewed before the outage began.
-constexpr Ms kOwnShareAfter = Seconds(8);
+/// By how much a confirmed outage must outlast the leases that were renewed
+/// before it.
+constexpr Ms kOwnShareMargin = Seconds(2);
 /// BucketGrant.code of an answer, and of the two ways to get none.
 constexpr uint8_t kAnswered = 0;
 constexpr uint8_t kNotBucketOwner = 1;
@@ -47,7 +48,7 @@
 
 RateGate::RateGate(const RateGateParts& parts)
     : parts_(parts),
-      share_watch_(parts.self),
+      share_watch_(parts.self, parts.lease),
       owner_({[this](const WorkspaceId& it) { return LeaseOf(it); },
               [this](const WorkspaceId& it) { return LimitOf(it); }}),
       limiter_({[this](const BucketQuestion& question, Ms timeout) {
@@ -65,7 +66,8 @@
 
 double RateGate::OwnShare() const {
   if (parts_.membership.LeaseHolds()) return 0;
-  if (parts_.contact.OutageFor() < kOwnShareAfter) return 0;
+  const Ms after = parts_.lease + kOwnShareMargin;
+  if (parts_.contact.OutageFor() < after) return 0;
   int entries = 0;
   for (const Member& it : parts_.membership.Members()) {
     entries += it.domain == parts_.domain ? 1 : 0;
--- a/src/entry/share_watch.cc
+++ b/src/entry/share_watch.cc
@@ -5,8 +5,6 @@
 namespace knapweed {
 namespace {
 
-/// Shorter than an entry without contact waits before it spends its share.
-constexpr Ms kInContact = Seconds(5);
 /// How long a member that vanished may still act as if it were out of contact.
 constexpr Ms kForgetAfter = Seconds(20);
 
@@ -39,7 +37,7 @@
       it = seen_.erase(it);
       continue;
     }
-    if (!it->second.renewed || age > kInContact) {
+    if (!it->second.renewed || age > in_contact_) {
       domains.insert(it->second.domain);
     }
     ++it;
