Forget calls without a program or key two minutes after their end

Figures: 4 rows of idle times pass in program_test; 9 MB at two minutes (arithmetic). Conclusion: their names start with a prefix that callers can't use.

--- a/include/knapweed/program/program_table.h
+++ b/include/knapweed/program/program_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -83,6 +84,11 @@
 
 using BeginResult = std::variant<TurnHold, CallOutcome, CallError>;
 
+/// Starts the name of a program that holds one call whose caller named neither
+/// a program nor an idempotency key: nobody can ask for it again, so it need
+/// not be kept for long.
+inline constexpr std::string_view kUnnamedProgramPrefix = "~once-";
+
 struct ProgramTableOptions {
   uint32_t partition_count = 64;
   /// How long a call waits for its record to become durable.
@@ -98,6 +104,8 @@
   uint32_t waiting_per_program = 64;
   /// A program without a call for this long ends.
   Ms idle_limit = Seconds(86400);
+  /// The same for a program whose name starts with kUnnamedProgramPrefix.
+  Ms unnamed_idle_limit = Seconds(120);
   /// Batches and bytes after which the log's rows move into a segment.
   uint64_t move_after_batches = 256;
   uint64_t move_after_bytes = 4 << 20;
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "knapweed/base/parse.h"
+#include "knapweed/program/program_table.h"
 
 namespace knapweed {
 namespace {
@@ -45,6 +46,11 @@
       return BadRequest(std::string(check.header) +
                         " must be 1 to 200 visible ASCII characters.");
     }
+    if (value.starts_with(kUnnamedProgramPrefix)) {
+      return BadRequest(std::string(check.header) + " must not start with '" +
+                        std::string(kUnnamedProgramPrefix) +
+                        "', which names calls without a program.");
+    }
     *check.target = value;
   }
   return call;
@@ -136,10 +142,11 @@
 // A call that names no program is one of its own. A re-sent call must meet the
 // same owner, so its key names the program.
 void NameProgram(wire::CallT& call) {
-  if (call.idempotency_key.empty()) {
-    call.idempotency_key = "request-" + call.request_id;
-  }
-  if (call.program.empty()) call.program = "call-" + call.idempotency_key;
+  const bool unnamed = call.idempotency_key.empty();
+  if (unnamed) call.idempotency_key = "request-" + call.request_id;
+  if (!call.program.empty()) return;
+  call.program = unnamed ? std::string(kUnnamedProgramPrefix) + call.request_id
+                         : "call-" + call.idempotency_key;
 }
 
 std::string CompletionId(const wire::CallT& call) {
--- a/src/program/upkeep.cc
+++ b/src/program/upkeep.cc
@@ -11,6 +11,11 @@
 /// How long a log that was read for recovery is kept for further partitions.
 constexpr Ms kKeepReadLog = Seconds(10);
 
+Ms IdleLimitOf(const ProgramKey& key, const ProgramTableOptions& options) {
+  const bool unnamed = key.program.value.starts_with(kUnnamedProgramPrefix);
+  return unnamed ? options.unnamed_idle_limit : options.idle_limit;
+}
+
 }  // namespace
 
 /// Whether a record of this log may still be read by anyone.
@@ -169,14 +174,14 @@
       if (!partition.serving) continue;
       for (const auto& [key, program] : partition.programs) {
         const Ms age = clock.Now() - program->last_call;
-        if (age >= options.idle_limit) idle.push_back(key);
+        if (age >= IdleLimitOf(key, options)) idle.push_back(key);
       }
     }
   }
   for (const ProgramKey& it : idle) {
     // A program that has just become busy stays.
     if (AppendEnd(it).ok()) {
-      kLog.Info("Ended an idle program.", {{"program", it.program.value}});
+      kLog.Debug("Ended an idle program.", {{"program", it.program.value}});
     }
   }
 }
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -119,6 +119,12 @@
        "POST",
        ErrorCode::kBadRequest,
        "X-Knapweed-Parent"},
+      {model,
+       kGoodBody,
+       {{"X-Knapweed-Program", "~once-1"}},
+       "POST",
+       ErrorCode::kBadRequest,
+       "must not start with"},
       {model,
        kGoodBody,
        {{"X-Knapweed-Deadline-Ms", "soon"}},
@@ -160,6 +166,7 @@
       {{{"X-Knapweed-Program", "p"}, {"Idempotency-Key", "k"}}, "p", "k"},
       {{{"Idempotency-Key", "k"}}, "call-k", "k"},
       {{{"X-Knapweed-Program", "p"}}, "p", ""},
+      {{}, "", ""},
   };
   const Fixture fixture;
   const RouteRule* route = FindRoute(fixture.rules, "/v1/chat/completions");
@@ -171,7 +178,11 @@
     const auto* call = std::get_if<wire::CallT>(&parsed);
     REQUIRE(call != nullptr);
     CHECK(call->workspace == "cannery");
-    CHECK(call->program == row.program);
+    if (row.program.empty()) {
+      CHECK(call->program == "~once-" + call->request_id);
+    } else {
+      CHECK(call->program == row.program);
+    }
     if (row.key.empty()) {
       CHECK(call->idempotency_key == "request-" + call->request_id);
     } else {
@@ -353,7 +364,7 @@
   const int64_t seconds[] = {0, 1, 4, 7, 30};
   for (const Row& row : rows) {
     CAPTURE(row.name);
-    ShareWatch watch(MemberId("a"));
+    ShareWatch watch(MemberId("a"), Seconds(5));
     MemberBeat own;
     own.member.id = MemberId("a");
     own.member.incarnation = "a1";
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -187,6 +187,27 @@
   for (int i = 0; i < kCalls; ++i) CHECK(history[i] == std::to_string(i));
 }
 
+TEST_CASE("an idle program ends at its limit") {
+  struct Row {
+    std::string program;
+    Ms idle;
+    size_t live;
+  };
+  const std::vector<Row> rows = {{"p", Seconds(86000), 1},
+                                 {"p", Seconds(86400), 0},
+                                 {"~once-1", Seconds(100), 1},
+                                 {"~once-1", Seconds(120), 0}};
+  for (const Row& row : rows) {
+    CAPTURE(row.program);
+    CAPTURE(row.idle.count);
+    Fixture f;
+    REQUIRE(!f.Run(CallOf(row.program, "k"), Answer("one")));
+    f.time.clock.Advance(row.idle);
+    CHECK(f.member.programs->Maintain().ok());
+    CHECK(f.member.programs->LivePrograms().size() == row.live);
+  }
+}
+
 TEST_CASE("an ended program starts anew") {
   Fixture f;
   CHECK(absl::IsNotFound(f.member.programs->End(KeyOf("p"))));
