--- a/include/knapweed/base/settings.h
+++ b/include/knapweed/base/settings.h
@@ -87,6 +87,7 @@
   std::string name_;
   std::map<std::string, Value> values_;
   std::vector<std::string> faults_;
+  bool unreadable_ = false;
 };
 
 }  // namespace knapweed
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -42,6 +42,7 @@
     Settings settings;
     settings.name_ = path;
     settings.Fault(0, std::string("can't be read: ") + std::strerror(errno));
+    settings.unreadable_ = true;
     return settings;
   }
   std::stringstream text;
@@ -192,6 +193,8 @@
 }
 
 absl::Status Settings::Check() const {
+  // What is missing from a file that nobody could read says nothing.
+  if (unreadable_) return absl::InvalidArgumentError(faults_.front());
   std::vector<std::string> faults = faults_;
   for (const auto& [key, value] : values_) {
     if (value.used) continue;
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -46,6 +46,13 @@
   }
 }
 
+TEST_CASE("a file that can't be read is the only fault told") {
+  Settings settings = Settings::Load("no/such/file.ini");
+  settings.GetAddress("a", "listen");
+  CHECK(settings.Check().message() ==
+        "no/such/file.ini:0: can't be read: No such file or directory");
+}
+
 TEST_CASE("spans need a unit") {
   struct Row {
     std::string text;
