Reach the clearing of a quarantine from the control address

Cause: POST /quarantine/clear was described and written, but no branch of the control handler led to it, so it answered 404 and the function was dead code.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -203,6 +203,8 @@
     // The main thread waits for signals; a stop by request is one too.
     kill(getpid(), SIGTERM);
     responder.Send({202, json, R"({"draining":true})"});
+  } else if (request.path == "/quarantine/clear" && request.method == "POST") {
+    ClearQuarantine(request, responder);
   } else {
     responder.Send(
         {404, json,
