Keep allowances of program budgets and larger grants of rates ahead; outlast a busy store

A turn cost two writes, a workspace two a second and gateway. Change: an allowance of half an ample budget per gateway and program, grants for 1.5 s, busy answers are waited out, programs begin only while their workspace's bucket is not low, SIGHUP reloads.

--- a/include/knapweed/base/log.h
+++ b/include/knapweed/base/log.h
@@ -50,6 +50,9 @@
 /// format.
 void StartLog(LogLevel level);
 
+/// Changes the level below which lines are dropped.
+void SetLogLevel(LogLevel level);
+
 }  // namespace knapweed
 
 #endif  // KNAPWEED_BASE_LOG_H_
--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -8,53 +8,123 @@
 
 #include "knapweed/gateway/shared_row.h"
 
-/// Token budgets of programs, shared by all gateways: a row per program holds
-/// what was spent and what running turns may still spend.
+/// Token budgets of programs, shared by all gateways. A row per program holds
+/// what was spent and, under each gateway's name, what that gateway may spend
+/// without asking again. A few turns of a program cost one write that way, and
+/// a program under way goes on for a while when the store is away.
 namespace knapweed::gateway {
 
-enum class Reservation : uint8_t { kReserved, kExhausted, kUnavailable };
+/// What a program's row says.
+struct BudgetState {
+  /// An allowance in one gateway's name, and when it was last confirmed, on the
+  /// store's clock.
+  struct Allowance {
+    uint64_t tokens = 0;
+    Ms at;
+  };
+
+  uint64_t spent = 0;
+  std::map<std::string, Allowance> allowances;
+};
+
+/// What a gateway wants to write.
+struct BudgetClaim {
+  std::string gateway;
+  uint64_t budget = 0;
+  /// Spent here and not written yet.
+  uint64_t spent = 0;
+  /// Most tokens of the turns that run here.
+  uint64_t running = 0;
+  /// Most tokens of the turn that is to begin; 0 when none is.
+  uint64_t most = 0;
+  /// On the store's clock.
+  Ms now;
+};
+
+enum class ClaimVerdict : uint8_t {
+  kGranted,
+  /// The budget holds no further turn, whatever other gateways gave back.
+  kExhausted,
+  /// It may hold one more once another gateway gives back what it holds.
+  kHeldElsewhere,
+};
+
+/// Applies a claim to a row: writes what was spent and sets the gateway's
+/// allowance, with some tokens ahead where the budget has ample room. The row
+/// is unchanged unless the claim is granted.
+ClaimVerdict ApplyClaim(const BudgetClaim& claim, BudgetState& state);
+
+BudgetState DecodeBudget(const nlohmann::json& json);
+nlohmann::json EncodeBudget(const BudgetState& state);
+
+enum class Reservation : uint8_t {
+  kReserved,
+  kExhausted,
+  kHeldElsewhere,
+  kUnavailable,
+};
+
+/// `is_new` when no gateway had heard of the program.
+struct ReserveResult {
+  Reservation reservation = Reservation::kUnavailable;
+  bool is_new = false;
+};
 
 /// Reserves before a turn runs and settles after it ended. What a gateway that
-/// died had reserved stays reserved: its turns may have spent all of it.
+/// died was allowed counts as spent: its turns may have spent all of it.
 class Budgets {
  public:
-  Budgets(asio::io_context& loop, Clock clock, SharedRows& rows)
-      : loop_(loop), clock_(clock), rows_(rows) {}
+  /// `gateway` is unique to this process.
+  Budgets(asio::io_context& loop, Clock clock, Store& store, SharedRows& rows,
+          std::string gateway)
+      : loop_(loop),
+        clock_(clock),
+        store_(store),
+        rows_(rows),
+        gateway_(std::move(gateway)) {}
 
   /// Sets `most` tokens of the program's `budget` aside. `name` is unique among
   /// all workspaces.
-  Task<Reservation> Reserve(std::string name, uint64_t budget, uint64_t most,
-                            Ms deadline);
+  Task<ReserveResult> Reserve(std::string name, uint64_t budget, uint64_t most,
+                              Ms deadline);
   /// A reserved turn has ended: `spent` of its `most` tokens reached the
-  /// caller. Written with the program's next turn, or soon by `Flush`.
+  /// caller.
   void Settle(const std::string& name, uint64_t most, uint64_t spent);
-  /// Writes what was settled before `older_than` ago; call it regularly.
-  Task<void> Flush(Ms older_than);
-  bool HasUnsettled() const;
+  /// Gives back the allowances of programs that have no turn here, or had none
+  /// for a while unless `all`, and confirms those in use; call it regularly.
+  Task<void> Flush(bool all);
 
  private:
   struct Program {
     explicit Program(asio::io_context& loop) : freed(loop) {}
     CachedRow row;
-    uint64_t ended_most = 0;
-    uint64_t ended_spent = 0;
-    Ms ended_at;
+    /// Tokens in this gateway's name, as last written.
+    uint64_t allowance = 0;
+    Ms allowed_at;
+    uint64_t spent = 0;
+    uint64_t running = 0;
     Ms used_at;
+    /// The last claim left tokens ahead.
+    bool ample = false;
     bool busy = false;
     Event freed;
   };
   using ProgramPtr = std::shared_ptr<Program>;
 
   ProgramPtr Find(const std::string& name);
-  Task<bool> Lock(Program& program, Ms deadline);
+  Task<bool> Lock(ProgramPtr program, Ms deadline);
   static void Unlock(Program& program);
-  Task<UpdateOutcome> Write(const std::string& name, Program& program,
+  Task<ReserveResult> Claim(std::string name, ProgramPtr program,
                             uint64_t budget, uint64_t most, Ms deadline);
+  Task<bool> WriteBack(std::string name, ProgramPtr program, bool release);
+  bool IsIdle(const Program& program) const;
   void DropIdle();
 
   asio::io_context& loop_;
   Clock clock_;
+  Store& store_;
   SharedRows& rows_;
+  std::string gateway_;
   std::map<std::string, ProgramPtr> programs_;
 };
 
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -82,6 +82,7 @@
   Task<void> RunChecked(StatePtr state);
   Task<Step> Admit(StatePtr state);
   Task<Step> ReserveBudget(StatePtr state);
+  Task<Step> TakeRate(StatePtr state);
   Task<Step> JoinHistory(StatePtr state);
   Task<void> RunAttempts(StatePtr state);
   Task<Step> RunAttempt(StatePtr state, UpstreamPtr upstream);
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -34,8 +34,9 @@
 absl::StatusOr<GatewayConfig> ReadGatewayConfig(const std::string& path);
 
 /// Runs a gateway over a platform's dialect until a stop signal; returns the
-/// exit code.
-int RunGateway(const GatewayConfig& config, const Dialect& dialect);
+/// exit code. `path` is read again on SIGHUP.
+int RunGateway(const GatewayConfig& config, const std::string& path,
+               const Dialect& dialect);
 
 /// The daemon's `main`: reads the command line and settings and runs.
 int GatewayMain(int argc, const char** argv, const Dialect& dialect);
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -49,10 +49,14 @@
         rows_(rows),
         tolerance_(tolerance) {}
 
-  /// Counts one call of the workspace.
-  Task<QuotaVerdict> Take(const Workspace& workspace, Ms deadline);
+  /// Counts one call of the workspace. A call that begins a program is refused
+  /// while the bucket is low: a program needs many calls to be worth anything,
+  /// and those under way go first.
+  Task<QuotaVerdict> Take(const Workspace& workspace, bool begins_program,
+                          Ms deadline);
   /// A call that was counted is not sent after all.
   void Return(const std::string& workspace);
+  void SetTolerance(QuotaTolerance tolerance) { tolerance_ = tolerance; }
   /// Number of gateways that serve callers.
   void SetGateways(uint32_t n) { gateways_ = n == 0 ? 1 : n; }
 
@@ -67,6 +71,8 @@
     uint32_t calls = 0;
     Ms counted_since;
     bool busy = false;
+    /// Share of the bucket that was left by the last grant, and when.
+    double level_share = 1;
     /// No grant before this: the bucket was found empty.
     Ms empty_until;
     Event refilled;
--- a/include/knapweed/gateway/records.h
+++ b/include/knapweed/gateway/records.h
@@ -50,8 +50,10 @@
   kDone,
   /// A condition failed; the rows of the conditions came back.
   kConflict,
-  /// Nothing was done, and the store or the way to it is busy or away.
+  /// Nothing was done: the store or the way to it is away.
   kNotDone,
+  /// Nothing was done: too many calls at once.
+  kBusy,
   /// No answer: it may have been done, or may be done later.
   kUnknown,
   /// The history that a feed asked for is gone; read the table again.
--- a/include/knapweed/gateway/store.h
+++ b/include/knapweed/gateway/store.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "knapweed/base/metrics.h"
 #include "knapweed/gateway/dialect.h"
 
 /// The platform's store as a gateway reaches it: straight, or through another
@@ -17,7 +18,7 @@
 class Store {
  public:
   Store(asio::io_context& loop, Clock clock, const Dialect& dialect,
-        Address address);
+        Address address, Metrics& metrics);
 
   /// Begins to look out for the store while it is away.
   void Start();
@@ -49,18 +50,23 @@
  private:
   Task<StoreAnswer> Run(const HttpCall& call, Ms timeout, bool anyway);
   Task<void> ProbeDirect();
+  Task<StoreAnswer> RunDirectPatiently(const HttpCall& call, Ms timeout);
   Task<StoreAnswer> RunDirect(const HttpCall& call, Ms timeout);
   Task<StoreAnswer> RunThroughPeers(const HttpCall& call, Ms timeout);
+  void Count(std::string_view kind, std::string_view table);
   void NoteContact(bool direct, bool ok);
   void NoteClock(const StoreAnswer& answer);
 
   asio::io_context& loop_;
   Clock clock_;
   const Dialect& dialect_;
+  Metrics& metrics_;
   std::unique_ptr<HttpClient> direct_;
   std::vector<std::unique_ptr<HttpClient>> peers_;
   size_t next_peer_ = 0;
   bool direct_ok_ = true;
+  /// Since when the store has only called itself busy; zero when it has not.
+  Ms busy_since_;
   bool relay_ok_ = false;
   Ms lost_at_;
   Ms regained_at_;
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -90,6 +90,10 @@
                                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                         << " " << logging::trivial::severity << " "
                         << expr::smessage));
+  SetLogLevel(level);
+}
+
+void SetLogLevel(LogLevel level) {
   logging::core::get()->set_filter(logging::trivial::severity >=
                                    ToSeverity(level));
 }
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -1,6 +1,7 @@
 #include "knapweed/gateway/budgets.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "knapweed/base/ids.h"
@@ -16,21 +17,89 @@
 constexpr uint64_t kParts = 256;
 /// A program that was silent for this long is forgotten here; its row stays.
 constexpr Ms kForgetAfter{60000};
-constexpr Ms kFlushTimeout{2000};
+constexpr Ms kWriteBackTimeout{2000};
 /// A refusal is repeated without reading the row again for this long.
 constexpr Ms kRefusalFresh{200};
+/// An allowance in use is confirmed this often. One that was not confirmed for
+/// the longer span belongs to a gateway that died, and counts as spent.
+constexpr Ms kConfirmEvery{3000};
+constexpr Ms kAllowanceLapses{12000};
+/// Tokens ahead of the turns that run: half of what the budget still holds
+/// beyond a few turns at their most, and no more than some turns of them. Other
+/// gateways find enough left.
+constexpr uint64_t kTurnsAhead = 8;
+constexpr uint64_t kTurnsLeft = 4;
+constexpr uint64_t kAheadDivisor = 2;
+/// An allowance with tokens ahead is given back after the longer idle time, so
+/// that a program which comes by another gateway in between finds it again; one
+/// of a tight budget at once, since another gateway may need it.
+constexpr Ms kIdleAmple{4000};
+constexpr Ms kIdleTight{100};
 
 RowKey KeyOf(const std::string& name) {
   return {"budgets", "b" + std::to_string(HashBytes(name) % kParts), name};
 }
 
-uint64_t Field(const nlohmann::json& state, const char* name) {
-  const auto it = state.find(name);
-  return it != state.end() && it->is_number_unsigned() ? it->get<uint64_t>()
-                                                       : 0;
+}  // namespace
+
+BudgetState DecodeBudget(const nlohmann::json& json) {
+  BudgetState state;
+  if (!json.is_object()) return state;
+  const auto spent = json.find("spent");
+  if (spent != json.end() && spent->is_number_unsigned()) {
+    state.spent = spent->get<uint64_t>();
+  }
+  const auto allowances = json.find("allowances");
+  if (allowances == json.end() || !allowances->is_object()) return state;
+  for (const auto& [gateway, item] : allowances->items()) {
+    const bool readable = item.is_array() && item.size() == 2 &&
+                          item[0].is_number_unsigned() &&
+                          item[1].is_number_integer();
+    if (!readable) continue;
+    state.allowances[gateway] = {item[0].get<uint64_t>(),
+                                 Ms{item[1].get<int64_t>()}};
+  }
+  return state;
 }
 
-}  // namespace
+nlohmann::json EncodeBudget(const BudgetState& state) {
+  nlohmann::json allowances = nlohmann::json::object();
+  for (const auto& [gateway, allowance] : state.allowances) {
+    allowances[gateway] = {allowance.tokens, allowance.at.count};
+  }
+  return {{"spent", state.spent}, {"allowances", std::move(allowances)}};
+}
+
+ClaimVerdict ApplyClaim(const BudgetClaim& claim, BudgetState& state) {
+  BudgetState next = state;
+  next.spent += claim.spent;
+  next.allowances.erase(claim.gateway);
+  uint64_t elsewhere = 0;
+  for (auto it = next.allowances.begin(); it != next.allowances.end();) {
+    if (claim.now - it->second.at > kAllowanceLapses) {
+      next.spent += it->second.tokens;
+      it = next.allowances.erase(it);
+    } else {
+      elsewhere += it->second.tokens;
+      ++it;
+    }
+  }
+  const uint64_t sure = next.spent + claim.running + claim.most;
+  if (claim.most > 0 && sure + elsewhere > claim.budget) {
+    return sure > claim.budget || elsewhere == 0 ? ClaimVerdict::kExhausted
+                                                 : ClaimVerdict::kHeldElsewhere;
+  }
+  uint64_t tokens = claim.running + claim.most;
+  const uint64_t used = sure + elsewhere;
+  const uint64_t kept = used + kTurnsLeft * claim.most;
+  if (claim.most > 0 && kept < claim.budget) {
+    tokens += std::min((claim.budget - kept) / kAheadDivisor,
+                       kTurnsAhead * claim.most);
+  }
+  if (tokens > 0) next.allowances[claim.gateway] = {tokens, claim.now};
+  state = std::move(next);
+  return ClaimVerdict::kGranted;
+}
 
 Budgets::ProgramPtr Budgets::Find(const std::string& name) {
   ProgramPtr& program = programs_[name];
@@ -39,13 +108,13 @@
   return program;
 }
 
-Task<bool> Budgets::Lock(Program& program, Ms deadline) {
-  while (program.busy) {
+Task<bool> Budgets::Lock(ProgramPtr program, Ms deadline) {
+  while (program->busy) {
     const Ms left = deadline - clock_.Now();
     if (left <= Ms{0}) co_return false;
-    co_await program.freed.Wait(left);
+    co_await program->freed.Wait(left);
   }
-  program.busy = true;
+  program->busy = true;
   co_return true;
 }
 
@@ -54,98 +123,134 @@
   program.freed.Notify();
 }
 
-Task<UpdateOutcome> Budgets::Write(const std::string& name, Program& program,
+Task<ReserveResult> Budgets::Claim(std::string name, ProgramPtr program,
                                    uint64_t budget, uint64_t most,
                                    Ms deadline) {
-  const uint64_t ended_most = program.ended_most;
-  const uint64_t ended_spent = program.ended_spent;
-  const RowChange change = [=](nlohmann::json& state) {
-    uint64_t spent = 0;
-    uint64_t reserved = 0;
-    if (state.is_object()) {
-      spent = Field(state, "spent");
-      reserved = Field(state, "reserved");
-    }
-    spent += ended_spent;
-    reserved -= std::min(reserved, ended_most);
-    if (most > 0 && spent + reserved + most > budget) return false;
-    state = {{"spent", spent}, {"reserved", reserved + most}};
+  BudgetClaim claim;
+  claim.gateway = gateway_;
+  claim.budget = budget;
+  claim.spent = program->spent;
+  claim.running = program->running;
+  claim.most = most;
+  ClaimVerdict verdict = ClaimVerdict::kGranted;
+  uint64_t allowance = 0;
+  bool is_new = false;
+  const RowChange change = [&](nlohmann::json& json) {
+    is_new = !json.is_object();
+    BudgetState state = DecodeBudget(json);
+    claim.now = store_.StoreNow();
+    verdict = ApplyClaim(claim, state);
+    if (verdict != ClaimVerdict::kGranted) return false;
+    allowance = state.allowances[gateway_].tokens;
+    json = EncodeBudget(state);
     return true;
   };
   const RowKey key = KeyOf(name);
   const UpdateOutcome outcome =
-      co_await rows_.Update(key, program.row, change, deadline, kRefusalFresh);
+      co_await rows_.Update(key, program->row, change, deadline, kRefusalFresh);
   if (outcome == UpdateOutcome::kChanged) {
-    program.ended_most -= ended_most;
-    program.ended_spent -= ended_spent;
+    program->spent -= claim.spent;
+    program->allowance = allowance;
+    program->ample = allowance > program->running + most;
+    program->allowed_at = clock_.Now();
+    co_return ReserveResult{Reservation::kReserved, is_new};
+  }
+  if (outcome == UpdateOutcome::kDeclined) {
+    co_return ReserveResult{verdict == ClaimVerdict::kExhausted
+                                ? Reservation::kExhausted
+                                : Reservation::kHeldElsewhere,
+                            is_new};
   }
-  co_return outcome;
+  // After an unknown outcome the row may hold a larger allowance than is
+  // believed here, which the next write corrects.
+  co_return ReserveResult{Reservation::kUnavailable, is_new};
 }
 
-Task<Reservation> Budgets::Reserve(std::string name, uint64_t budget,
-                                   uint64_t most, Ms deadline) {
+Task<ReserveResult> Budgets::Reserve(std::string name, uint64_t budget,
+                                     uint64_t most, Ms deadline) {
   const ProgramPtr program = Find(name);
-  const bool locked = co_await Lock(*program, deadline);
-  if (!locked) co_return Reservation::kUnavailable;
-  const UpdateOutcome outcome =
-      co_await Write(name, *program, budget, most, deadline);
-  Unlock(*program);
-  switch (outcome) {
-    case UpdateOutcome::kChanged:
-      co_return Reservation::kReserved;
-    case UpdateOutcome::kDeclined:
-      co_return Reservation::kExhausted;
-    case UpdateOutcome::kUnknown:
-      // The reservation may stand in the row. The turn does not run, so it is
-      // to be released; releasing one that was not made is bounded by zero.
-      kLog.Info("A reservation is in doubt; the turn is refused.",
-                {{"program", name}, {"tokens", most}});
-      co_return Reservation::kUnavailable;
-    case UpdateOutcome::kNotDone:
-      co_return Reservation::kUnavailable;
+  const bool locked = co_await Lock(program, deadline);
+  if (!locked) co_return ReserveResult{};
+  ReserveResult result{Reservation::kReserved, false};
+  const bool lapsed =
+      clock_.Now() - program->allowed_at > kAllowanceLapses - kConfirmEvery;
+  if (lapsed || program->spent + program->running + most > program->allowance) {
+    result = co_await Claim(name, program, budget, most, deadline);
   }
-  co_return Reservation::kUnavailable;
+  if (result.reservation == Reservation::kReserved) program->running += most;
+  Unlock(*program);
+  co_return result;
 }
 
 void Budgets::Settle(const std::string& name, uint64_t most, uint64_t spent) {
   const ProgramPtr program = Find(name);
-  if (program->ended_most == 0) program->ended_at = clock_.Now();
-  program->ended_most += most;
-  program->ended_spent += spent;
+  program->running -= std::min(most, program->running);
+  program->spent += spent;
+}
+
+Task<bool> Budgets::WriteBack(std::string name, ProgramPtr program,
+                              bool release) {
+  program->busy = true;
+  BudgetClaim claim;
+  claim.gateway = gateway_;
+  claim.spent = program->spent;
+  claim.running = program->running;
+  if (!release) {
+    claim.running = std::max(
+        claim.running,
+        program->allowance - std::min(program->spent, program->allowance));
+  }
+  const RowChange change = [&](nlohmann::json& json) {
+    BudgetState state = DecodeBudget(json);
+    claim.now = store_.StoreNow();
+    ApplyClaim(claim, state);
+    json = EncodeBudget(state);
+    return true;
+  };
+  const RowKey key = KeyOf(name);
+  const Ms deadline = clock_.Now() + kWriteBackTimeout;
+  const UpdateOutcome outcome =
+      co_await rows_.Update(key, program->row, change, deadline);
+  if (outcome == UpdateOutcome::kChanged) {
+    program->spent -= claim.spent;
+    program->allowance = claim.running;
+    program->allowed_at = clock_.Now();
+  }
+  Unlock(*program);
+  co_return outcome == UpdateOutcome::kChanged;
+}
+
+bool Budgets::IsIdle(const Program& program) const {
+  const Ms idle_for = program.ample ? kIdleAmple : kIdleTight;
+  return program.running == 0 && clock_.Now() - program.used_at >= idle_for;
 }
 
-Task<void> Budgets::Flush(Ms older_than) {
-  const Ms before = clock_.Now() - older_than;
+Task<void> Budgets::Flush(bool all) {
+  const Ms now = clock_.Now();
   std::vector<std::pair<std::string, ProgramPtr>> due;
   for (const auto& [name, program] : programs_) {
-    if (program->ended_most > 0 && !program->busy &&
-        program->ended_at <= before) {
+    if (program->busy) continue;
+    const bool idle = all || IsIdle(*program);
+    const bool old = now - program->allowed_at >= kConfirmEvery;
+    if (program->allowance + program->spent > 0 && (idle || old)) {
       due.emplace_back(name, program);
     }
   }
   for (const auto& [name, program] : due) {
-    if (program->busy || program->ended_most == 0) continue;
-    program->busy = true;
-    const Ms deadline = clock_.Now() + kFlushTimeout;
-    const UpdateOutcome outcome =
-        co_await Write(name, *program, 0, 0, deadline);
-    Unlock(*program);
-    if (outcome == UpdateOutcome::kNotDone) break;
+    if (program->busy) continue;
+    const bool release = all || IsIdle(*program);
+    const bool written = co_await WriteBack(name, program, release);
+    if (!written && !store_.reachable()) break;
   }
   DropIdle();
 }
 
-bool Budgets::HasUnsettled() const {
-  return std::any_of(programs_.begin(), programs_.end(), [](const auto& item) {
-    return item.second->ended_most > 0;
-  });
-}
-
 void Budgets::DropIdle() {
   const Ms before = clock_.Now() - kForgetAfter;
   std::erase_if(programs_, [&](const auto& item) {
     const Program& program = *item.second;
-    return !program.busy && program.ended_most == 0 && program.used_at < before;
+    return !program.busy && program.running == 0 && program.spent == 0 &&
+           program.allowance == 0 && program.used_at < before;
   });
 }
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -29,6 +29,9 @@
 /// When to come back after a refusal, by cause.
 constexpr Ms kRetryStarting{300};
 constexpr Ms kRetryStoreAway{400};
+/// The gateway that holds the rest of a tight budget gives it back soon after
+/// its turn of the program has ended.
+constexpr Ms kRetryBudgetHeld{300};
 constexpr Ms kRetryFull{150};
 constexpr Ms kRetryNoUpstream{400};
 constexpr size_t kMaxWholeAnswer = 64 << 20;
@@ -94,6 +97,8 @@
   /// A token of the workspace's rate is held and not yet used.
   bool holds_rate = false;
   bool holds_budget = false;
+  /// The first turn of a program.
+  bool begins_program = false;
   std::string budget_name;
   // The answer so far.
   unsigned status = 0;
@@ -142,6 +147,8 @@
   if (step == Step::kDone) co_return;
   step = co_await ReserveBudget(state);
   if (step == Step::kDone) co_return;
+  step = co_await TakeRate(state);
+  if (step == Step::kDone) co_return;
   Arm(state);
   co_await RunAttempts(state);
 }
@@ -171,13 +178,6 @@
       co_await Refuse(state, stale ? 503 : 401, kRetryStoreAway, "unknown key");
       co_return Step::kDone;
     }
-    const QuotaVerdict verdict =
-        co_await parts_.quotas.Take(*state->workspace, state->deadline);
-    if (!verdict.allowed) {
-      co_await Refuse(state, 429, verdict.retry_after, "over rate");
-      co_return Step::kDone;
-    }
-    state->holds_rate = true;
   }
   const uint64_t split =
       HashBytes(!head.line.empty() ? head.line : head.request_id);
@@ -191,6 +191,18 @@
   co_return Step::kNext;
 }
 
+Task<CallRunner::Step> CallRunner::TakeRate(StatePtr state) {
+  if (state->workspace == nullptr) co_return Step::kNext;
+  const QuotaVerdict verdict = co_await parts_.quotas.Take(
+      *state->workspace, state->begins_program, state->deadline);
+  if (!verdict.allowed) {
+    co_await Refuse(state, 429, verdict.retry_after, "over rate");
+    co_return Step::kDone;
+  }
+  state->holds_rate = true;
+  co_return Step::kNext;
+}
+
 Task<CallRunner::Step> CallRunner::JoinHistory(StatePtr state) {
   CallerRequest& request = state->request;
   const bool continues =
@@ -225,18 +237,23 @@
   if (state->workspace != nullptr) {
     state->budget_name = state->workspace->name + "/" + head.program;
   }
-  const Reservation reservation =
+  const ReserveResult result =
       co_await parts_.budgets.Reserve(state->budget_name, *head.token_budget,
                                       head.max_output_tokens, state->deadline);
-  if (reservation == Reservation::kExhausted) {
+  if (result.reservation == Reservation::kExhausted) {
     co_await Refuse(state, 402, Ms{0}, "token budget exhausted");
     co_return Step::kDone;
   }
-  if (reservation == Reservation::kUnavailable) {
+  if (result.reservation == Reservation::kHeldElsewhere) {
+    co_await Refuse(state, 503, kRetryBudgetHeld, "budget held elsewhere");
+    co_return Step::kDone;
+  }
+  if (result.reservation == Reservation::kUnavailable) {
     co_await Refuse(state, 503, kRetryStoreAway, "budget out of reach");
     co_return Step::kDone;
   }
   state->holds_budget = true;
+  state->begins_program = result.is_new && head.previous_turn.empty();
   co_return Step::kNext;
 }
 
@@ -577,6 +594,8 @@
         state.first_event_at == Ms{0}
             ? 0
             : (state.first_event_at - state.request.received).count},
+       {"budget", head.token_budget.value_or(0)},
+       {"most", head.max_output_tokens},
        {"runs", state.runs},
        {"refusals", state.refusals},
        {"events", state.events_sent},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,9 +21,6 @@
 /// Left of the grace period for the last answers and settlements.
 constexpr Ms kStopMargin{700};
 constexpr Ms kUpkeepEvery{250};
-/// Ended turns wait this long for their program's next turn, which then carries
-/// the settlement.
-constexpr Ms kSettleAfter{500};
 
 /// All parts of one gateway, in the order in which they depend on each other.
 struct Gateway {
@@ -31,10 +28,11 @@
       : loop(l),
         config(c),
         dialect(d),
-        store(l, clock, d, c.store),
-        rows(store, clock, c.name + "-" + RandomHexId().substr(0, 8)),
+        store(l, clock, d, c.store, metrics),
+        incarnation(c.name + "-" + RandomHexId().substr(0, 8)),
+        rows(store, clock, incarnation),
         quotas(l, clock, store, rows, c.quota),
-        budgets(l, clock, rows),
+        budgets(l, clock, store, rows, incarnation),
         turns(clock, store, c.row_bytes),
         pool(l, clock),
         runner(CallParts{l, clock, d, view, quotas, budgets, turns, pool,
@@ -50,6 +48,8 @@
   Metrics metrics;
   FleetView view;
   Store store;
+  /// Names this run of the process in shared rows.
+  std::string incarnation;
   SharedRows rows;
   Quotas quotas;
   Budgets budgets;
@@ -89,9 +89,13 @@
 }
 
 Task<void> Upkeep(Gateway& gateway) {
-  while (true) {
+  constexpr int kReportEvery = 40;
+  for (int round = 1;; ++round) {
     co_await Sleep(gateway.loop, kUpkeepEvery);
-    co_await gateway.budgets.Flush(kSettleAfter);
+    if (round % kReportEvery == 0) {
+      kLog.Info("Counters.", {{"metrics", gateway.metrics.ToJson()}});
+    }
+    co_await gateway.budgets.Flush(false);
     co_await gateway.turns.RemoveExpired();
     gateway.pool.CloseIdle();
   }
@@ -112,7 +116,7 @@
     if (gateway.runner.under_way() == 0) break;
     co_await Sleep(gateway.loop, kStep);
   }
-  co_await gateway.budgets.Flush(Ms{0});
+  co_await gateway.budgets.Flush(true);
   kLog.Info("Stopped.", {{"under_way", gateway.runner.under_way()}});
   gateway.loop.stop();
 }
@@ -139,9 +143,30 @@
   return readiness && peers && metrics && gateway.front.Listen(config.callers);
 }
 
+/// Reads the settings again. Addresses and names hold for the life of the
+/// process; a log level and a tolerance can change.
+Task<void> ReloadOnHangup(Gateway& gateway, asio::signal_set& hangup,
+                          std::string path) {
+  while (true) {
+    ErrorCodeOut ec;
+    co_await hangup.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) co_return;
+    const absl::StatusOr<GatewayConfig> config = ReadGatewayConfig(path);
+    if (!config.ok()) {
+      kLog.Error("Keeping the settings: the new ones can't be read.",
+                 {{"error", std::string(config.status().message())}});
+      continue;
+    }
+    gateway.quotas.SetTolerance(config->quota);
+    SetLogLevel(config->log_level);
+    kLog.Info("Settings reloaded.", {{"path", path}});
+  }
+}
+
 }  // namespace
 
-int RunGateway(const GatewayConfig& config, const Dialect& dialect) {
+int RunGateway(const GatewayConfig& config, const std::string& path,
+               const Dialect& dialect) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context loop(1);
   Gateway gateway(loop, config, dialect);
@@ -149,6 +174,8 @@
   signals.async_wait([&](const ErrorCodeOut& ec, int) {
     if (!ec) Spawn(loop, Leave(gateway));
   });
+  asio::signal_set hangup(loop, SIGHUP);
+  Spawn(loop, ReloadOnHangup(gateway, hangup, path));
   if (!Listen(gateway)) return kExitFailed;
   kLog.Info("Started.", {{"name", config.name},
                          {"callers", config.callers.ToString()},
@@ -172,7 +199,7 @@
   }
   if (args.check_only) return kExitOk;
   StartLog(config->log_level);
-  return RunGateway(*config, dialect);
+  return RunGateway(*config, args.config_path, dialect);
 }
 
 }  // namespace knapweed::gateway
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -12,14 +12,19 @@
 constexpr Logger kLog("quota");
 
 constexpr uint64_t kParts = 64;
-/// A grant covers the demand of this long, so that a busy gateway writes about
-/// twice a second and workspace.
-constexpr double kGrantSpanS = 0.6;
+/// A grant covers the demand of this long, so that a busy gateway writes less
+/// than once a second and workspace.
+constexpr double kGrantSpanS = 1.5;
 /// Tokens older than this are dropped: they count for a window long past.
 constexpr Ms kHoldFor{4000};
 constexpr Ms kRefillTimeout{1500};
 /// A store that is slow for a moment is waited for before own shares are spent.
 constexpr Ms kOutageAfter{500};
+/// Programs begin while this share of the bucket is there, by the last grant.
+constexpr double kProgramLevel = 0.35;
+constexpr Ms kLevelFresh{1000};
+constexpr Ms kLeastWait{200};
+constexpr Ms kMostWait{1500};
 /// Part of its even share that a gateway out of touch spends: the others may
 /// still spend from the bucket.
 constexpr double kOwnShare = 0.8;
@@ -30,7 +35,7 @@
 
 /// Takes tokens from the bucket in a row. `granted` is what came of it.
 bool TakeFromRow(const Workspace& workspace, const GrantPlan& plan, Ms now,
-                 nlohmann::json& state, double* granted) {
+                 nlohmann::json& state, double* granted, double* left_share) {
   double level = plan.capacity;
   if (state.is_object()) {
     const Ms at{state.value("at_ms", int64_t{0})};
@@ -40,6 +45,7 @@
   }
   level = std::min(level, plan.capacity);
   *granted = std::floor(std::min(plan.grant, level));
+  *left_share = (level - *granted) / plan.capacity;
   if (*granted < 1) return false;
   state = {{"tokens", level - *granted}, {"at_ms", now.count}};
   return true;
@@ -83,7 +89,8 @@
   holding.counted_since = clock_.Now();
 }
 
-Task<QuotaVerdict> Quotas::Take(const Workspace& workspace, Ms deadline) {
+Task<QuotaVerdict> Quotas::Take(const Workspace& workspace, bool begins_program,
+                                Ms deadline) {
   if (workspace.rate_per_s <= 0) co_return QuotaVerdict{true, Ms{0}};
   const HoldingPtr holding = Find(workspace.name);
   CountDemand(*holding);
@@ -93,6 +100,17 @@
     if (now - holding->granted_at > kHoldFor) holding->tokens = 0;
     const bool away = !store_.reachable() &&
                       (now - store_.lost_at() > kOutageAfter || now > begun);
+    if (begins_program && holding->level_share < kProgramLevel && !away) {
+      const Ms since = now - holding->granted_at;
+      if (since < kLevelFresh) {
+        const double wait_s = (kProgramLevel - holding->level_share) *
+                              std::max(workspace.burst, 1.0) /
+                              workspace.rate_per_s;
+        co_return QuotaVerdict{
+            false,
+            std::clamp(Ms{std::llround(wait_s * 1000)}, kLeastWait, kMostWait)};
+      }
+    }
     if (holding->tokens >= 1) {
       holding->tokens -= 1;
       const bool low =
@@ -125,8 +143,10 @@
   const GrantPlan plan =
       PlanGrant(workspace, tolerance_, holding->demand_per_s, gateways_);
   double granted = 0;
+  double left_share = 1;
   const RowChange change = [&](nlohmann::json& state) {
-    return TakeFromRow(workspace, plan, store_.StoreNow(), state, &granted);
+    return TakeFromRow(workspace, plan, store_.StoreNow(), state, &granted,
+                       &left_share);
   };
   const Ms deadline = clock_.Now() + kRefillTimeout;
   const RowKey key = KeyOf(workspace.name);
@@ -137,10 +157,13 @@
     if (now - holding->granted_at > kHoldFor) holding->tokens = 0;
     holding->tokens += granted;
     holding->granted_at = now;
+    holding->level_share = left_share;
     holding->in_outage = false;
   } else if (outcome == UpdateOutcome::kDeclined) {
     // The bucket has less than one token; another gateway may get the next.
     const double wait_s = std::clamp(1.0 / workspace.rate_per_s, 0.1, 1.0);
+    holding->level_share = 0;
+    if (holding->tokens < 1) holding->granted_at = now;
     holding->empty_until = now + Ms{std::llround(wait_s * 1000)};
     kLog.Info("A workspace's rate is used up.",
               {{"workspace", workspace.name},
--- a/src/gateway/shared_row.cc
+++ b/src/gateway/shared_row.cc
@@ -111,6 +111,7 @@
         in_doubt = 0;
         break;
       case StoreOutcome::kNotDone:
+      case StoreOutcome::kBusy:
         co_return in_doubt == 0 ? UpdateOutcome::kNotDone
                                 : UpdateOutcome::kUnknown;
       case StoreOutcome::kRejected:
--- a/src/gateway/store.cc
+++ b/src/gateway/store.cc
@@ -20,39 +20,80 @@
 /// While the store is away it is asked this often, and given this long.
 constexpr Ms kProbeEvery{250};
 constexpr Ms kProbeTimeout{700};
+/// How often a busy store is asked again for one call, and after which pause;
+/// one that is never anything but busy turns this VM away.
+constexpr int kBusyTries = 3;
+constexpr Ms kBusyPause{40};
+constexpr Ms kBusyIsAway{500};
 /// Peers asked for one call; more than this would only add to a real outage.
 constexpr size_t kPeersAsked = 2;
 
+std::string_view OutcomeName(StoreOutcome outcome) {
+  switch (outcome) {
+    case StoreOutcome::kDone:
+      return "done";
+    case StoreOutcome::kConflict:
+      return "conflict";
+    case StoreOutcome::kNotDone:
+      return "not_done";
+    case StoreOutcome::kBusy:
+      return "busy";
+    case StoreOutcome::kUnknown:
+      return "unknown";
+    case StoreOutcome::kHistoryLost:
+      return "history_lost";
+    case StoreOutcome::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
 bool GotThrough(const StoreAnswer& answer) {
   return answer.outcome != StoreOutcome::kNotDone &&
+         answer.outcome != StoreOutcome::kBusy &&
          answer.outcome != StoreOutcome::kUnknown;
 }
 
 }  // namespace
 
 Store::Store(asio::io_context& loop, Clock clock, const Dialect& dialect,
-             Address address)
+             Address address, Metrics& metrics)
     : loop_(loop),
       clock_(clock),
       dialect_(dialect),
+      metrics_(metrics),
       direct_(std::make_unique<HttpClient>(loop, clock, std::move(address))) {}
 
+void Store::Count(std::string_view kind, std::string_view table) {
+  std::string name = "store_";
+  name.append(kind).append("_").append(table);
+  metrics_.GetCounter(name).Add();
+}
+
 Task<StoreAnswer> Store::Apply(const Commit& commit) {
+  Count("commit", commit.conditions.front().key.table);
   const HttpCall call = dialect_.encode_commit(commit);
-  co_return co_await Run(call, kCallTimeout, false);
+  StoreAnswer answer = co_await Run(call, kCallTimeout, false);
+  if (answer.outcome != StoreOutcome::kDone) {
+    Count(OutcomeName(answer.outcome), commit.conditions.front().key.table);
+  }
+  co_return answer;
 }
 
 Task<StoreAnswer> Store::Read(const RowRange& range) {
+  Count("read", range.table);
   const HttpCall call = dialect_.encode_range(range);
   co_return co_await Run(call, kCallTimeout, false);
 }
 
 Task<StoreAnswer> Store::ReadAnyway(const RowRange& range) {
+  Count("read", range.table);
   const HttpCall call = dialect_.encode_range(range);
   co_return co_await Run(call, kCallTimeout, true);
 }
 
 Task<StoreAnswer> Store::Follow(const FeedRequest& feed) {
+  Count("feed", feed.table);
   const HttpCall call = dialect_.encode_feed(feed);
   co_return co_await Run(call, feed.wait + kFeedMargin, true);
 }
@@ -76,8 +117,10 @@
   bool maybe_done = false;
   const bool try_peers = direct_ok_ || relay_ok_ || anyway;
   if (direct_ok_) {
-    answer = co_await RunDirect(call, timeout);
-    if (GotThrough(answer)) co_return answer;
+    answer = co_await RunDirectPatiently(call, timeout);
+    if (GotThrough(answer) || answer.outcome == StoreOutcome::kBusy) {
+      co_return answer;
+    }
     maybe_done = answer.outcome == StoreOutcome::kUnknown;
   }
   if (try_peers && !peers_.empty()) {
@@ -89,12 +132,34 @@
   co_return answer;
 }
 
+Task<StoreAnswer> Store::RunDirectPatiently(const HttpCall& call, Ms timeout) {
+  StoreAnswer answer;
+  for (int i = 0; i < kBusyTries; ++i) {
+    answer = co_await RunDirect(call, timeout);
+    if (answer.outcome != StoreOutcome::kBusy) break;
+    const Ms pause = kBusyPause * (i + 1) + Ms{clock_.Now().count % 32};
+    co_await Sleep(loop_, pause);
+  }
+  co_return answer;
+}
+
 Task<StoreAnswer> Store::RunDirect(const HttpCall& call, Ms timeout) {
   const HttpAnswer raw = co_await direct_->Send(call, timeout);
   StoreAnswer answer = dialect_.decode_store_answer(raw.status, raw.body);
   if (raw.not_sent) answer.outcome = StoreOutcome::kNotDone;
   NoteClock(answer);
-  NoteContact(true, GotThrough(answer));
+  if (answer.outcome != StoreOutcome::kBusy) {
+    busy_since_ = Ms{0};
+  } else if (busy_since_ == Ms{0}) {
+    busy_since_ = clock_.Now();
+  }
+  // A store that calls itself busy is there, unless it says nothing else.
+  const bool turned_away = answer.outcome == StoreOutcome::kBusy &&
+                           clock_.Now() - busy_since_ > kBusyIsAway;
+  if (turned_away) answer.outcome = StoreOutcome::kNotDone;
+  if (answer.outcome != StoreOutcome::kBusy) {
+    NoteContact(true, GotThrough(answer));
+  }
   co_return answer;
 }
 
