Wait for every connection, not for the last call, before a stopped process ends

Change: listening ends 3 s after the signal, idle connections are closed, the process ends once none is left.

--- a/include/knapweed/gateway/front.h
+++ b/include/knapweed/gateway/front.h
@@ -27,6 +27,8 @@
   bool Listen(const Address& address);
   /// Asks callers to go elsewhere with each answer from now on.
   void BeginLeaving() { leaving_ = true; }
+  /// Takes no further connections.
+  void StopAccepting();
   /// Closes connections on which no request is under way or arriving.
   void CloseIdle();
   size_t connections() const { return sessions_.size(); }
@@ -35,7 +37,7 @@
   class Session;
   using SessionPtr = std::shared_ptr<Session>;
 
-  Task<void> Accept(std::shared_ptr<asio::ip::tcp::acceptor> acceptor);
+  Task<void> Accept();
   CallerLimits Limits() const;
 
   asio::io_context& loop_;
@@ -43,6 +45,7 @@
   const Dialect& dialect_;
   FleetView& view_;
   CallRunner& runner_;
+  std::shared_ptr<asio::ip::tcp::acceptor> acceptor_;
   bool leaving_ = false;
   std::set<SessionPtr> sessions_;
 };
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -291,19 +291,26 @@
 }
 
 bool Front::Listen(const Address& address) {
-  auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(loop_);
-  if (!OpenAcceptor(*acceptor, address)) return false;
-  Spawn(loop_, Accept(std::move(acceptor)));
+  acceptor_ = std::make_shared<asio::ip::tcp::acceptor>(loop_);
+  if (!OpenAcceptor(*acceptor_, address)) return false;
+  Spawn(loop_, Accept());
   return true;
 }
 
-Task<void> Front::Accept(std::shared_ptr<asio::ip::tcp::acceptor> acceptor) {
+void Front::StopAccepting() {
+  ErrorCodeOut ec;
+  acceptor_->close(ec);
+  if (ec) kLog.Warning("Can't stop listening.", {{"error", ec.message()}});
+}
+
+Task<void> Front::Accept() {
   constexpr Ms kPause{20};
-  while (true) {
+  while (acceptor_->is_open()) {
     ErrorCodeOut ec;
     asio::ip::tcp::socket socket(loop_);
-    co_await acceptor->async_accept(
+    co_await acceptor_->async_accept(
         socket, asio::redirect_error(asio::use_awaitable, ec));
+    if (!acceptor_->is_open()) break;
     if (ec) {
       kLog.Warning("Can't accept a connection.", {{"error", ec.message()}});
       co_await Sleep(loop_, kPause);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -111,9 +111,10 @@
   while (gateway.clock.Now() < begun + kLeaveNoticed) {
     co_await Sleep(gateway.loop, kStep);
   }
-  while (gateway.clock.Now() < last) {
+  // Whoever still connects is refused at once and goes elsewhere.
+  gateway.front.StopAccepting();
+  while (gateway.clock.Now() < last && gateway.front.connections() > 0) {
     gateway.front.CloseIdle();
-    if (gateway.runner.under_way() == 0) break;
     co_await Sleep(gateway.loop, kStep);
   }
   co_await gateway.budgets.Flush(true);
