Hold the buckets of all workspaces in one row and refill all of them at once

Cause: each gateway kept one row a workspace topped up; 422 of its 723 commits were conflicts. Calls that found no token waited for turn after turn of refills, up to 700 ms, and were then refused. Change: one row, one refill at a time for all workspaces; a call for which a refill left nothing is refused at once.

--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -4,14 +4,17 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "knapweed/gateway/fleet_config.h"
 #include "knapweed/gateway/shared_row.h"
 #include "knapweed/limits/rate_bucket.h"
 
-/// Rates of workspaces over all gateways. A row per workspace holds its bucket;
-/// each gateway takes tokens out of it ahead of its calls.
+/// Rates of workspaces over all gateways. One row holds a bucket per workspace;
+/// each gateway takes tokens for all its workspaces at once, ahead of its
+/// calls.
 namespace knapweed::gateway {
 
 /// What the platform tolerates above rate and burst within its window.
@@ -21,18 +24,46 @@
   double slack_calls = 20;
 };
 
-/// Tokens to take from a bucket at once, and the most that it may hold.
-struct GrantPlan {
-  double grant = 1;
-  double capacity = 1;
+/// What all gateways take tokens out of: one bucket per workspace.
+struct BucketRow {
+  struct Level {
+    double tokens = 0;
+    /// On the store's clock.
+    Ms at;
+  };
+  std::map<std::string, Level> levels;
 };
 
-/// How many tokens a gateway with this demand takes at once. What all gateways
-/// hold together stays within the tolerance, whatever each of them does with
-/// it.
-GrantPlan PlanGrant(const Workspace& workspace, const QuotaTolerance& tolerance,
+/// What one gateway would like of one workspace's bucket.
+struct GrantWish {
+  Workspace workspace;
+  /// Tokens that it should hold.
+  double wanted = 0;
+  double held = 0;
+};
+
+/// What came of a wish, and the share of the bucket that is left.
+struct Grant {
+  double tokens = 0;
+  double left_share = 1;
+};
+
+/// Most tokens that the bucket holds; the rest of the burst and half of the
+/// tolerance may lie with the gateways.
+double BucketCapacity(const Workspace& workspace);
+
+/// Tokens that one of `gateways` should hold for this demand. What all of them
+/// hold together stays within the tolerance, whatever each does with it.
+double TokensToHold(const Workspace& workspace, const QuotaTolerance& tolerance,
                     double demand_per_s, uint32_t gateways);
 
+/// Takes whole tokens for each wish, as far as they are there.
+std::vector<Grant> TakeGrants(std::span<const GrantWish> wishes, Ms now,
+                              BucketRow& row);
+
+BucketRow DecodeBuckets(const nlohmann::json& json);
+nlohmann::json EncodeBuckets(const BucketRow& row);
+
 /// `allowed`, or when to come back.
 struct QuotaVerdict {
   bool allowed = false;
@@ -47,7 +78,8 @@
         clock_(clock),
         store_(store),
         rows_(rows),
-        tolerance_(tolerance) {}
+        tolerance_(tolerance),
+        refilled_(loop) {}
 
   /// Counts one call of the workspace. A call that begins a program is refused
   /// while the bucket is low: a program needs many calls to be worth anything,
@@ -62,30 +94,30 @@
 
  private:
   struct Holding {
-    explicit Holding(asio::io_context& loop) : refilled(loop) {}
-    CachedRow row;
+    Workspace workspace;
     double tokens = 0;
     Ms granted_at;
-    /// Calls in the current and the last second, for the demand.
+    /// Mean of the last half seconds, and calls in the current one.
     double demand_per_s = 0;
     uint32_t calls = 0;
     Ms counted_since;
-    bool busy = false;
-    /// Share of the bucket that was left by the last grant, and when.
+    /// Share of the bucket that the last grant left.
     double level_share = 1;
-    /// No grant before this: the bucket was found empty.
+    /// No grant is to be had before this: the bucket was found empty.
     Ms empty_until;
-    Event refilled;
     /// Spent from while the store is away.
     RateBucket own_share;
     bool in_outage = false;
   };
-  using HoldingPtr = std::shared_ptr<Holding>;
 
-  HoldingPtr Find(const std::string& name);
+  Holding& Find(const Workspace& workspace);
   void CountDemand(Holding& holding);
-  Task<void> Refill(HoldingPtr holding, Workspace workspace);
-  QuotaVerdict TakeOwnShare(Holding& holding, const Workspace& workspace);
+  bool IsLow(const Holding& holding) const;
+  void StartRefill();
+  Task<void> Refill();
+  std::vector<GrantWish> MakeWishes();
+  void TakeGranted(const GrantWish& wish, const Grant& grant);
+  QuotaVerdict TakeOwnShare(Holding& holding);
 
   asio::io_context& loop_;
   Clock clock_;
@@ -93,7 +125,12 @@
   SharedRows& rows_;
   QuotaTolerance tolerance_;
   uint32_t gateways_ = 1;
-  std::map<std::string, HoldingPtr> holdings_;
+  std::map<std::string, Holding> holdings_;
+  CachedRow row_;
+  bool refilling_ = false;
+  uint64_t refills_ = 0;
+  Ms refilled_at_;
+  Event refilled_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "knapweed/base/ids.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -11,71 +10,108 @@
 
 constexpr Logger kLog("quota");
 
-constexpr uint64_t kParts = 64;
-/// A grant covers the demand of this long, so that a busy gateway writes less
-/// than once a second and workspace.
-constexpr double kGrantSpanS = 1.5;
+/// A gateway holds the demand of this long, so that it writes about once a
+/// second.
+constexpr double kHoldSpanS = 2.0;
+/// It asks for more once less than this share of it is left.
+constexpr double kLowShare = 0.4;
+/// Share of the burst that lies in the bucket.
+constexpr double kBucketShare = 0.5;
 /// Tokens older than this are dropped: they count for a window long past.
-constexpr Ms kHoldFor{4000};
+constexpr Ms kHoldFor{5000};
 constexpr Ms kRefillTimeout{1500};
+/// Pause between two refills that nobody waits for.
+constexpr Ms kRefillEvery{500};
+/// When a call comes back for which a refill left nothing.
+constexpr Ms kRetryShared{300};
+/// How long a bucket that was found empty is left alone.
+constexpr Ms kEmptyFor{250};
 /// A store that is slow for a moment is waited for before own shares are spent.
 constexpr Ms kOutageAfter{500};
+/// Part of its even share that a gateway out of touch spends: the others may
+/// still spend from the bucket.
+constexpr double kOwnShare = 0.8;
 /// Programs begin while this share of the bucket is there, by the last grant.
 constexpr double kProgramLevel = 0.35;
-constexpr Ms kLevelFresh{1000};
+constexpr Ms kLevelFresh{1500};
 constexpr Ms kLeastWait{200};
 constexpr Ms kMostWait{1500};
-/// Part of its even share that a gateway out of touch spends: the others may
-/// still spend from the bucket.
-constexpr double kOwnShare = 0.8;
-
-RowKey KeyOf(const std::string& name) {
-  return {"quotas", "q" + std::to_string(HashBytes(name) % kParts), name};
-}
+/// Levels of workspaces that are full again are left out of the row after this.
+constexpr Ms kForgetLevel{60000};
 
-/// Takes tokens from the bucket in a row. `granted` is what came of it.
-bool TakeFromRow(const Workspace& workspace, const GrantPlan& plan, Ms now,
-                 nlohmann::json& state, double* granted, double* left_share) {
-  double level = plan.capacity;
-  if (state.is_object()) {
-    const Ms at{state.value("at_ms", int64_t{0})};
-    const double passed_s = std::max((now - at).Seconds(), 0.0);
-    level = state.value("tokens", 0.0) + workspace.rate_per_s * passed_s;
-    now = std::max(now, at);
-  }
-  level = std::min(level, plan.capacity);
-  *granted = std::floor(std::min(plan.grant, level));
-  *left_share = (level - *granted) / plan.capacity;
-  if (*granted < 1) return false;
-  state = {{"tokens", level - *granted}, {"at_ms", now.count}};
-  return true;
-}
+RowKey BucketKey() { return {"quotas", "", "buckets"}; }
 
 }  // namespace
 
-GrantPlan PlanGrant(const Workspace& workspace, const QuotaTolerance& tolerance,
+double BucketCapacity(const Workspace& workspace) {
+  return std::max(workspace.burst * kBucketShare, 1.0);
+}
+
+double TokensToHold(const Workspace& workspace, const QuotaTolerance& tolerance,
                     double demand_per_s, uint32_t gateways) {
   const double in_window =
       workspace.rate_per_s * tolerance.window.Seconds() + workspace.burst;
   const double tolerated =
       in_window * tolerance.over_share + tolerance.slack_calls;
-  GrantPlan plan;
-  // Half of the tolerance, and a quarter of the burst that the bucket then does
-  // not hold, may lie with the gateways.
-  const double outside = tolerated / 2 + workspace.burst / 4;
-  const double most = std::max(outside / gateways, 1.0);
-  plan.grant = std::clamp(std::ceil(demand_per_s * kGrantSpanS), 1.0, most);
-  plan.capacity = std::max(workspace.burst * 0.75, 1.0);
-  return plan;
+  const double outside = tolerated / 2 + workspace.burst * (1 - kBucketShare);
+  const double most = std::max(std::floor(outside / gateways), 1.0);
+  return std::clamp(std::ceil(demand_per_s * kHoldSpanS), 1.0, most);
 }
 
-Quotas::HoldingPtr Quotas::Find(const std::string& name) {
-  HoldingPtr& holding = holdings_[name];
-  if (holding == nullptr) {
-    holding = std::make_shared<Holding>(loop_);
-    holding->counted_since = clock_.Now();
+std::vector<Grant> TakeGrants(std::span<const GrantWish> wishes, Ms now,
+                              BucketRow& row) {
+  std::erase_if(row.levels, [&](const auto& item) {
+    return now - item.second.at > kForgetLevel;
+  });
+  std::vector<Grant> grants;
+  for (const GrantWish& wish : wishes) {
+    const double capacity = BucketCapacity(wish.workspace);
+    const auto known = row.levels.find(wish.workspace.name);
+    double level = capacity;
+    Ms at = now;
+    if (known != row.levels.end()) {
+      const double passed_s = std::max((now - known->second.at).Seconds(), 0.0);
+      level = known->second.tokens + wish.workspace.rate_per_s * passed_s;
+      at = std::max(now, known->second.at);
+    }
+    level = std::clamp(level, 0.0, capacity);
+    Grant grant;
+    grant.tokens = std::floor(std::clamp(wish.wanted - wish.held, 0.0, level));
+    grant.left_share = (level - grant.tokens) / capacity;
+    if (grant.tokens > 0) {
+      row.levels[wish.workspace.name] = {level - grant.tokens, at};
+    }
+    grants.push_back(grant);
   }
-  return holding;
+  return grants;
+}
+
+BucketRow DecodeBuckets(const nlohmann::json& json) {
+  BucketRow row;
+  if (!json.is_object()) return row;
+  for (const auto& [name, item] : json.items()) {
+    const bool readable = item.is_array() && item.size() == 2 &&
+                          item[0].is_number() && item[1].is_number_integer();
+    if (!readable) continue;
+    row.levels[name] = {item[0].get<double>(), Ms{item[1].get<int64_t>()}};
+  }
+  return row;
+}
+
+nlohmann::json EncodeBuckets(const BucketRow& row) {
+  nlohmann::json json = nlohmann::json::object();
+  for (const auto& [name, level] : row.levels) {
+    // A hundredth of a token is enough, and short to write.
+    json[name] = {std::floor(level.tokens * 100) / 100, level.at.count};
+  }
+  return json;
+}
+
+Quotas::Holding& Quotas::Find(const Workspace& workspace) {
+  const auto [it, is_new] = holdings_.try_emplace(workspace.name);
+  if (is_new) it->second.counted_since = clock_.Now();
+  it->second.workspace = workspace;
+  return it->second;
 }
 
 void Quotas::CountDemand(Holding& holding) {
@@ -89,94 +125,128 @@
   holding.counted_since = clock_.Now();
 }
 
+bool Quotas::IsLow(const Holding& holding) const {
+  return holding.tokens <
+         kLowShare * TokensToHold(holding.workspace, tolerance_,
+                                  holding.demand_per_s, gateways_);
+}
+
 Task<QuotaVerdict> Quotas::Take(const Workspace& workspace, bool begins_program,
                                 Ms deadline) {
   if (workspace.rate_per_s <= 0) co_return QuotaVerdict{true, Ms{0}};
-  const HoldingPtr holding = Find(workspace.name);
-  CountDemand(*holding);
+  // The map keeps its entries in place and never drops one.
+  Holding& holding = Find(workspace);
+  CountDemand(holding);
   const Ms begun = clock_.Now();
+  const uint64_t enough_refills = refills_ + (refilling_ ? 2 : 1);
   while (true) {
     const Ms now = clock_.Now();
-    if (now - holding->granted_at > kHoldFor) holding->tokens = 0;
+    if (now - holding.granted_at > kHoldFor) holding.tokens = 0;
     const bool away = !store_.reachable() &&
                       (now - store_.lost_at() > kOutageAfter || now > begun);
-    if (begins_program && holding->level_share < kProgramLevel && !away) {
-      const Ms since = now - holding->granted_at;
-      if (since < kLevelFresh) {
-        const double wait_s = (kProgramLevel - holding->level_share) *
-                              std::max(workspace.burst, 1.0) /
-                              workspace.rate_per_s;
-        co_return QuotaVerdict{
-            false,
-            std::clamp(Ms{std::llround(wait_s * 1000)}, kLeastWait, kMostWait)};
-      }
+    const bool low_bucket = holding.level_share < kProgramLevel &&
+                            now - holding.granted_at < kLevelFresh;
+    if (begins_program && low_bucket && !away) {
+      const double wait_s = (kProgramLevel - holding.level_share) *
+                            BucketCapacity(workspace) / workspace.rate_per_s;
+      co_return QuotaVerdict{false, std::clamp(Ms{std::llround(wait_s * 1000)},
+                                               kLeastWait, kMostWait)};
     }
-    if (holding->tokens >= 1) {
-      holding->tokens -= 1;
-      const bool low =
-          holding->tokens < holding->demand_per_s * kGrantSpanS / 3;
-      if (low && !holding->busy && !away && holding->empty_until <= now) {
-        holding->busy = true;
-        Spawn(loop_, Refill(holding, workspace));
+    if (holding.tokens >= 1) {
+      holding.tokens -= 1;
+      const bool due = now - refilled_at_ >= kRefillEvery;
+      if (due && !away && holding.empty_until <= now && IsLow(holding)) {
+        StartRefill();
       }
       co_return QuotaVerdict{true, Ms{0}};
     }
-    if (away) co_return TakeOwnShare(*holding, workspace);
-    if (holding->empty_until > now) {
-      co_return QuotaVerdict{false, holding->empty_until - now};
+    if (away) co_return TakeOwnShare(holding);
+    if (holding.empty_until > now) {
+      co_return QuotaVerdict{false, holding.empty_until - now};
     }
-    if (now >= deadline) co_return QuotaVerdict{false, Ms{300}};
-    if (!holding->busy) {
-      holding->busy = true;
-      Spawn(loop_, Refill(holding, workspace));
+    if (now >= deadline) co_return QuotaVerdict{false, kLeastWait};
+    // A refill that began after this call came has been shared out among those
+    // that waited longer: there is not enough for all.
+    if (refills_ >= enough_refills) {
+      co_return QuotaVerdict{false, kRetryShared};
     }
-    co_await holding->refilled.Wait(deadline - now);
+    if (!refilling_) StartRefill();
+    co_await refilled_.Wait(deadline - now);
   }
 }
 
 void Quotas::Return(const std::string& workspace) {
-  const HoldingPtr holding = Find(workspace);
-  if (!holding->in_outage) holding->tokens += 1;
+  const auto it = holdings_.find(workspace);
+  if (it != holdings_.end() && !it->second.in_outage) it->second.tokens += 1;
+}
+
+void Quotas::StartRefill() {
+  if (refilling_) return;
+  refilling_ = true;
+  Spawn(loop_, Refill());
 }
 
-Task<void> Quotas::Refill(HoldingPtr holding, Workspace workspace) {
-  const GrantPlan plan =
-      PlanGrant(workspace, tolerance_, holding->demand_per_s, gateways_);
-  double granted = 0;
-  double left_share = 1;
-  const RowChange change = [&](nlohmann::json& state) {
-    return TakeFromRow(workspace, plan, store_.StoreNow(), state, &granted,
-                       &left_share);
+std::vector<GrantWish> Quotas::MakeWishes() {
+  constexpr double kAnyDemand = 0.2;
+  std::vector<GrantWish> wishes;
+  const Ms now = clock_.Now();
+  for (auto& [name, holding] : holdings_) {
+    if (now - holding.granted_at > kHoldFor) holding.tokens = 0;
+    if (now - holding.counted_since > kHoldFor) holding.demand_per_s = 0;
+    const bool asked = holding.calls > 0 || holding.demand_per_s > kAnyDemand;
+    if (!asked) continue;
+    wishes.push_back({holding.workspace,
+                      TokensToHold(holding.workspace, tolerance_,
+                                   holding.demand_per_s, gateways_),
+                      holding.tokens});
+  }
+  return wishes;
+}
+
+void Quotas::TakeGranted(const GrantWish& wish, const Grant& grant) {
+  Holding& holding = Find(wish.workspace);
+  const Ms now = clock_.Now();
+  holding.tokens += grant.tokens;
+  holding.granted_at = now;
+  holding.level_share = grant.left_share;
+  holding.in_outage = false;
+  if (grant.tokens >= 1 || holding.tokens >= 1) return;
+  holding.empty_until = now + kEmptyFor;
+  kLog.Info("A workspace's rate is used up.",
+            {{"workspace", wish.workspace.name},
+             {"rate_per_s", std::to_string(wish.workspace.rate_per_s)},
+             {"demand_per_s", std::to_string(holding.demand_per_s)}});
+}
+
+Task<void> Quotas::Refill() {
+  const std::vector<GrantWish> wishes = MakeWishes();
+  std::vector<Grant> grants;
+  const RowChange change = [&](nlohmann::json& json) {
+    BucketRow row = DecodeBuckets(json);
+    grants = TakeGrants(wishes, store_.StoreNow(), row);
+    json = EncodeBuckets(row);
+    return std::any_of(grants.begin(), grants.end(),
+                       [](const Grant& grant) { return grant.tokens >= 1; });
   };
   const Ms deadline = clock_.Now() + kRefillTimeout;
-  const RowKey key = KeyOf(workspace.name);
+  const RowKey key = BucketKey();
   const UpdateOutcome outcome =
-      co_await rows_.Update(key, holding->row, change, deadline);
-  const Ms now = clock_.Now();
-  if (outcome == UpdateOutcome::kChanged) {
-    if (now - holding->granted_at > kHoldFor) holding->tokens = 0;
-    holding->tokens += granted;
-    holding->granted_at = now;
-    holding->level_share = left_share;
-    holding->in_outage = false;
-  } else if (outcome == UpdateOutcome::kDeclined) {
-    // The bucket has less than one token; another gateway may get the next.
-    const double wait_s = std::clamp(1.0 / workspace.rate_per_s, 0.1, 1.0);
-    holding->level_share = 0;
-    if (holding->tokens < 1) holding->granted_at = now;
-    holding->empty_until = now + Ms{std::llround(wait_s * 1000)};
-    kLog.Info("A workspace's rate is used up.",
-              {{"workspace", workspace.name},
-               {"rate_per_s", std::to_string(workspace.rate_per_s)},
-               {"demand_per_s", std::to_string(holding->demand_per_s)}});
+      co_await rows_.Update(key, row_, change, deadline);
+  const bool confirmed =
+      outcome == UpdateOutcome::kChanged || outcome == UpdateOutcome::kDeclined;
+  if (confirmed) {
+    for (size_t i = 0; i < wishes.size(); ++i)
+      TakeGranted(wishes[i], grants[i]);
   }
-  holding->busy = false;
-  holding->refilled.Notify();
+  refilled_at_ = clock_.Now();
+  refilling_ = false;
+  ++refills_;
+  refilled_.Notify();
 }
 
-QuotaVerdict Quotas::TakeOwnShare(Holding& holding,
-                                  const Workspace& workspace) {
+QuotaVerdict Quotas::TakeOwnShare(Holding& holding) {
   const Ms now = clock_.Now();
+  const Workspace& workspace = holding.workspace;
   RateBucket& share = holding.own_share;
   const double rate = workspace.rate_per_s * kOwnShare / gateways_;
   if (!holding.in_outage) {
