--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -32,9 +32,9 @@
 constexpr uint64_t kAheadDivisor = 2;
 /// An allowance with tokens ahead is given back after the longer idle time, so
 /// that a program which comes by another gateway in between finds it again; one
-/// of a tight budget at once, since another gateway may need it.
+/// of a tight budget soon, since another gateway may need it.
 constexpr Ms kIdleAmple{4000};
-constexpr Ms kIdleTight{100};
+constexpr Ms kIdleTight{350};
 
 RowKey KeyOf(const std::string& name) {
   return {"budgets", "b" + std::to_string(HashBytes(name) % kParts), name};
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -14,7 +14,7 @@
 
 /// A configuration that was not confirmed for this long may be older than what
 /// an operator has put in force: what it does not know may exist.
-constexpr Ms kConfigStale{1800};
+constexpr Ms kConfigStale{2600};
 constexpr Ms kConnectTimeout{400};
 /// Upstreams tried beyond the attempts that may have run, each proven not to
 /// have run the call.
--- a/src/gateway/shared_row.cc
+++ b/src/gateway/shared_row.cc
@@ -72,7 +72,7 @@
                                        const RowChange& change, Ms deadline,
                                        Ms fresh) {
   bool read_now = row.confirmed && clock_.Now() - row.confirmed_at < fresh;
-  uint64_t in_doubt = 0;
+  bool in_doubt = false;
   while (true) {
     nlohmann::json next = row.state;
     if (!change(next)) {
@@ -91,7 +91,7 @@
     StoreAnswer answer;
     do {
       answer = co_await store_.Apply(commit);
-      if (answer.outcome == StoreOutcome::kUnknown) in_doubt = sequence;
+      if (answer.outcome == StoreOutcome::kUnknown) in_doubt = true;
     } while (answer.outcome == StoreOutcome::kUnknown &&
              clock_.Now() < deadline);
     switch (answer.outcome) {
@@ -105,15 +105,14 @@
       case StoreOutcome::kConflict:
         Take(answer, key, row);
         read_now = true;
-        if (in_doubt != 0 && HasMark(row, in_doubt)) {
-          co_return UpdateOutcome::kChanged;
-        }
-        in_doubt = 0;
+        // The conflict may be with this very change, made by an earlier try
+        // whose answer was lost on the way.
+        if (HasMark(row, sequence)) co_return UpdateOutcome::kChanged;
+        in_doubt = false;
         break;
       case StoreOutcome::kNotDone:
       case StoreOutcome::kBusy:
-        co_return in_doubt == 0 ? UpdateOutcome::kNotDone
-                                : UpdateOutcome::kUnknown;
+        co_return in_doubt ? UpdateOutcome::kUnknown : UpdateOutcome::kNotDone;
       case StoreOutcome::kRejected:
         kLog.Error("The store rejected a change as malformed.",
                    {{"table", key.table}, {"key", key.key}});
--- a/src/gateway/store.cc
+++ b/src/gateway/store.cc
@@ -15,6 +15,8 @@
 constexpr Ms kCallTimeout{900};
 /// Added to the wait of a feed for the way and a slow store.
 constexpr Ms kFeedMargin{600};
+/// How often a table is read through a peer.
+constexpr Ms kPollEvery{300};
 /// What one peer may take before another is asked.
 constexpr Ms kRelayTimeout{600};
 /// While the store is away it is asked this often, and given this long.
@@ -94,8 +96,13 @@
 
 Task<StoreAnswer> Store::Follow(const FeedRequest& feed) {
   Count("feed", feed.table);
-  const HttpCall call = dialect_.encode_feed(feed);
-  co_return co_await Run(call, feed.wait + kFeedMargin, true);
+  FeedRequest asked = feed;
+  // A peer does not wait for news on another's behalf.
+  if (!direct_ok_) asked.wait = Ms{0};
+  const HttpCall call = dialect_.encode_feed(asked);
+  StoreAnswer answer = co_await Run(call, asked.wait + kFeedMargin, true);
+  if (asked.wait < feed.wait) co_await Sleep(loop_, kPollEvery);
+  co_return answer;
 }
 
 void Store::Start() { Spawn(loop_, ProbeDirect()); }
