Write structured lines to standard output; tell callers an outage's length; lint the coroutines

Cause: logs went to standard error as text, metrics only as JSON; calls refused in an outage came back after 0.4 s and used up their tries; clang-tidy did not take the library's coroutines for such.

--- a/include/knapweed/base/log.h
+++ b/include/knapweed/base/log.h
@@ -50,6 +50,16 @@
 /// format.
 void StartLog(LogLevel level);
 
+/// Starts logging to standard output in lines of key=value pairs: `ts`,
+/// `level`, `part`, `event` and the fields. Never blocks: lines wait in a
+/// bounded buffer while nobody reads, and those that do not fit, or that one
+/// event writes beyond its number a second, are dropped, counted and told of.
+void StartStructuredLog(LogLevel level);
+
+/// Writes out what waits in the buffer, as far as that goes without blocking.
+/// Call it regularly and before the process ends.
+void FlushLog();
+
 /// Changes the level below which lines are dropped.
 void SetLogLevel(LogLevel level);
 
--- a/include/knapweed/base/metrics.h
+++ b/include/knapweed/base/metrics.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -35,6 +36,10 @@
   /// Upper edge of the bucket that holds the quantile, in ms; 0 when nothing
   /// was recorded.
   double Quantile(double q) const;
+  /// Calls `visit` with the upper edge in ms of each bucket that is not empty,
+  /// in order, and the number of records up to it.
+  void VisitBuckets(
+      const std::function<void(double upper_ms, uint64_t below)>& visit) const;
 
  private:
   struct Impl;
@@ -49,6 +54,9 @@
   LatencyHistogram& GetLatency(std::string_view name);
   /// {"counters":{...},"latency_ms":{name:{"count":..,"p50":..,"p95":..,"p99":..}}}
   std::string ToJson() const;
+  /// The same in the Prometheus text format, each name behind `prefix`. A
+  /// counter's name may end in labels, as in `calls_total{status="200"}`.
+  std::string ToPrometheus(std::string_view prefix) const;
 
  private:
   mutable std::mutex mu_;
--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -75,8 +75,8 @@
 class Budgets {
  public:
   /// `gateway` is unique to this process.
-  Budgets(asio::io_context& loop, Clock clock, Store& store, SharedRows& rows,
-          std::string gateway)
+  Budgets(asio::io_context& loop, const Clock& clock, Store& store,
+          SharedRows& rows, std::string gateway)
       : loop_(loop),
         clock_(clock),
         store_(store),
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -58,6 +58,7 @@
   Clock clock;
   const Dialect& dialect;
   FleetView& view;
+  const Store& store;
   Quotas& quotas;
   Budgets& budgets;
   Turns& turns;
@@ -97,6 +98,8 @@
                     std::string_view reason);
   UpstreamPtr Choose(State& state);
   UpstreamRequest MakeRequest(const State& state, const Upstream& upstream);
+  /// When a call that the store's absence refused should come back.
+  Ms RetryForStore() const;
   bool MayRunAgain(const State& state) const;
   void Arm(const StatePtr& state);
   void Report(const State& state);
--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -44,7 +44,7 @@
 /// The request under way and its answer as far as it has been read.
 class Attempt {
  public:
-  Attempt(asio::io_context& loop, Clock clock, const Dialect& dialect)
+  Attempt(asio::io_context& loop, const Clock& clock, const Dialect& dialect)
       : loop_(loop), clock_(clock), dialect_(dialect) {}
   Attempt(const Attempt&) = delete;
   ~Attempt() { Abort(); }
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -20,7 +20,7 @@
 
 class FleetWatch {
  public:
-  FleetWatch(asio::io_context& loop, Clock clock, const Dialect& dialect,
+  FleetWatch(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
              Store& store, FleetView& view, Quotas& quotas, GatewayEntry self,
              std::vector<Address> seeds);
 
--- a/include/knapweed/gateway/front.h
+++ b/include/knapweed/gateway/front.h
@@ -14,7 +14,7 @@
 
 class Front {
  public:
-  Front(asio::io_context& loop, Clock clock, const Dialect& dialect,
+  Front(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
         FleetView& view, CallRunner& runner)
       : loop_(loop),
         clock_(clock),
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -55,6 +55,8 @@
   /// Configuration and upstreams have been read, the store is in
   /// reach, and it is not leaving.
   bool IsReady() const;
+  /// A dump of what the process believes, in JSON.
+  std::string StateJson() const;
   const Metrics& metrics() const;
 
  private:
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -85,7 +85,7 @@
 /// Kept connections to one address, for small calls with whole answers.
 class HttpClient {
  public:
-  HttpClient(asio::io_context& loop, Clock clock, Address address);
+  HttpClient(asio::io_context& loop, const Clock& clock, Address address);
   ~HttpClient();
 
   /// Sends `call` and waits at most `timeout` for the whole answer.
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -75,7 +75,7 @@
 /// The counts of this gateway and what it heard of the others.
 class Quotas {
  public:
-  Quotas(Clock clock, QuotaTolerance tolerance)
+  Quotas(const Clock& clock, QuotaTolerance tolerance)
       : clock_(clock), tolerance_(tolerance) {}
 
   /// Counts one call of the workspace, if it may go.
--- a/include/knapweed/gateway/shared_row.h
+++ b/include/knapweed/gateway/shared_row.h
@@ -43,7 +43,7 @@
 class SharedRows {
  public:
   /// `writer` is unique to this process.
-  SharedRows(Store& store, Clock clock, std::string writer)
+  SharedRows(Store& store, const Clock& clock, std::string writer)
       : store_(store), clock_(clock), writer_(std::move(writer)) {}
 
   /// Reads, changes and writes until it succeeds, the change says no or
--- a/include/knapweed/gateway/store.h
+++ b/include/knapweed/gateway/store.h
@@ -17,7 +17,7 @@
 
 class Store {
  public:
-  Store(asio::io_context& loop, Clock clock, const Dialect& dialect,
+  Store(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
         Address address, Metrics& metrics);
 
   /// Begins to look out for the store while it is away.
--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -37,7 +37,7 @@
 class Turns {
  public:
   /// `row_bytes` is the most that one row of the store holds.
-  Turns(Clock clock, Store& store, size_t row_bytes)
+  Turns(const Clock& clock, Store& store, size_t row_bytes)
       : clock_(clock), store_(store), row_bytes_(row_bytes) {}
 
   /// What stands before a turn that continues from `previous`. Only turns of
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,12 +1,25 @@
 #include "knapweed/base/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <iostream>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "knapweed/base/clock.h"
 
 namespace knapweed {
 namespace {
@@ -28,6 +41,78 @@
   return logging::trivial::error;
 }
 
+/// Standard output behind a bounded buffer. Safe from any thread.
+class LineOutput {
+ public:
+  /// Whether an event may write one more line in this second.
+  bool Admit(std::string_view event) {
+    const std::lock_guard lock(mu_);
+    const int64_t second = WallTime().count / 1000;
+    Quota& quota = quotas_[event];
+    if (quota.second != second) quota = {second, 0};
+    if (++quota.lines <= kLinesASecond) return true;
+    ++dropped_;
+    return false;
+  }
+
+  void Append(const std::string& line) {
+    const std::lock_guard lock(mu_);
+    if (buf_.size() + line.size() > kMaxBuffer) {
+      ++dropped_;
+      return;
+    }
+    buf_.append(line).push_back('\n');
+    if (buf_.size() >= kPiece) FlushLocked();
+  }
+
+  void Flush() {
+    const std::lock_guard lock(mu_);
+    if (dropped_ > 0 && buf_.size() < kMaxBuffer) {
+      buf_.append("level=warning part=log event=\"Dropped lines.\" lines=" +
+                  std::to_string(dropped_) + "\n");
+      dropped_ = 0;
+    }
+    FlushLocked();
+  }
+
+ private:
+  struct Quota {
+    int64_t second = 0;
+    uint32_t lines = 0;
+  };
+
+  /// Enough for each call of a busy gateway; a failure that repeats faster says
+  /// no more by it.
+  static constexpr uint32_t kLinesASecond = 400;
+  static constexpr size_t kMaxBuffer = 1 << 18;
+  /// What a pipe that is ready to be written takes without blocking.
+  static constexpr size_t kPiece = 4096;
+
+  void FlushLocked() {
+    size_t at = 0;
+    while (at < buf_.size()) {
+      pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) break;
+      const ssize_t n = write(STDOUT_FILENO, buf_.data() + at,
+                              std::min(kPiece, buf_.size() - at));
+      if (n <= 0) break;
+      at += static_cast<size_t>(n);
+    }
+    buf_.erase(0, at);
+  }
+
+  std::mutex mu_;
+  std::string buf_;
+  uint64_t dropped_ = 0;
+  /// By the event's text, which is a literal.
+  std::map<std::string_view, Quota> quotas_;
+};
+
+LineOutput& BoundedOutput() {
+  static LineOutput* output = new LineOutput;
+  return *output;
+}
+
 // Quotes a value that holds a space or a quote, so that a line splits into
 // fields unambiguously.
 void AppendValue(std::string_view value, std::string* line) {
@@ -44,10 +129,18 @@
   line->push_back('"');
 }
 
+std::atomic<bool> structured{false};
+
 void Write(LogLevel level, std::string_view part, std::string_view text,
            std::initializer_list<LogField> fields) {
   std::string line;
-  line.append("[").append(part).append("] ").append(text);
+  if (structured.load(std::memory_order_relaxed)) {
+    if (!BoundedOutput().Admit(text)) return;
+    line.append("part=").append(part).append(" event=");
+    AppendValue(text, &line);
+  } else {
+    line.append("[").append(part).append("] ").append(text);
+  }
   for (const LogField& field : fields) {
     line.append(" ").append(field.name).append("=");
     AppendValue(field.value, &line);
@@ -58,6 +151,16 @@
       << line;
 }
 
+/// Hands formatted lines to the bounded output.
+class LineBackend : public logging::sinks::basic_formatted_sink_backend<
+                        char, logging::sinks::synchronized_feeding> {
+ public:
+  void consume(  // NOLINT(readability-identifier-naming): the library's name.
+      const logging::record_view& /*record*/, const std::string& line) {
+    BoundedOutput().Append(line);
+  }
+};
+
 }  // namespace
 
 void Logger::Debug(std::string_view text,
@@ -93,6 +196,26 @@
   SetLogLevel(level);
 }
 
+void StartStructuredLog(LogLevel level) {
+  namespace expr = logging::expressions;
+  logging::add_common_attributes();
+  auto sink =
+      boost::make_shared<logging::sinks::synchronous_sink<LineBackend>>();
+  sink->set_formatter(expr::stream
+                      << "ts="
+                      << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                      << " level=" << logging::trivial::severity << " "
+                      << expr::smessage);
+  logging::core::get()->add_sink(sink);
+  structured.store(true);
+  SetLogLevel(level);
+}
+
+void FlushLog() {
+  if (structured.load(std::memory_order_relaxed)) BoundedOutput().Flush();
+}
+
 void SetLogLevel(LogLevel level) {
   logging::core::get()->set_filter(logging::trivial::severity >=
                                    ToSeverity(level));
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -49,6 +49,17 @@
   return kHighestMs;
 }
 
+void LatencyHistogram::VisitBuckets(
+    const std::function<void(double, uint64_t)>& visit) const {
+  uint64_t below = 0;
+  for (auto&& cell : bh::indexed(impl_->histogram)) {
+    const uint64_t n = (*cell).load();
+    if (n == 0) continue;
+    below += n;
+    visit(cell.bin().upper(), below);
+  }
+}
+
 Counter& Metrics::GetCounter(std::string_view name) {
   const std::lock_guard lock(mu_);
   auto& slot = counters_[std::string(name)];
@@ -63,6 +74,25 @@
   return *slot;
 }
 
+std::string Metrics::ToPrometheus(std::string_view prefix) const {
+  const std::lock_guard lock(mu_);
+  std::string out;
+  for (const auto& [name, counter] : counters_) {
+    out.append(prefix).append(name).append(" ");
+    out.append(std::to_string(counter->Value())).append("\n");
+  }
+  for (const auto& [name, latency] : latencies_) {
+    const std::string full = std::string(prefix) + name;
+    latency->VisitBuckets([&](double upper_ms, uint64_t below) {
+      out += full + "_bucket{le=\"" + std::to_string(upper_ms) + "\"} " +
+             std::to_string(below) + "\n";
+    });
+    const std::string total = std::to_string(latency->Count()) + "\n";
+    out += full + "_bucket{le=\"+Inf\"} " + total + full + "_count " + total;
+  }
+  return out;
+}
+
 std::string Metrics::ToJson() const {
   const std::lock_guard lock(mu_);
   nlohmann::json json = {{"counters", nlohmann::json::object()},
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -28,7 +28,11 @@
 constexpr Ms kLeastTime{5};
 /// When to come back after a refusal, by cause.
 constexpr Ms kRetryStarting{300};
-constexpr Ms kRetryStoreAway{400};
+constexpr Ms kRetryStoreBlip{400};
+/// An outage that has lasted for the first time mostly lasts some seconds more;
+/// callers that come back sooner use up their tries.
+constexpr Ms kOutageLasts{800};
+constexpr Ms kRetryStoreAway{1500};
 /// The gateway that holds the rest of a tight budget gives it back soon after
 /// its turn of the program has ended.
 constexpr Ms kRetryBudgetHeld{300};
@@ -153,6 +157,12 @@
   co_await RunAttempts(state);
 }
 
+Ms CallRunner::RetryForStore() const {
+  const bool lasts = !parts_.store.reachable() &&
+                     parts_.clock.Now() - parts_.store.lost_at() > kOutageLasts;
+  return lasts ? kRetryStoreAway : kRetryStoreBlip;
+}
+
 Task<CallRunner::Step> CallRunner::Admit(StatePtr state) {
   const CallHead& head = state->request.head;
   state->config = parts_.view.config;
@@ -165,7 +175,7 @@
   state->route =
       FindRoute(*state->config, head.host, PathOf(state->request.target));
   if (state->route == nullptr) {
-    co_await Refuse(state, stale ? 503 : 404, kRetryStoreAway, "no such route");
+    co_await Refuse(state, stale ? 503 : 404, RetryForStore(), "no such route");
     co_return Step::kDone;
   }
   const Route& route = *state->route;
@@ -175,7 +185,7 @@
   if (!route.is_public && !state->config->keys.empty()) {
     state->workspace = FindWorkspace(*state->config, head.key);
     if (state->workspace == nullptr) {
-      co_await Refuse(state, stale ? 503 : 401, kRetryStoreAway, "unknown key");
+      co_await Refuse(state, stale ? 503 : 401, RetryForStore(), "unknown key");
       co_return Step::kDone;
     }
   }
@@ -220,7 +230,7 @@
     co_return Step::kDone;
   }
   if (history.outcome == HistoryOutcome::kUnavailable) {
-    co_await Refuse(state, 503, kRetryStoreAway, "history out of reach");
+    co_await Refuse(state, 503, RetryForStore(), "history out of reach");
     co_return Step::kDone;
   }
   history.text += request.body;
@@ -249,7 +259,7 @@
     co_return Step::kDone;
   }
   if (result.reservation == Reservation::kUnavailable) {
-    co_await Refuse(state, 503, kRetryStoreAway, "budget out of reach");
+    co_await Refuse(state, 503, RetryForStore(), "budget out of reach");
     co_return Step::kDone;
   }
   state->holds_budget = true;
@@ -581,7 +591,10 @@
   const CallHead& head = state.request.head;
   const Ms took = parts_.clock.Now() - state.request.received;
   parts_.metrics.GetLatency("call_ms").Record(static_cast<double>(took.count));
-  parts_.metrics.GetCounter("calls_" + std::to_string(state.status)).Add();
+  parts_.metrics
+      .GetCounter("calls_total{status=\"" + std::to_string(state.status) +
+                  "\"}")
+      .Add();
   kLog.Info(
       "Call ended.",
       {{"request", head.request_id},
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -48,7 +48,8 @@
 }
 
 bool EventSplitter::Next(StreamEvent* event) {
-  const std::string_view rest = std::string_view(buf_).substr(at_);
+  std::string_view rest = buf_;
+  rest.remove_prefix(at_);
   const size_t size = EndOfEvent(rest);
   if (size == std::string_view::npos) return false;
   *event = StreamEvent{};
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-FleetWatch::FleetWatch(asio::io_context& loop, Clock clock,
+FleetWatch::FleetWatch(asio::io_context& loop, const Clock& clock,
                        const Dialect& dialect, Store& store, FleetView& view,
                        Quotas& quotas, GatewayEntry self,
                        std::vector<Address> seeds)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <nlohmann/json.hpp>
 
 #include "knapweed/base/ids.h"
 #include "knapweed/base/log.h"
@@ -18,6 +19,8 @@
 /// The balancer needs this long to notice that no new connections are wanted;
 /// until then they are still served.
 constexpr Ms kLeaveNoticed{3000};
+/// Beside the metrics: what the process believes, in JSON.
+constexpr std::string_view kStatePath = "/state";
 /// Left of the grace period for the last answers and settlements.
 constexpr Ms kStopMargin{700};
 constexpr Ms kUpkeepEvery{250};
@@ -33,6 +36,7 @@
     co_await budgets.Flush(false);
     co_await turns.RemoveExpired();
     pool.CloseIdle();
+    FlushLog();
   }
 }
 
@@ -65,7 +69,7 @@
         budgets(l, clock, store, rows, incarnation),
         turns(clock, store, c.row_bytes),
         pool(l, clock),
-        runner(CallParts{l, clock, d, view, quotas, budgets, turns, pool,
+        runner(CallParts{l, clock, d, view, store, quotas, budgets, turns, pool,
                          metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
         watch(l, clock, d, store, view, quotas, GatewayEntry{c.name, c.peers},
@@ -101,6 +105,33 @@
   return parts_->watch.ready() && !parts_->leaving && parts_->store.reachable();
 }
 
+std::string Gateway::StateJson() const {
+  const Parts& parts = *parts_;
+  const Ms now = parts.clock.Now();
+  nlohmann::json upstreams = nlohmann::json::object();
+  for (const auto& [id, up] : parts.view.upstreams.all()) {
+    upstreams[id] = {{"service", up->entry.service},
+                     {"address", up->entry.address.ToString()},
+                     {"draining", up->entry.draining},
+                     {"in_flight", up->in_flight},
+                     {"failures", up->breaker.failures},
+                     {"avoided", up->avoid_until > now}};
+  }
+  const nlohmann::json state = {
+      {"name", parts.config.name},
+      {"ready", IsReady()},
+      {"leaving", parts.leaving},
+      {"calls_under_way", parts.runner.under_way()},
+      {"connections", parts.front.connections()},
+      {"config_version",
+       parts.view.config != nullptr ? parts.view.config->version : 0},
+      {"config_age_ms", (now - parts.view.config_confirmed_at).count},
+      {"store_reachable", parts.store.reachable()},
+      {"store_direct", parts.store.direct_ok()},
+      {"upstreams", std::move(upstreams)}};
+  return state.dump(1);
+}
+
 const Metrics& Gateway::metrics() const { return parts_->metrics; }
 
 void Gateway::Reload(const GatewayConfig& config) {
@@ -208,6 +239,7 @@
   Spawn(loop, ReloadOnHangup(gateway, hangup, path));
   if (!gateway.Start()) return kExitFailed;
   loop.run();
+  FlushLog();
   return kExitOk;
 }
 
@@ -222,7 +254,7 @@
     return kExitBadConfig;
   }
   if (args.check_only) return kExitOk;
-  StartLog(config->log_level);
+  StartStructuredLog(config->log_level);
   return RunGateway(*config, args.config_path, dialect);
 }
 
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -48,7 +48,8 @@
   Ms idle_since;
 };
 
-HttpClient::HttpClient(asio::io_context& loop, Clock clock, Address address)
+HttpClient::HttpClient(asio::io_context& loop, const Clock& clock,
+                       Address address)
     : loop_(loop), clock_(clock), address_(std::move(address)) {}
 
 HttpClient::~HttpClient() = default;
--- a/src/gateway/store.cc
+++ b/src/gateway/store.cc
@@ -58,7 +58,7 @@
 
 }  // namespace
 
-Store::Store(asio::io_context& loop, Clock clock, const Dialect& dialect,
+Store::Store(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
              Address address, Metrics& metrics)
     : loop_(loop),
       clock_(clock),
@@ -67,8 +67,8 @@
       direct_(std::make_unique<HttpClient>(loop, clock, std::move(address))) {}
 
 void Store::Count(std::string_view kind, std::string_view table) {
-  std::string name = "store_";
-  name.append(kind).append("_").append(table);
+  std::string name = "store_calls_total{kind=\"";
+  name.append(kind).append("\",table=\"").append(table).append("\"}");
   metrics_.GetCounter(name).Add();
 }
 
