Ask a program's home gateway for its budget before the row

Change: gateways choose one of them for a program by highest random weight and reserve there over the peer address; when it does not answer, they claim from the row as before.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -4,7 +4,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "knapweed/gateway/shared_row.h"
 
@@ -70,26 +73,57 @@
   bool is_new = false;
 };
 
+/// A turn's reservation, for the one who is to settle it.
+struct ReservationTicket {
+  std::string program;
+  /// Unique among all turns.
+  std::string turn;
+  uint64_t most = 0;
+  /// The gateway that holds it; empty when it is this one.
+  Address home;
+};
+
+/// Where a program's reservations are best made: the gateway that most others
+/// choose for it as well. A hint that saves writes, not ownership: any gateway
+/// may claim from the row for itself.
+struct BudgetHome {
+  Address address;
+  bool is_self = true;
+};
+
+/// Chooses a home among gateways by highest random weight, so that gateways
+/// that know the same others choose the same one.
+BudgetHome ChooseHome(std::string_view program, const Address& self,
+                      std::span<const Address> others);
+
+/// Path on a gateway's peer address for reservations.
+inline constexpr std::string_view kBudgetPrefix = "/budget";
+
 /// Reserves before a turn runs and settles after it ended. What a gateway that
 /// died was allowed counts as spent: its turns may have spent all of it.
 class Budgets {
  public:
   /// `gateway` is unique to this process.
   Budgets(asio::io_context& loop, const Clock& clock, Store& store,
-          SharedRows& rows, std::string gateway)
+          SharedRows& rows, std::string gateway, Address self)
       : loop_(loop),
         clock_(clock),
         store_(store),
         rows_(rows),
-        gateway_(std::move(gateway)) {}
+        gateway_(std::move(gateway)),
+        self_(std::move(self)) {}
 
-  /// Sets `most` tokens of the program's `budget` aside. `name` is unique among
-  /// all workspaces.
-  Task<ReserveResult> Reserve(std::string name, uint64_t budget, uint64_t most,
+  /// Sets `ticket.most` tokens of the program's `budget` aside until
+  /// `deadline`, at the program's home if that answers. `ticket.program` is
+  /// unique among all workspaces; `ticket.home` is filled in.
+  Task<ReserveResult> Reserve(ReservationTicket& ticket, uint64_t budget,
                               Ms deadline);
-  /// A reserved turn has ended: `spent` of its `most` tokens reached the
-  /// caller.
-  void Settle(const std::string& name, uint64_t most, uint64_t spent);
+  /// A reserved turn has ended: `spent` of its tokens reached the caller.
+  void Settle(const ReservationTicket& ticket, uint64_t spent);
+  /// Answers another gateway that takes this one for a program's home.
+  Task<HttpAnswer> AnswerPeer(const HttpCall& call);
+  /// Where the other serving gateways listen for peers.
+  void SetOthers(std::vector<Address> others) { others_ = std::move(others); }
   /// Gives back the allowances of programs that have no turn here, or had none
   /// for a while unless `all`, and confirms those in use; call it regularly.
   Task<void> Flush(bool all);
@@ -111,6 +145,22 @@
   };
   using ProgramPtr = std::shared_ptr<Program>;
 
+  /// A reservation made here for another gateway. One that is never settled
+  /// counts as spent in whole.
+  struct RemoteTurn {
+    std::string program;
+    uint64_t most = 0;
+    Ms expires_at;
+  };
+
+  Task<ReserveResult> ReserveHere(std::string name, uint64_t budget,
+                                  uint64_t most, Ms deadline);
+  Task<ReserveResult> ReserveAt(Address home, ReservationTicket ticket,
+                                uint64_t budget, Ms deadline, bool* answered);
+  void SettleHere(const std::string& name, uint64_t most, uint64_t spent);
+  Task<void> SettleAt(ReservationTicket ticket, uint64_t spent);
+  HttpClient& PeerAt(const Address& address);
+  void ExpireRemote();
   ProgramPtr Find(const std::string& name);
   Task<bool> Lock(ProgramPtr program, Ms deadline);
   static void Unlock(Program& program);
@@ -125,7 +175,13 @@
   Store& store_;
   SharedRows& rows_;
   std::string gateway_;
+  Address self_;
+  std::vector<Address> others_;
+  std::map<Address, std::unique_ptr<HttpClient>> peers_;
+  /// Peers that did not answer are left alone until then.
+  std::map<Address, Ms> avoid_until_;
   std::map<std::string, ProgramPtr> programs_;
+  std::map<std::string, RemoteTurn> remote_;
 };
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -21,8 +21,8 @@
 class FleetWatch {
  public:
   FleetWatch(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
-             Store& store, FleetView& view, Quotas& quotas, GatewayEntry self,
-             std::vector<Address> seeds);
+             Store& store, FleetView& view, Quotas& quotas, Budgets& budgets,
+             GatewayEntry self, std::vector<Address> seeds);
 
   /// Runs until the process ends.
   void Start();
@@ -51,6 +51,7 @@
   Store& store_;
   FleetView& view_;
   Quotas& quotas_;
+  Budgets& budgets_;
   GatewayEntry self_;
   std::vector<Address> seeds_;
   bool upstreams_read_ = false;
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -24,6 +24,16 @@
 /// the longer span belongs to a gateway that died, and counts as spent.
 constexpr Ms kConfirmEvery{3000};
 constexpr Ms kAllowanceLapses{12000};
+/// A home that does not answer within the first is left alone for the second,
+/// and rows are claimed from directly.
+constexpr Ms kPeerTimeout{400};
+constexpr Ms kAvoidPeer{1500};
+/// How often, and after which pause, a home is told of a turn that ended.
+constexpr int kSettleTries = 6;
+constexpr Ms kSettlePause{300};
+/// A turn of another gateway that is not settled this long after its deadline
+/// counts as spent in whole.
+constexpr Ms kSettleGrace{6000};
 /// Tokens ahead of the turns that run: half of what the budget still holds
 /// beyond a few turns at their most, and no more than some turns of them. Other
 /// gateways find enough left.
@@ -166,8 +176,156 @@
   co_return ReserveResult{Reservation::kUnavailable, is_new};
 }
 
-Task<ReserveResult> Budgets::Reserve(std::string name, uint64_t budget,
-                                     uint64_t most, Ms deadline) {
+BudgetHome ChooseHome(std::string_view program, const Address& self,
+                      std::span<const Address> others) {
+  const auto weight = [&](const Address& address) {
+    return HashBytes(address.ToString(), HashBytes(program));
+  };
+  BudgetHome home{self, true};
+  uint64_t best = weight(self);
+  for (const Address& other : others) {
+    const uint64_t w = weight(other);
+    if (w <= best) continue;
+    best = w;
+    home = {other, false};
+  }
+  return home;
+}
+
+HttpClient& Budgets::PeerAt(const Address& address) {
+  std::unique_ptr<HttpClient>& peer = peers_[address];
+  if (peer == nullptr) {
+    peer = std::make_unique<HttpClient>(loop_, clock_, address);
+  }
+  return *peer;
+}
+
+Task<ReserveResult> Budgets::Reserve(ReservationTicket& ticket, uint64_t budget,
+                                     Ms deadline) {
+  const BudgetHome home = ChooseHome(ticket.program, self_, others_);
+  const Ms now = clock_.Now();
+  const bool ask = !home.is_self && avoid_until_[home.address] <= now;
+  if (ask) {
+    bool answered = false;
+    const ReserveResult result =
+        co_await ReserveAt(home.address, ticket, budget, deadline, &answered);
+    if (answered) {
+      ticket.home = home.address;
+      co_return result;
+    }
+    avoid_until_[home.address] = clock_.Now() + kAvoidPeer;
+    // It may have reserved all the same.
+    ReservationTicket unused = ticket;
+    unused.home = home.address;
+    Settle(unused, 0);
+  }
+  const ReserveResult result =
+      co_await ReserveHere(ticket.program, budget, ticket.most, deadline);
+  co_return result;
+}
+
+Task<ReserveResult> Budgets::ReserveAt(Address home, ReservationTicket ticket,
+                                       uint64_t budget, Ms deadline,
+                                       bool* answered) {
+  ReserveResult result;
+  const nlohmann::json body = {
+      {"program", ticket.program},
+      {"turn", ticket.turn},
+      {"budget", budget},
+      {"most", ticket.most},
+      {"time_ms", std::max((deadline - clock_.Now()).count, int64_t{1})}};
+  HttpCall call;
+  call.method = http::verb::post;
+  call.target = std::string(kBudgetPrefix) + "/reserve";
+  call.body = body.dump();
+  const HttpAnswer raw = co_await PeerAt(home).Send(call, kPeerTimeout);
+  const nlohmann::json json = nlohmann::json::parse(raw.body, nullptr, false);
+  *answered = raw.status == 200 && json.is_object() &&
+              json.value("reservation", -1) >= 0;
+  if (!*answered) co_return result;
+  result.reservation = static_cast<Reservation>(json.value("reservation", 0));
+  result.is_new = json.value("is_new", false);
+  co_return result;
+}
+
+void Budgets::Settle(const ReservationTicket& ticket, uint64_t spent) {
+  if (ticket.home == Address{}) {
+    SettleHere(ticket.program, ticket.most, spent);
+    return;
+  }
+  Spawn(loop_, SettleAt(ticket, spent));
+}
+
+Task<void> Budgets::SettleAt(ReservationTicket ticket, uint64_t spent) {
+  const nlohmann::json body = {{"turn", ticket.turn}, {"spent", spent}};
+  HttpCall call;
+  call.method = http::verb::post;
+  call.target = std::string(kBudgetPrefix) + "/settle";
+  call.body = body.dump();
+  for (int i = 0; i < kSettleTries; ++i) {
+    const HttpAnswer raw =
+        co_await PeerAt(ticket.home).Send(call, kPeerTimeout);
+    if (raw.status == 200) co_return;
+    co_await Sleep(loop_, kSettlePause);
+  }
+  // The home counts the turn as spent in whole.
+  kLog.Info("A turn could not be settled at its program's home.",
+            {{"program", ticket.program}, {"home", ticket.home.ToString()}});
+}
+
+Task<HttpAnswer> Budgets::AnswerPeer(const HttpCall& call) {
+  HttpAnswer answer;
+  answer.status = 400;
+  const nlohmann::json json = nlohmann::json::parse(call.body, nullptr, false);
+  const bool readable =
+      json.is_object() && json.contains("turn") && json["turn"].is_string();
+  if (!readable) co_return answer;
+  const std::string turn = json["turn"];
+  if (call.target.ends_with("/settle")) {
+    // An unknown turn may still be waiting for its reservation.
+    answer.status = 404;
+    const auto it = remote_.find(turn);
+    if (it == remote_.end()) co_return answer;
+    SettleHere(it->second.program, it->second.most,
+               json.value("spent", uint64_t{0}));
+    remote_.erase(it);
+    answer.status = 200;
+    co_return answer;
+  }
+  const std::string program = json.value("program", "");
+  const uint64_t most = json.value("most", uint64_t{0});
+  const Ms deadline = clock_.Now() + Ms{json.value("time_ms", int64_t{0})};
+  const ReserveResult result = co_await ReserveHere(
+      program, json.value("budget", uint64_t{0}), most, deadline);
+  if (result.reservation == Reservation::kReserved) {
+    const auto old = remote_.find(turn);
+    if (old != remote_.end()) {
+      SettleHere(old->second.program, old->second.most, old->second.most);
+    }
+    remote_[turn] = {program, most, deadline + kSettleGrace};
+  }
+  answer.status = 200;
+  answer.body =
+      nlohmann::json{{"reservation", static_cast<int>(result.reservation)},
+                     {"is_new", result.is_new}}
+          .dump();
+  co_return answer;
+}
+
+void Budgets::ExpireRemote() {
+  const Ms now = clock_.Now();
+  for (auto it = remote_.begin(); it != remote_.end();) {
+    if (it->second.expires_at > now) {
+      ++it;
+      continue;
+    }
+    SettleHere(it->second.program, it->second.most, it->second.most);
+    it = remote_.erase(it);
+  }
+}
+
+Task<ReserveResult> Budgets::ReserveHere(std::string name, uint64_t budget,
+                                         uint64_t most, Ms deadline) {
   const ProgramPtr program = Find(name);
   const bool locked = co_await Lock(program, deadline);
   if (!locked) co_return ReserveResult{};
@@ -182,7 +340,8 @@
   co_return result;
 }
 
-void Budgets::Settle(const std::string& name, uint64_t most, uint64_t spent) {
+void Budgets::SettleHere(const std::string& name, uint64_t most,
+                         uint64_t spent) {
   const ProgramPtr program = Find(name);
   program->running -= std::min(most, program->running);
   program->spent += spent;
@@ -226,6 +385,7 @@
 }
 
 Task<void> Budgets::Flush(bool all) {
+  ExpireRemote();
   const Ms now = clock_.Now();
   std::vector<std::pair<std::string, ProgramPtr>> due;
   for (const auto& [name, program] : programs_) {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -103,7 +103,7 @@
   bool holds_budget = false;
   /// The first turn of a program.
   bool begins_program = false;
-  std::string budget_name;
+  ReservationTicket ticket;
   // The answer so far.
   unsigned status = 0;
   std::string reason;
@@ -137,8 +137,7 @@
   if (state->holds_budget) {
     const uint64_t per_event =
         state->service != nullptr ? state->service->tokens_per_event : 1;
-    parts_.budgets.Settle(state->budget_name, request.head.max_output_tokens,
-                          state->events_sent * per_event);
+    parts_.budgets.Settle(state->ticket, state->events_sent * per_event);
   }
   Report(*state);
   --under_way_;
@@ -243,13 +242,14 @@
   const bool bound = state->route->streaming && !head.program.empty() &&
                      head.token_budget.has_value();
   if (!bound) co_return Step::kNext;
-  state->budget_name = head.program;
+  state->ticket.program = head.program;
   if (state->workspace != nullptr) {
-    state->budget_name = state->workspace->name + "/" + head.program;
+    state->ticket.program = state->workspace->name + "/" + head.program;
   }
-  const ReserveResult result =
-      co_await parts_.budgets.Reserve(state->budget_name, *head.token_budget,
-                                      head.max_output_tokens, state->deadline);
+  state->ticket.turn = head.request_id;
+  state->ticket.most = head.max_output_tokens;
+  const ReserveResult result = co_await parts_.budgets.Reserve(
+      state->ticket, *head.token_budget, state->deadline);
   if (result.reservation == Reservation::kExhausted) {
     co_await Refuse(state, 402, Ms{0}, "token budget exhausted");
     co_return Step::kDone;
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -54,7 +54,7 @@
 
 FleetWatch::FleetWatch(asio::io_context& loop, const Clock& clock,
                        const Dialect& dialect, Store& store, FleetView& view,
-                       Quotas& quotas, GatewayEntry self,
+                       Quotas& quotas, Budgets& budgets, GatewayEntry self,
                        std::vector<Address> seeds)
     : loop_(loop),
       clock_(clock),
@@ -62,6 +62,7 @@
       store_(store),
       view_(view),
       quotas_(quotas),
+      budgets_(budgets),
       self_(std::move(self)),
       seeds_(std::move(seeds)) {
   std::erase(seeds_, self_.peer_address);
@@ -283,6 +284,7 @@
     peers.push_back(address);
   }
   quotas_.SetOthers(uses);
+  budgets_.SetOthers(peers);
   gateways_read_ = true;
   for (const Address& seed : seeds_) {
     if (std::find(peers.begin(), peers.end(), seed) == peers.end()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,8 +40,13 @@
   }
 }
 
-Task<HttpAnswer> AnswerPeer(Store& store, const HttpCall& call) {
+Task<HttpAnswer> AnswerPeer(Store& store, Budgets& budgets,
+                            const HttpCall& call) {
   HttpAnswer answer;
+  if (call.target.starts_with(kBudgetPrefix)) {
+    answer = co_await budgets.AnswerPeer(call);
+    co_return answer;
+  }
   if (!call.target.starts_with(kRelayPrefix)) {
     answer.status = 404;
     co_return answer;
@@ -66,14 +71,14 @@
         incarnation(c.name + "-" + RandomHexId().substr(0, 8)),
         rows(store, clock, incarnation),
         quotas(clock, c.quota),
-        budgets(l, clock, store, rows, incarnation),
+        budgets(l, clock, store, rows, incarnation, c.peers),
         turns(clock, store, c.row_bytes),
         pool(l, clock),
         runner(CallParts{l, clock, d, view, store, quotas, budgets, turns, pool,
                          metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
-        watch(l, clock, d, store, view, quotas, GatewayEntry{c.name, c.peers},
-              c.seeds) {}
+        watch(l, clock, d, store, view, quotas, budgets,
+              GatewayEntry{c.name, c.peers}, c.seeds) {}
 
   Clock clock = Clock::Steady();
   asio::io_context& loop;
@@ -152,12 +157,13 @@
                    }
                    co_return answer;
                  });
-  const bool peers = ServeSmall(
-      parts.loop, config.peers,
-      [this](const HttpCall& call) -> Task<HttpAnswer> {
-        const HttpAnswer answer = co_await AnswerPeer(parts_->store, call);
-        co_return answer;
-      });
+  const bool peers =
+      ServeSmall(parts.loop, config.peers,
+                 [this](const HttpCall& call) -> Task<HttpAnswer> {
+                   const HttpAnswer answer = co_await AnswerPeer(
+                       parts_->store, parts_->budgets, call);
+                   co_return answer;
+                 });
   const bool metrics = ServeSmall(parts.loop, config.metrics,
                                   [this](const HttpCall&) -> Task<HttpAnswer> {
                                     HttpAnswer answer;
