Inherit the counts of an earlier run of the same gateway; test the decisions without a network

Change: a gateway that starts reads its own row and counts what its earlier run told, plus what that run did not live to tell.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -171,7 +171,7 @@
   void DropIdle();
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   Store& store_;
   SharedRows& rows_;
   std::string gateway_;
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -55,7 +55,7 @@
 /// The parts that a call passes through.
 struct CallParts {
   asio::io_context& loop;
-  Clock clock;
+  const Clock& clock;
   const Dialect& dialect;
   FleetView& view;
   const Store& store;
--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -77,7 +77,7 @@
   static Task<void> Send(std::shared_ptr<Sending> sending);
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   const Dialect& dialect_;
   std::shared_ptr<Sending> sending_;
   std::unique_ptr<Parser> parser_;
@@ -104,7 +104,7 @@
   bool IsFresh(const UpstreamConnection& conn) const;
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   uint64_t opened_ = 0;
   std::map<std::weak_ptr<Upstream>,
            std::list<std::unique_ptr<UpstreamConnection>>,
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -42,11 +42,12 @@
   void DropUpstream(const std::string& id);
   void DropAbsent(const std::vector<Row>& rows);
   void DropOverdue();
+  Task<void> InheritUse();
   Task<bool> Announce();
   void TakeGateways(const std::vector<Row>& rows);
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   const Dialect& dialect_;
   Store& store_;
   FleetView& view_;
--- a/include/knapweed/gateway/front.h
+++ b/include/knapweed/gateway/front.h
@@ -41,7 +41,7 @@
   CallerLimits Limits() const;
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   const Dialect& dialect_;
   FleetView& view_;
   CallRunner& runner_;
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -100,7 +100,7 @@
   Task<ConnectionPtr> Open(Ms timeout);
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   Address address_;
   std::list<ConnectionPtr> idle_;
 };
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -86,6 +86,9 @@
 
   /// What the others should hear.
   UseByWorkspace OwnUse();
+  /// Counts what an earlier run of this gateway told, `age` ago, as let through
+  /// here: a restart must not forget it.
+  void Inherit(const UseByWorkspace& use, Ms age);
   /// What the other serving gateways told, just read from the store.
   void SetOthers(std::span<const UseByWorkspace> others);
 
@@ -103,7 +106,7 @@
   void Advance(Counts& counts) const;
   WorkspaceUse UseOf(const Counts& counts) const;
 
-  Clock clock_;
+  const Clock& clock_;
   QuotaTolerance tolerance_;
   std::map<std::string, Counts> counts_;
   UseByWorkspace others_;
--- a/include/knapweed/gateway/shared_row.h
+++ b/include/knapweed/gateway/shared_row.h
@@ -59,7 +59,7 @@
   bool HasMark(const CachedRow& row, uint64_t sequence) const;
 
   Store& store_;
-  Clock clock_;
+  const Clock& clock_;
   std::string writer_;
   uint64_t sequence_ = 0;
 };
--- a/include/knapweed/gateway/store.h
+++ b/include/knapweed/gateway/store.h
@@ -58,7 +58,7 @@
   void NoteClock(const StoreAnswer& answer);
 
   asio::io_context& loop_;
-  Clock clock_;
+  const Clock& clock_;
   const Dialect& dialect_;
   Metrics& metrics_;
   std::unique_ptr<HttpClient> direct_;
--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -63,7 +63,7 @@
   void ToCache(TurnPtr turn);
   Task<StoreAnswer> ReadRows(const std::string& id);
 
-  Clock clock_;
+  const Clock& clock_;
   Store& store_;
   size_t row_bytes_;
   std::map<std::string, Cached> cache_;
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -294,10 +294,31 @@
   store_.SetPeers(std::move(peers));
 }
 
+Task<void> FleetWatch::InheritUse() {
+  constexpr Ms kRetry{100};
+  std::vector<Row> rows;
+  uint64_t version = 0;
+  while (true) {
+    const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
+    if (read) break;
+    co_await Sleep(loop_, kRetry);
+  }
+  for (const Row& row : rows) {
+    if (row.key.key != self_.name) continue;
+    own_row_version_ = row.version;
+    const nlohmann::json value =
+        nlohmann::json::parse(row.value, nullptr, false);
+    if (!value.is_object()) continue;
+    const Ms age = store_.StoreNow() - Ms{value.value("at_ms", int64_t{0})};
+    quotas_.Inherit(DecodeUse(value.value("use", nlohmann::json())), age);
+  }
+}
+
 Task<void> FleetWatch::FollowGateways() {
   // The first turn sets the store's clock.
   while (view_.config == nullptr) co_await Sleep(loop_, Ms{50});
   constexpr Ms kRetry{300};
+  co_await InheritUse();
   while (true) {
     bool ok = co_await Announce();
     if (!ok) ok = co_await Announce();
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -1,6 +1,7 @@
 #include "knapweed/gateway/quotas.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 #include "knapweed/base/log.h"
@@ -31,6 +32,8 @@
 constexpr double kBusyRateFactor = 1.6;
 /// Others that were not heard of for this long may have changed.
 constexpr Ms kOutOfTouchAfter{2500};
+/// What a gateway let through in this long before it died was told to nobody.
+constexpr double kUntoldS = 0.6;
 /// The share's own burst, in seconds of its rate and in calls.
 constexpr double kShareBurstS = 1;
 constexpr double kShareBurstLeast = 4;
@@ -168,6 +171,18 @@
   return use;
 }
 
+void Quotas::Inherit(const UseByWorkspace& use, Ms age) {
+  if (age > tolerance_.window) return;
+  for (const auto& [name, item] : use) {
+    const auto [it, is_new] = counts_.try_emplace(name);
+    if (is_new) it->second.share.tokens = kShareBurstLeast;
+    Advance(it->second);
+    // Calls went on for a moment after they were last told of.
+    const double calls = item.calls + item.demand_per_s * kUntoldS;
+    it->second.allowed.back() += static_cast<uint32_t>(std::lround(calls));
+  }
+}
+
 void Quotas::SetOthers(std::span<const UseByWorkspace> others) {
   others_.clear();
   for (const UseByWorkspace& use : others) {
--- /dev/null
+++ b/tests/gateway_test.cc
@@ -0,0 +1,346 @@
+// The gateway's decisions, without a network.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "knapweed/gateway/budgets.h"
+#include "knapweed/gateway/event_splitter.h"
+#include "knapweed/gateway/fleet_config.h"
+#include "knapweed/gateway/quotas.h"
+#include "knapweed/gateway/upstreams.h"
+
+namespace knapweed::gateway {
+namespace {
+
+TEST_CASE("the longest prefix of the host selects the route") {
+  FleetConfig config;
+  for (const auto& [host, prefix] :
+       {std::pair{"a", "/x/"}, {"a", "/x/y/"}, {"b", "/x/"}}) {
+    Route route;
+    route.name = std::string(host) + prefix;
+    route.host = host;
+    route.prefix = prefix;
+    config.routes.push_back(route);
+  }
+  struct Row {
+    const char* host;
+    const char* path;
+    const char* route;
+  };
+  const Row rows[] = {{"a", "/x/1", "a/x/"},  {"a", "/x/y/1", "a/x/y/"},
+                      {"a", "/x/y", "a/x/"},  {"b", "/x/y/1", "b/x/"},
+                      {"a", "/z/1", nullptr}, {"c", "/x/1", nullptr}};
+  for (const Row& row : rows) {
+    const Route* route = FindRoute(config, row.host, row.path);
+    const std::string found = route != nullptr ? route->name : "none";
+    const std::string expected = row.route != nullptr ? row.route : "none";
+    CHECK(found == expected);
+  }
+}
+
+TEST_CASE("a split route is shared out by weight, one line to one service") {
+  Route route;
+  route.backends = {{"a", 90}, {"b", 10}};
+  int to_b = 0;
+  for (uint64_t hash = 0; hash < 1000; ++hash) {
+    CHECK(PickBackend(route, hash) == PickBackend(route, hash));
+    if (PickBackend(route, hash) == "b") ++to_b;
+  }
+  CHECK(to_b == 100);
+  route.backends.clear();
+  CHECK(PickBackend(route, 7).empty());
+}
+
+TEST_CASE("events are cut byte for byte, however the bytes come") {
+  const std::string bytes =
+      "id: 1\ndata: a\n\nid:2\r\ndata: b\r\ndata:c\r\n\r\n:note\n\nid: 3\ndat";
+  for (size_t size = 1; size <= bytes.size(); ++size) {
+    CAPTURE(size);
+    EventSplitter splitter;
+    std::string joined;
+    std::vector<std::pair<uint64_t, std::string>> events;
+    for (size_t at = 0; at < bytes.size(); at += size) {
+      CHECK(splitter.Feed(bytes.substr(at, size)));
+      StreamEvent event;
+      while (splitter.Next(&event)) {
+        joined.append(event.raw);
+        events.emplace_back(event.id.value_or(0), event.data);
+      }
+    }
+    REQUIRE(events.size() == 3);
+    CHECK(events[0] == std::pair<uint64_t, std::string>(1, "a"));
+    CHECK(events[1] == std::pair<uint64_t, std::string>(2, "b\nc"));
+    CHECK(events[2] == std::pair<uint64_t, std::string>(0, ""));
+    CHECK(joined == bytes.substr(0, bytes.size() - 9));
+    CHECK(splitter.HasRest());
+  }
+}
+
+TEST_CASE("a claim on a budget") {
+  struct Row {
+    const char* what;
+    uint64_t spent;
+    uint64_t elsewhere;
+    Ms elsewhere_age;
+    uint64_t own_spent;
+    uint64_t running;
+    uint64_t budget;
+    ClaimVerdict verdict;
+    uint64_t allowance;
+  };
+  constexpr auto kGranted = ClaimVerdict::kGranted;
+  constexpr auto kExhausted = ClaimVerdict::kExhausted;
+  constexpr auto kHeld = ClaimVerdict::kHeldElsewhere;
+  const Row rows[] = {
+      {"exactly enough", 80, 0, Ms{0}, 0, 0, 100, kGranted, 20},
+      {"one too many", 81, 0, Ms{0}, 0, 0, 100, kExhausted, 0},
+      {"running turns count", 60, 0, Ms{0}, 0, 21, 100, kExhausted, 0},
+      {"what was spent here counts", 60, 0, Ms{0}, 21, 0, 100, kExhausted, 0},
+      {"held elsewhere", 60, 30, Ms{0}, 0, 0, 100, kHeld, 0},
+      {"spent even without that", 90, 30, Ms{0}, 0, 0, 100, kExhausted, 0},
+      {"a dead gateway's counts as spent", 60, 30, Seconds(13), 0, 0, 100,
+       kExhausted, 0},
+      {"ample: half of the rest ahead", 0, 0, Ms{0}, 0, 0, 200, kGranted, 70},
+      {"ample: at most eight turns", 0, 0, Ms{0}, 0, 0, 10000, kGranted, 180},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    const Ms now = Seconds(1000);
+    BudgetState state;
+    state.spent = row.spent;
+    if (row.elsewhere > 0) {
+      state.allowances["other"] = {row.elsewhere, now - row.elsewhere_age};
+    }
+    BudgetClaim claim{"own", row.budget, row.own_spent, row.running, 20, now};
+    BudgetState next = DecodeBudget(EncodeBudget(state));
+    CHECK(ApplyClaim(claim, next) == row.verdict);
+    if (row.verdict == kGranted) {
+      CHECK(next.allowances["own"].tokens == row.allowance);
+      CHECK(next.spent + row.allowance + row.elsewhere <= row.budget);
+    } else {
+      CHECK(next.spent == state.spent);
+    }
+  }
+}
+
+TEST_CASE("gateways that know each other choose the same home") {
+  std::vector<Address> all;
+  for (uint16_t i = 0; i < 7; ++i)
+    all.push_back({"10.0.0.1", uint16_t(80 + i)});
+  std::map<Address, int> homes;
+  for (int n = 0; n < 700; ++n) {
+    const std::string program = "p" + std::to_string(n);
+    Address chosen;
+    for (const Address& self : all) {
+      std::vector<Address> others;
+      for (const Address& other : all) {
+        if (other != self) others.push_back(other);
+      }
+      const BudgetHome home = ChooseHome(program, self, others);
+      CHECK(home.is_self == (home.address == self));
+      if (chosen == Address{}) chosen = home.address;
+      CHECK(home.address == chosen);
+    }
+    ++homes[chosen];
+  }
+  CHECK(homes.size() == 7);
+  for (const auto& [address, n] : homes) CHECK(n > 50);
+}
+
+TEST_CASE("what decides on a call's rate") {
+  struct Row {
+    const char* what;
+    double own;
+    double others;
+    double demand;
+    double last_second;
+    bool out_of_touch;
+    bool begins;
+    QuotaDecision decision;
+  };
+  constexpr auto kAllow = QuotaDecision::kAllow;
+  constexpr auto kShare = QuotaDecision::kFromShare;
+  constexpr auto kRefuse = QuotaDecision::kRefuse;
+  // Rate 100, burst 100, window 5 s: the limit that is counted is 550.
+  const Row rows[] = {
+      {"idle", 0, 0, 0, 0, false, false, kAllow},
+      {"calm", 50, 250, 60, 20, false, false, kAllow},
+      {"more than the cap at once", 50, 250, 60, 60, false, false, kShare},
+      {"near the limit", 100, 400, 90, 10, false, false, kShare},
+      {"at the limit", 150, 400, 90, 10, false, false, kRefuse},
+      {"a program begins in calm", 50, 250, 60, 20, false, true, kAllow},
+      {"none begins near the limit", 50, 400, 60, 20, false, true, kRefuse},
+      {"none begins on a high demand", 50, 200, 90, 20, false, true, kRefuse},
+      {"out of touch", 50, 100, 60, 20, true, false, kShare},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    QuotaInput input;
+    input.rate_per_s = 100;
+    input.burst = 100;
+    input.window = Seconds(5);
+    input.own = {row.own, row.demand / 5};
+    input.others = {row.others, row.demand * 4 / 5};
+    input.own_last_second = row.last_second;
+    input.gateways = 5;
+    input.out_of_touch = row.out_of_touch;
+    input.begins_program = row.begins;
+    CHECK(DecideQuota(input) == row.decision);
+  }
+}
+
+TEST_CASE("the shares of all gateways add up to the rate") {
+  for (const double demand : {0.0, 10.0, 100.0, 1000.0}) {
+    CAPTURE(demand);
+    const double parts[] = {0.5, 0.3, 0.2, 0.0};
+    double sum = 0;
+    for (const double part : parts) {
+      QuotaInput input;
+      input.rate_per_s = 100;
+      input.gateways = 4;
+      input.own.demand_per_s = demand * part;
+      input.others.demand_per_s = demand * (1 - part);
+      sum += ShareOfRate(input);
+    }
+    CHECK(sum == doctest::Approx(100));
+  }
+}
+
+TEST_CASE("a hot workspace over gateways that hear late stays in its limit") {
+  // Seven gateways that tell each other each 600 ms. Calls come at 0.6 of the
+  // rate, then at seven times that, spread unevenly.
+  constexpr int kGateways = 7;
+  constexpr Ms kStep{10};
+  constexpr Ms kTell{600};
+  constexpr double kParts[] = {0.3, 0.2, 0.2, 0.1, 0.1, 0.05, 0.05};
+  const QuotaTolerance tolerance;
+  for (const double rate : {20.0, 43.0, 148.0, 238.0}) {
+    CAPTURE(rate);
+    Workspace workspace;
+    workspace.name = "ws";
+    workspace.rate_per_s = rate;
+    workspace.burst = rate;
+    Clock clock = Clock::Manual(Seconds(100));
+    std::vector<std::unique_ptr<Quotas>> gateways;
+    for (int i = 0; i < kGateways; ++i) {
+      gateways.push_back(std::make_unique<Quotas>(clock, tolerance));
+    }
+    std::vector<double> due(kGateways, 0);
+    std::vector<Ms> admitted;
+    int refused_in_calm = 0;
+    const Ms begun = clock.Now();
+    while (clock.Now() - begun < Seconds(25)) {
+      const Ms passed = clock.Now() - begun;
+      const bool hot = passed > Seconds(10) && passed < Seconds(18);
+      const double calls_per_s = rate * 0.6 * (hot ? 7 : 1);
+      for (int i = 0; i < kGateways; ++i) {
+        // Each gateway tells at its own moment of the interval.
+        const Ms phase = kStep * 8 * i;
+        if ((passed + phase).count % kTell.count == 0) {
+          std::vector<UseByWorkspace> others;
+          for (int k = 0; k < kGateways; ++k) {
+            if (k != i) others.push_back(gateways[k]->OwnUse());
+          }
+          gateways[i]->SetOthers(others);
+        }
+        due[i] += calls_per_s * kParts[i] * kStep.Seconds();
+        for (; due[i] >= 1; due[i] -= 1) {
+          if (gateways[i]->Take(workspace, false).allowed) {
+            admitted.push_back(clock.Now());
+          } else if (passed > Seconds(1) && passed < Seconds(10)) {
+            ++refused_in_calm;
+          }
+        }
+      }
+      clock.Advance(kStep);
+    }
+    const double limit = (rate * tolerance.window.Seconds() + rate) *
+                             (1 + tolerance.over_share) +
+                         tolerance.slack_calls;
+    size_t most = 0;
+    for (size_t from = 0, to = 0; from < admitted.size(); ++from) {
+      while (to < admitted.size() &&
+             admitted[to] - admitted[from] < tolerance.window) {
+        ++to;
+      }
+      most = std::max(most, to - from);
+    }
+    CHECK(most <= limit);
+    // Nothing is refused before it turns hot, once all have heard of all.
+    CHECK(refused_in_calm == 0);
+  }
+}
+
+TEST_CASE("placement") {
+  struct Row {
+    const char* what;
+    // Of the upstream that is looked at; another one is idle beside it.
+    uint32_t in_flight;
+    bool cached;
+    bool draining;
+    bool far;
+    bool failed;
+    bool chosen;
+  };
+  const Row rows[] = {
+      {"cached", 0, true, false, false, false, true},
+      {"cached and a little loaded", 2, true, false, false, false, true},
+      {"loaded and not cached", 3, false, false, false, false, false},
+      {"draining", 0, true, true, false, false, false},
+      {"far", 0, false, false, true, false, false},
+      {"far and cached", 0, true, false, true, false, true},
+      {"failed lately", 0, true, false, false, true, false},
+  };
+  const PromptPart prompt[] = {{1, 2500}, {2, 1000}};
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    UpstreamSet set;
+    for (const char* id : {"looked-at", "other"}) {
+      UpstreamEntry entry;
+      entry.id = id;
+      entry.service = "engines";
+      entry.failure_domain = "a";
+      entry.slots = 12;
+      set.Put(entry, 100000);
+    }
+    Upstream& up = *set.all().at("looked-at");
+    up.in_flight = row.in_flight;
+    up.entry.draining = row.draining;
+    if (row.far) up.entry.failure_domain = "b";
+    if (row.cached) up.cache.Record(prompt, Ms{1});
+    if (row.failed) up.avoid_until = Ms{1000};
+    ChoiceInput input;
+    input.service = "engines";
+    input.failure_domain = "a";
+    input.prompt = prompt;
+    input.prompt_tokens = 3500;
+    input.expected_output_tokens = 32;
+    input.random = 5;
+    input.now = Ms{500};
+    const UpstreamPtr chosen = set.Choose(input, {});
+    REQUIRE(chosen != nullptr);
+    CHECK((chosen->entry.id == "looked-at") == row.chosen);
+  }
+}
+
+TEST_CASE("an upstream that starts again under its name knows nothing") {
+  UpstreamSet set;
+  UpstreamEntry entry;
+  entry.id = "i-1";
+  entry.service = "engines";
+  entry.born = 1;
+  CHECK(set.Put(entry, 1000));
+  const UpstreamPtr before = set.all().at("i-1");
+  CHECK_FALSE(set.Put(entry, 1000));
+  CHECK(set.all().at("i-1") == before);
+  entry.born = 2;
+  CHECK(set.Put(entry, 1000));
+  CHECK(set.all().at("i-1") != before);
+  CHECK_FALSE(before->listed);
+}
+
+}  // namespace
+}  // namespace knapweed::gateway
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -300,6 +300,29 @@
   CHECK(refused > 0);
 }
 
+TEST_CASE("a restart does not forget what was let through") {
+  World world;
+  world.Configure([](nlohmann::json& config) {
+    config["tenants"][0]["rate_per_s"] = 20;
+    config["tenants"][0]["burst"] = 10;
+  });
+  world.RunFor(Ms{300});
+  int served = 0;
+  const auto use_up = [&](int gateway) {
+    for (int i = 0; i < 150; ++i) {
+      const std::string id = std::to_string(gateway) + "-" + std::to_string(i);
+      if (world.Call(PlainCall("/safe/x", id), gateway).status == 200) ++served;
+    }
+  };
+  use_up(0);
+  // The others hear of it twice a second.
+  world.RunFor(Ms{700});
+  const int restarted = world.AddGateway("gateway-0");
+  world.RunUntil([&] { return world.gateways.back()->IsReady(); });
+  use_up(restarted);
+  CHECK(served <= (20 * 5 + 10) * 1.1 + 20);
+}
+
 TEST_CASE("a gateway that the store turns away goes through another") {
   World world(2, 2, 1);
   // The second gateway's own way to the store ends nowhere.
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -136,23 +136,9 @@
     store.Put("servers", plain.back()->id(), plain.back()->Entry("plain"));
   }
   Configure();
-  configs.resize(static_cast<size_t>(gateway_count));
-  for (size_t i = 0; i < configs.size(); ++i) {
-    gateway::GatewayConfig& config = configs[i];
-    config.name = "gateway-" + std::to_string(i);
-    config.failure_domain = "a";
-    config.callers = FreeAddress(loop);
-    config.readiness = FreeAddress(loop);
-    config.peers = FreeAddress(loop);
-    config.metrics = FreeAddress(loop);
-    const bool cut = i + static_cast<size_t>(cut_off) >= configs.size();
-    config.store = cut ? FreeAddress(loop) : store_address;
-    config.seeds.push_back(configs[0].peers);
-  }
-  for (const gateway::GatewayConfig& config : configs) {
-    gateways.push_back(std::make_unique<gateway::Gateway>(
-        loop, config, users_platform::PlatformDialect()));
-    gateways.back()->Start();
+  store_address_ = store_address;
+  for (int i = 0; i < gateway_count; ++i) {
+    AddGateway("gateway-" + std::to_string(i), i + cut_off >= gateway_count);
   }
   RunUntil([this] {
     return std::all_of(gateways.begin(), gateways.end(),
@@ -162,6 +148,22 @@
 
 World::~World() = default;
 
+int World::AddGateway(const std::string& name, bool cut_off) {
+  gateway::GatewayConfig& config = configs.emplace_back();
+  config.name = name;
+  config.failure_domain = "a";
+  config.callers = FreeAddress(loop);
+  config.readiness = FreeAddress(loop);
+  config.peers = FreeAddress(loop);
+  config.metrics = FreeAddress(loop);
+  config.store = cut_off ? FreeAddress(loop) : store_address_;
+  config.seeds.push_back(configs.front().peers);
+  gateways.push_back(std::make_unique<gateway::Gateway>(
+      loop, config, users_platform::PlatformDialect()));
+  gateways.back()->Start();
+  return static_cast<int>(gateways.size()) - 1;
+}
+
 void World::Configure(const std::function<void(json&)>& change) {
   json config = UsualConfig();
   if (change) change(config);
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEED_TESTS_PLATFORM_WORLD_H_
 #define KNAPWEED_TESTS_PLATFORM_WORLD_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
   void RunFor(Ms span);
   /// Sends one call on a new connection and runs until it has ended.
   CallerAnswer Call(const CallerCall& call, int gateway = 0);
+  /// Starts another gateway, under `name`; returns its number.
+  int AddGateway(const std::string& name, bool cut_off = false);
   /// Starts a call; the answer is filled in as the loop runs.
   std::shared_ptr<CallerAnswer> Begin(const CallerCall& call, int gateway = 0);
   /// Sends raw bytes and returns all that comes back until the end or `limit`.
@@ -63,9 +66,13 @@
   FakeStore store;
   std::vector<std::unique_ptr<FakeServer>> engines;
   std::vector<std::unique_ptr<FakeServer>> plain;
-  std::vector<gateway::GatewayConfig> configs;
+  /// Gateways refer to their settings: a deque keeps them in place.
+  std::deque<gateway::GatewayConfig> configs;
   std::vector<std::unique_ptr<gateway::Gateway>> gateways;
   uint64_t config_version = 1;
+
+ private:
+  Address store_address_;
 };
 
 /// A turn of a program with a budget.
