--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -88,7 +88,7 @@
 /// Idle connections to upstreams, by incarnation.
 class ConnectionPool {
  public:
-  ConnectionPool(asio::io_context& loop, Clock clock)
+  ConnectionPool(asio::io_context& loop, const Clock& clock)
       : loop_(loop), clock_(clock) {}
 
   /// A kept connection or a new one; null when none could be made in time.
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -18,11 +18,21 @@
   Address peer_address;
 };
 
+/// The parts that are kept up to date, and those that it takes to do so.
+struct WatchParts {
+  asio::io_context& loop;
+  const Clock& clock;
+  const Dialect& dialect;
+  Store& store;
+  FleetView& view;
+  Quotas& quotas;
+  Budgets& budgets;
+};
+
 class FleetWatch {
  public:
-  FleetWatch(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
-             Store& store, FleetView& view, Quotas& quotas, Budgets& budgets,
-             GatewayEntry self, std::vector<Address> seeds);
+  FleetWatch(const WatchParts& parts, GatewayEntry self,
+             std::vector<Address> seeds);
 
   /// Runs until the process ends.
   void Start();
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -84,11 +84,12 @@
   for (const auto& [name, latency] : latencies_) {
     const std::string full = std::string(prefix) + name;
     latency->VisitBuckets([&](double upper_ms, uint64_t below) {
-      out += full + "_bucket{le=\"" + std::to_string(upper_ms) + "\"} " +
-             std::to_string(below) + "\n";
+      out.append(full).append("_bucket{le=\"").append(std::to_string(upper_ms));
+      out.append("\"} ").append(std::to_string(below)).append("\n");
     });
     const std::string total = std::to_string(latency->Count()) + "\n";
-    out += full + "_bucket{le=\"+Inf\"} " + total + full + "_count " + total;
+    out.append(full).append("_bucket{le=\"+Inf\"} ").append(total);
+    out.append(full).append("_count ").append(total);
   }
   return out;
 }
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -52,17 +52,15 @@
 
 }  // namespace
 
-FleetWatch::FleetWatch(asio::io_context& loop, const Clock& clock,
-                       const Dialect& dialect, Store& store, FleetView& view,
-                       Quotas& quotas, Budgets& budgets, GatewayEntry self,
+FleetWatch::FleetWatch(const WatchParts& parts, GatewayEntry self,
                        std::vector<Address> seeds)
-    : loop_(loop),
-      clock_(clock),
-      dialect_(dialect),
-      store_(store),
-      view_(view),
-      quotas_(quotas),
-      budgets_(budgets),
+    : loop_(parts.loop),
+      clock_(parts.clock),
+      dialect_(parts.dialect),
+      store_(parts.store),
+      view_(parts.view),
+      quotas_(parts.quotas),
+      budgets_(parts.budgets),
       self_(std::move(self)),
       seeds_(std::move(seeds)) {
   std::erase(seeds_, self_.peer_address);
@@ -102,7 +100,7 @@
   absl::StatusOr<FleetConfig> config = dialect_.decode_config(row.value);
   if (!config.ok()) {
     kLog.Error("Keeping the configuration: a new one can't be read.",
-               {{"error", std::string(config.status().message())}});
+               {{"error", config.status().ToString()}});
     return;
   }
   config_row_version_ = row.version;
@@ -152,9 +150,8 @@
   }
   absl::StatusOr<UpstreamEntry> entry = dialect_.decode_upstream(id, row.value);
   if (!entry.ok()) {
-    kLog.Warning(
-        "An upstream's entry can't be read.",
-        {{"upstream", id}, {"error", std::string(entry.status().message())}});
+    kLog.Warning("An upstream's entry can't be read.",
+                 {{"upstream", id}, {"error", entry.status().ToString()}});
     DropUpstream(id);
     return;
   }
@@ -213,7 +210,9 @@
   bool known = false;
   while (true) {
     // Cache sizes of engines stand in the configuration.
-    while (view_.config == nullptr) co_await Sleep(loop_, Ms{20});
+    while (view_.config == nullptr) {
+      co_await Sleep(loop_, Ms{20});
+    }
     if (!known) {
       std::vector<Row> rows;
       known = co_await ReadTable(dialect_.upstream_table, &rows, &version);
@@ -316,12 +315,16 @@
 
 Task<void> FleetWatch::FollowGateways() {
   // The first turn sets the store's clock.
-  while (view_.config == nullptr) co_await Sleep(loop_, Ms{50});
+  while (view_.config == nullptr) {
+    co_await Sleep(loop_, Ms{50});
+  }
   constexpr Ms kRetry{300};
   co_await InheritUse();
   while (true) {
     bool ok = co_await Announce();
-    if (!ok) ok = co_await Announce();
+    if (!ok) {
+      ok = co_await Announce();
+    }
     std::vector<Row> rows;
     uint64_t version = 0;
     const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -155,7 +155,9 @@
                               asio::redirect_error(asio::use_awaitable, ec));
   }
   if (!ec) co_return true;
-  if (IsParseError(ec)) co_await RejectUnreadable(ec);
+  if (IsParseError(ec)) {
+    co_await RejectUnreadable(ec);
+  }
   co_return false;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -77,7 +77,7 @@
         runner(CallParts{l, clock, d, view, store, quotas, budgets, turns, pool,
                          metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
-        watch(l, clock, d, store, view, quotas, budgets,
+        watch(WatchParts{l, clock, d, store, view, quotas, budgets},
               GatewayEntry{c.name, c.peers}, c.seeds) {}
 
   Clock clock = Clock::Steady();
@@ -222,7 +222,7 @@
     const absl::StatusOr<GatewayConfig> config = ReadGatewayConfig(path);
     if (!config.ok()) {
       kLog.Error("Keeping the settings: the new ones can't be read.",
-                 {{"error", std::string(config.status().message())}});
+                 {{"error", config.status().ToString()}});
       continue;
     }
     gateway.Reload(*config);
--- a/src/gateway/store.cc
+++ b/src/gateway/store.cc
@@ -101,7 +101,9 @@
   if (!direct_ok_) asked.wait = Ms{0};
   const HttpCall call = dialect_.encode_feed(asked);
   StoreAnswer answer = co_await Run(call, asked.wait + kFeedMargin, true);
-  if (asked.wait < feed.wait) co_await Sleep(loop_, kPollEvery);
+  if (asked.wait < feed.wait) {
+    co_await Sleep(loop_, kPollEvery);
+  }
   co_return answer;
 }
 
@@ -114,7 +116,9 @@
   const HttpCall call = dialect_.encode_range(range);
   while (true) {
     co_await Sleep(loop_, kProbeEvery);
-    if (!direct_ok_) co_await RunDirect(call, kProbeTimeout);
+    if (!direct_ok_) {
+      co_await RunDirect(call, kProbeTimeout);
+    }
   }
 }
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -126,8 +126,7 @@
 
 TEST_CASE("gateways that know each other choose the same home") {
   std::vector<Address> all;
-  for (uint16_t i = 0; i < 7; ++i)
-    all.push_back({"10.0.0.1", uint16_t(80 + i)});
+  for (uint16_t port = 80; port < 87; ++port) all.push_back({"10.0.0.1", port});
   std::map<Address, int> homes;
   for (int n = 0; n < 700; ++n) {
     const std::string program = "p" + std::to_string(n);
@@ -224,6 +223,7 @@
     workspace.burst = rate;
     Clock clock = Clock::Manual(Seconds(100));
     std::vector<std::unique_ptr<Quotas>> gateways;
+    gateways.reserve(kGateways);
     for (int i = 0; i < kGateways; ++i) {
       gateways.push_back(std::make_unique<Quotas>(clock, tolerance));
     }
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -108,7 +108,9 @@
                             const SeenRequest& request, const Script& script) {
   const std::string seal = "Server-Seal: " + id_ + "\r\n";
   const std::string plain = "Content-Length: 4\r\n\r\nbody";
-  if (script.pause > Ms{0}) co_await gateway::Sleep(loop_, script.pause);
+  if (script.pause > Ms{0}) {
+    co_await gateway::Sleep(loop_, script.pause);
+  }
   std::string text;
   bool goes_on = true;
   switch (script.kind) {
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -53,8 +53,8 @@
   }
   call.headers["X-Other"] = "kept";
   call.headers["Deadline-Ms"] = "1500";
-  call.body =
-      std::string("a\0b\r\n\r\nGET /once/smuggled HTTP/1.1\r\n\r\n", 42);
+  call.body = std::string("a\0b", 3);
+  call.body += "\r\n\r\nGET /once/smuggled HTTP/1.1\r\n\r\n";
   const CallerAnswer answer = world.Call(call);
   CHECK(answer.status == 200);
   CHECK(answer.body == "body");
@@ -174,7 +174,8 @@
     std::string expected;
     for (int i = 1; i <= (row.whole ? 5 : row.break_after); ++i) {
       const std::string n = std::to_string(i);
-      expected += "id: " + n + "\ndata: word" + n + "\n\n";
+      expected.append("id: ").append(n).append("\ndata: word");
+      expected.append(n).append("\n\n");
     }
     CHECK(answer->body == expected);
   }
@@ -197,9 +198,10 @@
   third.headers["Previous-Turn"] = "t2";
   CHECK(world.Call(third, 0).whole);
   const std::string out = "word1\nword2\nword3\n";
+  const std::string line = "one;" + out + "two;" + out + "three;";
   bool found = false;
   for (const SeenRequest& seen : world.SeenByEngines()) {
-    found = found || seen.body == "one;" + out + "two;" + out + "three;";
+    found = found || seen.body == line;
   }
   CHECK(found);
   SUBCASE("not for another workspace") {
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -63,7 +63,7 @@
   std::string text =
       call.method + " " + call.path + " HTTP/1.1\r\nHost: " + kHost + "\r\n";
   for (const auto& [name, value] : call.headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   if (!call.headers.contains("Key")) text += "Key: key1\r\n";
   if (!call.headers.contains("Request-Id")) text += "Request-Id: r0\r\n";
