--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -164,13 +164,16 @@
                        parts_->store, parts_->budgets, call);
                    co_return answer;
                  });
-  const bool metrics = ServeSmall(parts.loop, config.metrics,
-                                  [this](const HttpCall&) -> Task<HttpAnswer> {
-                                    HttpAnswer answer;
-                                    answer.status = 200;
-                                    answer.body = parts_->metrics.ToJson();
-                                    co_return answer;
-                                  });
+  const bool metrics = ServeSmall(
+      parts.loop, config.metrics,
+      [this](const HttpCall& call) -> Task<HttpAnswer> {
+        HttpAnswer answer;
+        answer.status = 200;
+        answer.body = call.target == kStatePath
+                          ? StateJson()
+                          : parts_->metrics.ToPrometheus("knapweed_");
+        co_return answer;
+      });
   const bool callers = parts.front.Listen(config.callers);
   if (!readiness || !peers || !metrics || !callers) return false;
   kLog.Info("Started.", {{"name", config.name},
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -439,6 +439,19 @@
   CHECK(answer.took < Ms{700});
 }
 
+TEST_CASE("metrics in text, the state in JSON") {
+  World world;
+  CHECK(world.Call(PlainCall("/safe/x")).status == 200);
+  CHECK(world.Get(world.configs[0].metrics, "/metrics")
+            .find("knapweed_calls_total{status=\"200\"} 1\n") !=
+        std::string::npos);
+  const nlohmann::json state = nlohmann::json::parse(
+      world.Get(world.configs[0].metrics, "/state"), nullptr, false);
+  REQUIRE(state.is_object());
+  CHECK(state["ready"] == true);
+  CHECK(state["upstreams"].size() == 4);
+}
+
 TEST_CASE("an entry out of touch denies nothing") {
   World world;
   CHECK(world.gateways[0]->IsReady());
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -209,6 +209,23 @@
   return *out;
 }
 
+std::string World::Get(const Address& address, const std::string& path) {
+  const Clock clock = Clock::Steady();
+  gateway::HttpClient client(loop, clock, address);
+  std::string body;
+  bool done = false;
+  const auto run = [&]() -> Task<void> {
+    gateway::HttpCall call;
+    call.target = path;
+    const gateway::HttpAnswer answer = co_await client.Send(call, Seconds(2));
+    body = answer.body;
+    done = true;
+  };
+  gateway::Spawn(loop, run());
+  RunUntil([&] { return done; });
+  return body;
+}
+
 std::vector<SeenRequest> World::SeenByEngines() const {
   std::vector<SeenRequest> all;
   for (const auto& server : engines) {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -58,6 +58,8 @@
   /// Sends raw bytes and returns all that comes back until the end or `limit`.
   std::string Raw(const std::string& bytes, int gateway = 0,
                   Ms limit = Seconds(3));
+  /// The body of the answer to a GET of `path`.
+  std::string Get(const Address& address, const std::string& path);
   /// Requests of the engines, in the order of the servers.
   std::vector<SeenRequest> SeenByEngines() const;
   size_t SeenByPlain() const;
