--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -98,14 +98,12 @@
            std::unique_ptr<UpstreamConnection> conn);
   /// Closes what has been idle for too long; call it regularly.
   void CloseIdle();
-  uint64_t opened() const { return opened_; }
 
  private:
   bool IsFresh(const UpstreamConnection& conn) const;
 
   asio::io_context& loop_;
   const Clock& clock_;
-  uint64_t opened_ = 0;
   std::map<std::weak_ptr<Upstream>,
            std::list<std::unique_ptr<UpstreamConnection>>,
            std::owner_less<std::weak_ptr<Upstream>>>
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -105,8 +105,6 @@
   /// there is none. Keeps those that failed lately for when no other is left.
   UpstreamPtr Choose(const ChoiceInput& input,
                      std::span<const UpstreamPtr> excluded) const;
-  /// Upstreams of the service that may get new calls.
-  size_t CountOf(std::string_view service) const;
 
  private:
   std::map<std::string, UpstreamPtr> by_id_;
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -172,7 +172,6 @@
     co_return conn;
   }
   auto conn = std::make_unique<UpstreamConnection>(loop_);
-  ++opened_;
   const bool open =
       co_await Connect(conn->stream, upstream->entry.address, timeout);
   if (!open) co_return nullptr;
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -105,12 +105,6 @@
   return true;
 }
 
-size_t UpstreamSet::CountOf(std::string_view service) const {
-  return static_cast<size_t>(std::count_if(
-      by_id_.begin(), by_id_.end(),
-      [&](const auto& item) { return MayGetCalls(*item.second, service); }));
-}
-
 UpstreamPtr UpstreamSet::Choose(const ChoiceInput& input,
                                 std::span<const UpstreamPtr> excluded) const {
   std::vector<UpstreamView> views;
