Serve and send HTTP with one library; confirm crash reports to every entry

Cause: the older daemons used CivetWeb and the gateway Beast. Client and server of kw_http now stand on Beast over a blocking socket with deadlines (timed_socket); their interface is unchanged. Ruled out: one event loop with writes handed across threads, two switches a streamed piece. A reply that is late in its body now ends at its deadline, a malformed request gets 400, threads start as they are needed. Tests: malformed, pipelined, chunked and Expect requests, a stop beside resting connections.

Crash reports. Reports are now a log that each incarnation confirms; one that was out of reach or has just started is told later, and carries the time of the crash, so that late ones merge in order.

--- a/include/knapweed/http/http.h
+++ b/include/knapweed/http/http.h
@@ -16,6 +16,7 @@
 /// their limit.
 struct HttpRequest {
   std::string method = "GET";
+  /// As a client sends it; a server's handler finds it decoded.
   std::string path = "/";
   std::string query;
   std::vector<HttpHeader> headers;
@@ -40,6 +41,9 @@
 /// stand in a path or as a query value.
 std::string PercentEncode(std::string_view text);
 
+/// Undoes `PercentEncode`; what is no escape stays as it is.
+std::string PercentDecode(std::string_view text);
+
 }  // namespace knapweed
 
 #endif  // KNAPWEED_HTTP_HTTP_H_
--- a/include/knapweed/http/server.h
+++ b/include/knapweed/http/server.h
@@ -11,15 +11,16 @@
 #include "knapweed/base/settings.h"
 #include "knapweed/http/http.h"
 
-struct mg_connection;
-
 namespace knapweed {
 
+struct HttpConnection;
+
 /// Writes the reply to one request: either one `Send`, or `Begin`, any number
 /// of `Write` and `End`. Used by the handler's thread only.
 class HttpResponder {
  public:
-  explicit HttpResponder(mg_connection* connection) : connection_(connection) {}
+  explicit HttpResponder(HttpConnection& connection)
+      : connection_(connection) {}
 
   void Send(const HttpReply& reply);
   /// Starts a chunked reply.
@@ -30,10 +31,15 @@
   /// Closes the connection once the handler returns, with nothing more sent.
   void Drop();
   bool started() const { return started_; }
+  /// Whether the connection can't carry another request.
+  bool closes() const { return closes_; }
 
  private:
-  mg_connection* connection_;
+  bool WriteAll(std::string_view text);
+
+  HttpConnection& connection_;
   bool started_ = false;
+  bool closes_ = false;
 };
 
 using HttpHandler = std::function<void(const HttpRequest&, HttpResponder&)>;
--- a/include/knapweed/wire/wire_generated.h
+++ b/include/knapweed/wire/wire_generated.h
@@ -2848,6 +2848,7 @@
   uint64_t digest = 0;
   std::string upstream{};
   uint32_t crashes = 0;
+  int64_t at_ms = 0;
 };
 
 struct CrashReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2857,7 +2858,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DIGEST = 4,
     VT_UPSTREAM = 6,
-    VT_CRASHES = 8
+    VT_CRASHES = 8,
+    VT_AT_MS = 10
   };
   uint64_t digest() const {
     return GetField<uint64_t>(VT_DIGEST, 0);
@@ -2868,12 +2870,16 @@
   uint32_t crashes() const {
     return GetField<uint32_t>(VT_CRASHES, 0);
   }
+  int64_t at_ms() const {
+    return GetField<int64_t>(VT_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
            VerifyField<uint32_t>(verifier, VT_CRASHES, 4) &&
+           VerifyField<int64_t>(verifier, VT_AT_MS, 8) &&
            verifier.EndTable();
   }
   CrashReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2894,6 +2900,9 @@
   void add_crashes(uint32_t crashes) {
     fbb_.AddElement<uint32_t>(CrashReport::VT_CRASHES, crashes, 0);
   }
+  void add_at_ms(int64_t at_ms) {
+    fbb_.AddElement<int64_t>(CrashReport::VT_AT_MS, at_ms, 0);
+  }
   explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2909,8 +2918,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t digest = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    uint32_t crashes = 0) {
+    uint32_t crashes = 0,
+    int64_t at_ms = 0) {
   CrashReportBuilder builder_(_fbb);
+  builder_.add_at_ms(at_ms);
   builder_.add_digest(digest);
   builder_.add_crashes(crashes);
   builder_.add_upstream(upstream);
@@ -2926,13 +2937,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t digest = 0,
     const char *upstream = nullptr,
-    uint32_t crashes = 0) {
+    uint32_t crashes = 0,
+    int64_t at_ms = 0) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return knapweed::wire::CreateCrashReport(
       _fbb,
       digest,
       upstream__,
-      crashes);
+      crashes,
+      at_ms);
 }
 
 flatbuffers::Offset<CrashReport> CreateCrashReport(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4017,6 +4030,7 @@
   { auto _e = digest(); _o->digest = _e; }
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
   { auto _e = crashes(); _o->crashes = _e; }
+  { auto _e = at_ms(); _o->at_ms = _e; }
 }
 
 inline flatbuffers::Offset<CrashReport> CrashReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4030,11 +4044,13 @@
   auto _digest = _o->digest;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
   auto _crashes = _o->crashes;
+  auto _at_ms = _o->at_ms;
   return knapweed::wire::CreateCrashReport(
       _fbb,
       _digest,
       _upstream,
-      _crashes);
+      _crashes,
+      _at_ms);
 }
 
 inline AckT *Ack::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/entry/crash_board.cc
+++ b/src/entry/crash_board.cc
@@ -1,5 +1,6 @@
 #include "knapweed/entry/crash_board.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -11,12 +12,15 @@
 
 constexpr Logger kLog("quarantine");
 constexpr Ms kTellTimeout = Ms{500};
+/// Older reports are dropped; as many as a quarantine keeps digests.
+constexpr size_t kMaxReports = 4096;
 
 CrashRecord ToRecord(const wire::CrashReportT& report) {
   CrashRecord record;
   record.digest = report.digest;
   record.upstream_hash = HashBytes(report.upstream);
-  record.at = WallTime();
+  // An older process sends no time.
+  record.at = report.at_ms > 0 ? Ms{report.at_ms} : WallTime();
   record.cleared = report.crashes == 0;
   return record;
 }
@@ -35,6 +39,34 @@
 
 }  // namespace
 
+void CrashReportLog::Add(wire::CrashReportT report) {
+  reports_.push_back(std::move(report));
+  if (reports_.size() <= kMaxReports) return;
+  reports_.pop_front();
+  ++first_;
+}
+
+std::vector<wire::CrashReportT> CrashReportLog::UnconfirmedBy(
+    const std::string& incarnation) const {
+  const auto it = next_.find(incarnation);
+  const uint64_t next =
+      it == next_.end() ? first_ : std::max(first_, it->second);
+  const auto skipped = static_cast<std::ptrdiff_t>(next - first_);
+  return {reports_.begin() + skipped, reports_.end()};
+}
+
+void CrashReportLog::Confirm(const std::string& incarnation, size_t n) {
+  uint64_t& next = next_[incarnation];
+  next = std::max(first_, next) + n;
+}
+
+void CrashReportLog::KeepOnly(const std::vector<std::string>& incarnations) {
+  std::erase_if(next_, [&](const auto& item) {
+    return std::find(incarnations.begin(), incarnations.end(), item.first) ==
+           incarnations.end();
+  });
+}
+
 CrashBoard::CrashBoard(const Membership& membership, RpcPool& rpc,
                        MemberId self)
     : membership_(membership), rpc_(rpc), self_(std::move(self)) {}
@@ -49,6 +81,7 @@
   report.digest = digest;
   report.upstream = upstream;
   report.crashes = 1;
+  report.at_ms = WallTime().count;
   const std::lock_guard lock(mu_);
   if (!quarantine_.Merge(ToRecord(report))) return;
   const QuarantineVerdict verdict = quarantine_.VerdictOf(digest, WallTime());
@@ -56,7 +89,7 @@
                {{"digest", digest},
                 {"upstream", upstream},
                 {"verdict", NameOf(verdict)}});
-  unsent_.push_back(std::move(report));
+  log_.Add(std::move(report));
 }
 
 void CrashBoard::OnReport(const wire::CrashReportT& report) {
@@ -68,10 +101,11 @@
   wire::CrashReportT report;
   report.digest = digest;
   report.crashes = 0;
+  report.at_ms = WallTime().count;
   const std::lock_guard lock(mu_);
   quarantine_.Merge(ToRecord(report));
   kLog.Info("Cleared a request.", {{"digest", digest}});
-  unsent_.push_back(std::move(report));
+  log_.Add(std::move(report));
 }
 
 bool CrashBoard::WarnSidecar(uint64_t digest, const Address& sidecar) const {
@@ -89,30 +123,49 @@
   return rpc_.Get(sidecar)->Call(Wrap(std::move(report)), kTellTimeout).ok();
 }
 
-void CrashBoard::Send(const wire::CrashReportT& report,
+bool CrashBoard::Send(const wire::CrashReportT& report,
                       const Address& peer) const {
   const auto told = rpc_.Get(peer)->Call(Wrap(report), kTellTimeout);
-  if (told.ok()) return;
-  kLog.Warning("A crash report did not reach a peer.",
-               {{"peer", peer.ToString()}, {"digest", report.digest}});
+  if (told.ok()) return true;
+  kLog.Warning("A crash report did not reach a peer; it is sent again.",
+               {{"peer", peer.ToString()},
+                {"digest", report.digest},
+                {"error", std::string(told.status().message())}});
+  return false;
 }
 
-void CrashBoard::Step() {
+void CrashBoard::BringUpToDate(const std::string& incarnation,
+                               const Address& process, bool clearances_only) {
   std::vector<wire::CrashReportT> reports;
   {
     const std::lock_guard lock(mu_);
-    reports.swap(unsent_);
-    quarantine_.Expire(WallTime());
+    reports = log_.UnconfirmedBy(incarnation);
   }
+  size_t confirmed = 0;
   for (const wire::CrashReportT& report : reports) {
-    for (const Member& it : membership_.Members()) {
-      if (it.id != self_) Send(report, it.rpc);
-    }
-    if (report.crashes > 0) continue;
-    for (const SidecarRecord& it : membership_.Sidecars()) {
-      Send(report, it.rpc);
-    }
+    const bool due = !clearances_only || report.crashes == 0;
+    if (due && !Send(report, process)) break;
+    ++confirmed;
   }
+  const std::lock_guard lock(mu_);
+  log_.Confirm(incarnation, confirmed);
+}
+
+void CrashBoard::Step() {
+  const std::vector<Member> members = membership_.Members();
+  const std::vector<SidecarRecord> sidecars = membership_.Sidecars();
+  std::vector<std::string> incarnations;
+  for (const Member& it : members) {
+    incarnations.push_back(it.incarnation);
+    if (it.id != self_) BringUpToDate(it.incarnation, it.rpc, false);
+  }
+  for (const SidecarRecord& it : sidecars) {
+    incarnations.push_back(it.incarnation);
+    BringUpToDate(it.incarnation, it.rpc, true);
+  }
+  const std::lock_guard lock(mu_);
+  log_.KeepOnly(incarnations);
+  quarantine_.Expire(WallTime());
 }
 
 std::string CrashBoard::DumpJson() const {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,19 +1,27 @@
 #include "knapweed/http/client.h"
 
-#include <civetweb.h>
-
+#include <algorithm>
+#include <boost/beast/http.hpp>
 #include <mutex>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "timed_socket.h"
 
 namespace knapweed {
 namespace {
 
+namespace http = boost::beast::http;
+
 // Shorter than the server's keep-alive timeout, so that a kept connection is
 // seldom found closed.
 constexpr Ms kMaxIdle = Seconds(3);
 constexpr size_t kMaxIdleConnections = 64;
+constexpr uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr uint64_t kMaxBodyBytes = uint64_t{1} << 40;
+constexpr size_t kReadBytes = 16384;
 
 std::string Serialize(const HttpRequest& request, const Address& server) {
   std::string text = absl::StrCat(request.method, " ", request.path);
@@ -27,99 +35,97 @@
   return text;
 }
 
-absl::Status BrokenAfterSend(Ms deadline, const Clock& clock) {
-  if (clock.Now() >= deadline) {
+absl::Status BrokenAfterSend(const HttpErrorCode& ec) {
+  if (ec == boost::asio::error::timed_out) {
     return absl::DeadlineExceededError("no whole reply before the deadline");
   }
-  return absl::UnknownError("the connection broke after the request was sent");
+  return absl::UnknownError(absl::StrCat(
+      "the connection broke after the request was sent: ", ec.message()));
+}
+
+HttpReply HeadOf(const http::response_header<>& header) {
+  HttpReply reply;
+  reply.status = static_cast<int>(header.result_int());
+  for (const auto& field : header) {
+    reply.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return reply;
 }
 
+using ConnectionPtr = std::unique_ptr<HttpConnection>;
+
 }  // namespace
 
 struct HttpClient::Impl {
   struct Idle {
-    mg_connection* connection;
+    ConnectionPtr connection;
     Ms since;
   };
 
-  mg_connection* TakeIdle() {
+  ConnectionPtr TakeIdle() {
     const std::lock_guard lock(mu);
     while (!idle.empty()) {
-      const Idle last = idle.back();
+      Idle last = std::move(idle.back());
       idle.pop_back();
-      if (clock.Now() - last.since < kMaxIdle) return last.connection;
-      mg_close_connection(last.connection);
+      if (clock.Now() - last.since < kMaxIdle) {
+        return std::move(last.connection);
+      }
     }
     return nullptr;
   }
 
-  void Keep(mg_connection* connection) {
+  void Keep(ConnectionPtr connection) {
     const std::lock_guard lock(mu);
-    if (idle.size() >= kMaxIdleConnections) {
-      mg_close_connection(connection);
-      return;
-    }
-    idle.push_back({connection, clock.Now()});
+    if (idle.size() >= kMaxIdleConnections) return;
+    idle.push_back({std::move(connection), clock.Now()});
   }
 
-  absl::StatusOr<mg_connection*> Connect() const {
-    char error[128] = "";
-    mg_connection* connection = mg_connect_client(
-        server.host.c_str(), server.port, 0, error, sizeof(error));
-    if (connection == nullptr) {
-      return absl::UnavailableError(
-          absl::StrCat("can't connect to ", server.ToString()));
-    }
-    return connection;
-  }
-
-  absl::StatusOr<HttpReply> Exchange(mg_connection* connection,
+  absl::StatusOr<HttpReply> Exchange(HttpConnection& connection,
                                      const std::string& text, Ms deadline,
                                      const BodySink& sink, bool* whole) const;
 
+  boost::asio::io_context context;
   Address server;
   Clock clock = Clock::Steady();
   std::mutex mu;
   std::vector<Idle> idle;
 };
 
-absl::StatusOr<HttpReply> HttpClient::Impl::Exchange(mg_connection* connection,
+absl::StatusOr<HttpReply> HttpClient::Impl::Exchange(HttpConnection& connection,
                                                      const std::string& text,
                                                      Ms deadline,
                                                      const BodySink& sink,
                                                      bool* whole) const {
   *whole = false;
-  if (mg_write(connection, text.data(), text.size()) <
-      static_cast<int>(text.size())) {
-    return absl::UnknownError("the connection broke while sending");
-  }
-  char error[128] = "";
-  const Ms left = std::max(Ms{1}, deadline - clock.Now());
-  if (mg_get_response(connection, error, sizeof(error),
-                      static_cast<int>(left.count)) < 0) {
-    return BrokenAfterSend(deadline, clock);
-  }
-  const mg_response_info& info = *mg_get_response_info(connection);
-  HttpReply reply;
-  reply.status = info.status_code;
-  for (int i = 0; i < info.num_headers; ++i) {
-    reply.headers.push_back(
-        {info.http_headers[i].name, info.http_headers[i].value});
-  }
-  const long long announced = info.content_length;  // NOLINT
-  long long got = 0;                                // NOLINT
-  char buf[16384];
-  while (true) {
-    const int n = mg_read(connection, buf, sizeof(buf));
-    if (n < 0) return BrokenAfterSend(deadline, clock);
-    if (n == 0) break;
-    got += n;
-    if (!sink(std::string_view(buf, static_cast<size_t>(n)))) return reply;
-    if (clock.Now() >= deadline) return BrokenAfterSend(deadline, clock);
+  HttpErrorCode ec;
+  connection.socket.SetDeadline(deadline);
+  boost::asio::write(connection.socket, boost::asio::buffer(text), ec);
+  if (ec) return absl::UnknownError("the connection broke while sending");
+  http::response_parser<http::buffer_body> parser;
+  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(kMaxBodyBytes);
+  do {
+    http::read_header(connection.socket, connection.buf, parser, ec);
+    if (ec) return BrokenAfterSend(ec);
+  } while (parser.get().result_int() == 100);
+  HttpReply reply = HeadOf(parser.get());
+  char buf[kReadBytes];
+  while (!parser.is_done()) {
+    auto& body = parser.get().body();
+    body.data = buf;
+    body.size = sizeof(buf);
+    body.more = true;
+    http::read_some(connection.socket, connection.buf, parser, ec);
+    if (ec == http::error::need_buffer) ec.clear();
+    const size_t n = sizeof(buf) - body.size;
+    if (n > 0 && !sink(std::string_view(buf, n))) return reply;
+    if (ec) return BrokenAfterSend(ec);
+    if (clock.Now() >= deadline) {
+      return BrokenAfterSend(boost::asio::error::timed_out);
+    }
   }
-  if (announced >= 0 && got < announced)
-    return BrokenAfterSend(deadline, clock);
-  *whole = FindHeader(reply.headers, "Connection") != "close";
+  *whole = parser.keep_alive() && connection.buf.size() == 0;
   return reply;
 }
 
@@ -127,9 +133,7 @@
   impl_->server = std::move(server);
 }
 
-HttpClient::~HttpClient() {
-  for (const Impl::Idle& it : impl_->idle) mg_close_connection(it.connection);
-}
+HttpClient::~HttpClient() = default;
 
 const Address& HttpClient::server() const { return impl_->server; }
 
@@ -149,20 +153,19 @@
                                              const HttpCallOptions& options,
                                              const BodySink& sink) {
   const Ms deadline = impl_->clock.Now() + options.timeout;
-  mg_connection* connection =
+  ConnectionPtr connection =
       options.fresh_connection ? nullptr : impl_->TakeIdle();
   if (connection == nullptr) {
-    absl::StatusOr<mg_connection*> made = impl_->Connect();
-    if (!made.ok()) return made.status();
-    connection = *made;
+    connection = std::make_unique<HttpConnection>(impl_->context);
+    const absl::Status made =
+        connection->socket.Connect(impl_->server, deadline);
+    if (!made.ok()) return made;
   }
   bool whole = false;
   absl::StatusOr<HttpReply> reply = impl_->Exchange(
-      connection, Serialize(request, impl_->server), deadline, sink, &whole);
+      *connection, Serialize(request, impl_->server), deadline, sink, &whole);
   if (reply.ok() && whole && !options.fresh_connection) {
-    impl_->Keep(connection);
-  } else {
-    mg_close_connection(connection);
+    impl_->Keep(std::move(connection));
   }
   return reply;
 }
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -1,10 +1,35 @@
 #include "knapweed/http/http.h"
 
-#include <civetweb.h>
-
+#include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
 
 namespace knapweed {
+namespace {
+
+constexpr char kHexDigits[] = "0123456789ABCDEF";
+
+bool IsUnreserved(char c) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' ||
+         c == '.' || c == '_' || c == '~';
+}
+
+bool IsEscape(std::string_view text) {
+  return text.size() >= 3 && text[0] == '%' &&
+         absl::ascii_isxdigit(static_cast<unsigned char>(text[1])) &&
+         absl::ascii_isxdigit(static_cast<unsigned char>(text[2]));
+}
+
+std::string DecodeFormValue(std::string_view text) {
+  std::string plain(text);
+  for (char& c : plain) {
+    if (c == '+') c = ' ';
+  }
+  return PercentDecode(plain);
+}
+
+}  // namespace
 
 std::string_view FindHeader(const std::vector<HttpHeader>& headers,
                             std::string_view name) {
@@ -18,21 +43,46 @@
 }
 
 std::string QueryParam(std::string_view query, std::string_view name) {
-  std::string buf(query.size() + 1, '\0');
-  const std::string key(name);
-  const int n = mg_get_var(query.data(), query.size(), key.c_str(), buf.data(),
-                           buf.size());
-  if (n < 0) return "";
-  buf.resize(static_cast<size_t>(n));
-  return buf;
+  for (const absl::string_view pair :
+       absl::StrSplit(absl::string_view(query.data(), query.size()), '&')) {
+    const std::string_view item(pair.data(), pair.size());
+    const size_t equals = item.find('=');
+    if (equals == std::string_view::npos) continue;
+    if (DecodeFormValue(item.substr(0, equals)) == name) {
+      return DecodeFormValue(item.substr(equals + 1));
+    }
+  }
+  return "";
 }
 
 std::string PercentEncode(std::string_view text) {
-  // Each byte becomes three at the most.
-  std::string buf(text.size() * 3 + 1, '\0');
-  const int n =
-      mg_url_encode(std::string(text).c_str(), buf.data(), buf.size());
-  buf.resize(n < 0 ? 0 : static_cast<size_t>(n));
+  std::string buf;
+  buf.reserve(text.size());
+  for (const char c : text) {
+    if (IsUnreserved(c)) {
+      buf.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    buf.push_back('%');
+    buf.push_back(kHexDigits[byte >> 4]);
+    buf.push_back(kHexDigits[byte & 15]);
+  }
+  return buf;
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string buf;
+  buf.reserve(text.size());
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (!IsEscape(text.substr(i))) {
+      buf.push_back(text[i]);
+      continue;
+    }
+    const absl::string_view digits(text.data() + i + 1, 2);
+    buf.append(absl::HexStringToBytes(digits));
+    i += 2;
+  }
   return buf;
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,156 +1,323 @@
 #include "knapweed/http/server.h"
 
-#include <civetweb.h>
-
 #include <algorithm>
+#include <atomic>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <condition_variable>
+#include <deque>
+#include <list>
+#include <mutex>
+#include <set>
 #include <string>
+#include <thread>
+#include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "knapweed/base/log.h"
+#include "timed_socket.h"
 
 namespace knapweed {
 namespace {
 
-constexpr char kKeepAliveTimeoutMs[] = "10000";
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
 
-std::string_view ReasonOf(int status) {
-  const char* text = mg_get_response_code_text(nullptr, status);
-  return text == nullptr ? "Status" : text;
-}
+constexpr Logger kLog("http");
+
+/// How long a connection may rest between requests, a request may take to
+/// arrive, and a peer may leave a reply unread.
+constexpr Ms kKeepAlive = Seconds(10);
+constexpr Ms kRequestTimeout = Seconds(30);
+constexpr Ms kWriteTimeout = Seconds(30);
+constexpr uint32_t kMaxHeaderBytes = 64 << 10;
+/// Connections that wait for a thread; further ones are closed.
+constexpr size_t kMaxWaiting = 1024;
+/// Pause after a failed accept, which mostly means that descriptors ran out.
+constexpr Ms kAcceptPause{20};
+
+constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr char kTooLargeBody[] =
+    R"({"error":{"code":"too_large","message":"The body is over the limit.","run":"not_run"}})";
+constexpr char kMalformedBody[] =
+    R"({"error":{"code":"bad_request","message":"The request is not valid HTTP.","run":"not_run"}})";
 
 std::string HeadOf(int status, const std::vector<HttpHeader>& headers) {
-  std::string head = absl::StrCat(
-      "HTTP/1.1 ", status, " ",
-      absl::string_view(ReasonOf(status).data(), ReasonOf(status).size()),
-      "\r\n");
+  const std::string_view reason =
+      http::obsolete_reason(static_cast<http::status>(status));
+  std::string head = absl::StrCat("HTTP/1.1 ", status, " ");
+  head.append(reason).append("\r\n");
   for (const HttpHeader& header : headers) {
     absl::StrAppend(&head, header.name, ": ", header.value, "\r\n");
   }
   return head;
 }
 
+bool AsksToClose(const std::vector<HttpHeader>& headers) {
+  const std::string_view value = FindHeader(headers, "Connection");
+  return absl::EqualsIgnoreCase(absl::string_view(value.data(), value.size()),
+                                "close");
+}
+
+using Parser = http::request_parser<http::string_body>;
+
+HttpRequest RequestOf(Parser& parser) {
+  auto& message = parser.get();
+  const std::string_view target = message.target();
+  const size_t mark = target.find('?');
+  HttpRequest request;
+  request.method = message.method_string();
+  request.path = PercentDecode(target.substr(0, mark));
+  if (mark != std::string_view::npos) request.query = target.substr(mark + 1);
+  for (const auto& field : message) {
+    request.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+enum class ReadOutcome : uint8_t { kRequest, kGone, kTooLarge, kMalformed };
+
+ReadOutcome OutcomeOf(const HttpErrorCode& ec) {
+  if (!ec) return ReadOutcome::kRequest;
+  if (ec == http::error::body_limit) return ReadOutcome::kTooLarge;
+  const bool cut =
+      ec == http::error::end_of_stream || ec == http::error::partial_message;
+  const bool protocol =
+      ec.category() == make_error_code(http::error::bad_method).category();
+  return protocol && !cut ? ReadOutcome::kMalformed : ReadOutcome::kGone;
+}
+
+ReadOutcome ReadRequest(HttpConnection& connection, const Clock& clock,
+                        Parser& parser) {
+  HttpErrorCode ec;
+  // The wait for the first byte is the time at rest.
+  connection.socket.SetDeadline(clock.Now() + kKeepAlive);
+  if (connection.buf.size() == 0) {
+    const size_t n = connection.socket.read_some(
+        connection.buf.prepare(kMaxHeaderBytes), ec);
+    if (ec) return ReadOutcome::kGone;
+    connection.buf.commit(n);
+  }
+  connection.socket.SetDeadline(clock.Now() + kRequestTimeout);
+  http::read_header(connection.socket, connection.buf, parser, ec);
+  if (ec) return OutcomeOf(ec);
+  if (parser.get()[http::field::expect] == "100-continue") {
+    asio::write(connection.socket,
+                asio::buffer(kContinue, sizeof(kContinue) - 1), ec);
+    if (ec) return ReadOutcome::kGone;
+  }
+  http::read(connection.socket, connection.buf, parser, ec);
+  return OutcomeOf(ec);
+}
+
 }  // namespace
 
+bool HttpResponder::WriteAll(std::string_view text) {
+  const Clock clock = Clock::Steady();
+  connection_.socket.SetDeadline(clock.Now() + kWriteTimeout);
+  HttpErrorCode ec;
+  asio::write(connection_.socket, asio::buffer(text.data(), text.size()), ec);
+  if (ec) closes_ = true;
+  return !ec;
+}
+
 void HttpResponder::Send(const HttpReply& reply) {
   started_ = true;
+  closes_ = closes_ || AsksToClose(reply.headers);
   std::string text = HeadOf(reply.status, reply.headers);
   absl::StrAppend(&text, "Content-Length: ", reply.body.size(), "\r\n\r\n",
                   reply.body);
-  mg_write(connection_, text.data(), text.size());
+  WriteAll(text);
 }
 
 void HttpResponder::Begin(int status, const std::vector<HttpHeader>& headers) {
   started_ = true;
-  const std::string head =
-      HeadOf(status, headers) + "Transfer-Encoding: chunked\r\n\r\n";
-  mg_write(connection_, head.data(), head.size());
+  closes_ = closes_ || AsksToClose(headers);
+  WriteAll(HeadOf(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 bool HttpResponder::Write(std::string_view chunk) {
   if (chunk.empty()) return true;
-  return mg_send_chunk(connection_, chunk.data(),
-                       static_cast<unsigned int>(chunk.size())) > 0;
+  return WriteAll(absl::StrCat(absl::Hex(chunk.size()), "\r\n",
+                               absl::string_view(chunk.data(), chunk.size()),
+                               "\r\n"));
 }
 
-void HttpResponder::End() { mg_send_chunk(connection_, "", 0); }
+void HttpResponder::End() { WriteAll("0\r\n\r\n"); }
 
 void HttpResponder::Drop() {
   started_ = true;
-  mg_disable_connection_keep_alive(connection_);
+  closes_ = true;
 }
 
 struct HttpServer::Impl {
+  using ConnectionPtr = std::unique_ptr<HttpConnection>;
+
+  absl::Status Listen(const Address& listen);
+  void Accept();
+  void Enqueue(ConnectionPtr connection);
+  void Work();
+  void Serve(HttpConnection& connection);
+  /// Reads and answers one request; false when the connection must close.
+  bool ServeRequest(HttpConnection& connection);
+  bool BeginReading(HttpConnection& connection);
+  void EndReading(HttpConnection& connection);
+  void Stop();
+
   HttpHandler handler;
+  size_t max_threads = 0;
   size_t max_body = 0;
-  mg_context* context = nullptr;
+  const Clock clock = Clock::Steady();
+  asio::io_context context;
+  tcp::acceptor acceptor{context};
+  std::thread accept_thread;
+
+  std::mutex mu;
+  std::condition_variable work;
+  bool stopping = false;
+  std::deque<ConnectionPtr> waiting;
+  /// Connections that wait for a request or read one; a stop cuts these.
+  std::set<HttpConnection*> reading;
+  size_t idle_threads = 0;
+  std::list<std::thread> threads;
 };
 
-namespace {
+absl::Status HttpServer::Impl::Listen(const Address& listen) {
+  HttpErrorCode ec;
+  const tcp::endpoint endpoint(asio::ip::make_address(listen.host, ec),
+                               static_cast<uint16_t>(listen.port));
+  if (!ec) acceptor.open(endpoint.protocol(), ec);
+  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor.bind(endpoint, ec);
+  if (!ec) acceptor.listen(tcp::acceptor::max_listen_connections, ec);
+  if (!ec) return absl::OkStatus();
+  return absl::UnavailableError(
+      absl::StrCat("can't listen on ", listen.ToString(), ": ", ec.message()));
+}
 
-// Reads the body that the headers announce. False when it is over the limit or
-// breaks off.
-bool ReadBody(mg_connection* connection, size_t limit, std::string* body,
-              bool* too_large) {
-  char buf[16384];
+void HttpServer::Impl::Accept() {
   while (true) {
-    const int n = mg_read(connection, buf, sizeof(buf));
-    if (n < 0) return false;
-    if (n == 0) return true;
-    if (body->size() + static_cast<size_t>(n) > limit) {
-      *too_large = true;
-      return false;
+    auto connection = std::make_unique<HttpConnection>(context);
+    HttpErrorCode ec;
+    acceptor.accept(connection->socket.socket(), ec);
+    {
+      const std::lock_guard lock(mu);
+      if (stopping) return;
     }
-    body->append(buf, static_cast<size_t>(n));
+    if (ec || !connection->socket.Adopt().ok()) {
+      kLog.Warning("Can't accept a connection.", {{"error", ec.message()}});
+      SleepFor(kAcceptPause);
+      continue;
+    }
+    Enqueue(std::move(connection));
   }
 }
 
-HttpRequest HeadToRequest(const mg_request_info& info) {
-  HttpRequest request;
-  request.method = info.request_method;
-  request.path = info.local_uri;
-  if (info.query_string != nullptr) request.query = info.query_string;
-  for (int i = 0; i < info.num_headers; ++i) {
-    request.headers.push_back(
-        {info.http_headers[i].name, info.http_headers[i].value});
+void HttpServer::Impl::Enqueue(ConnectionPtr connection) {
+  const std::lock_guard lock(mu);
+  if (waiting.size() >= kMaxWaiting) {
+    kLog.Warning("Closed a connection: too many wait for a thread.");
+    return;
   }
-  return request;
+  waiting.push_back(std::move(connection));
+  if (idle_threads < waiting.size() && threads.size() < max_threads) {
+    threads.emplace_back([this] { Work(); });
+  }
+  work.notify_one();
 }
 
-constexpr char kTooLargeBody[] =
-    R"({"error":{"code":"too_large","message":"The body is over the limit.","run":"not_run"}})";
+void HttpServer::Impl::Work() {
+  while (true) {
+    ConnectionPtr connection;
+    {
+      std::unique_lock lock(mu);
+      ++idle_threads;
+      work.wait(lock, [this] { return stopping || !waiting.empty(); });
+      --idle_threads;
+      if (stopping) return;
+      connection = std::move(waiting.front());
+      waiting.pop_front();
+    }
+    Serve(*connection);
+  }
+}
 
-}  // namespace
+void HttpServer::Impl::Serve(HttpConnection& connection) {
+  while (ServeRequest(connection)) {
+  }
+}
+
+bool HttpServer::Impl::BeginReading(HttpConnection& connection) {
+  const std::lock_guard lock(mu);
+  if (stopping) return false;
+  reading.insert(&connection);
+  return true;
+}
+
+void HttpServer::Impl::EndReading(HttpConnection& connection) {
+  const std::lock_guard lock(mu);
+  reading.erase(&connection);
+}
+
+bool HttpServer::Impl::ServeRequest(HttpConnection& connection) {
+  Parser parser;
+  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(max_body);
+  if (!BeginReading(connection)) return false;
+  const ReadOutcome outcome = ReadRequest(connection, clock, parser);
+  EndReading(connection);
+  HttpResponder responder(connection);
+  const std::vector<HttpHeader> closing = {{"Content-Type", "application/json"},
+                                           {"Connection", "close"}};
+  switch (outcome) {
+    case ReadOutcome::kGone:
+      return false;
+    case ReadOutcome::kTooLarge:
+      responder.Send({413, closing, kTooLargeBody});
+      return false;
+    case ReadOutcome::kMalformed:
+      responder.Send({400, closing, kMalformedBody});
+      return false;
+    case ReadOutcome::kRequest:
+      break;
+  }
+  const bool keeps = parser.keep_alive();
+  handler(RequestOf(parser), responder);
+  return keeps && responder.started() && !responder.closes();
+}
+
+void HttpServer::Impl::Stop() {
+  {
+    const std::lock_guard lock(mu);
+    stopping = true;
+    for (HttpConnection* it : reading) it->socket.Shutdown();
+  }
+  // Wakes the thread that accepts.
+  shutdown(acceptor.native_handle(), SHUT_RDWR);
+  accept_thread.join();
+  work.notify_all();
+  for (std::thread& it : threads) it.join();
+}
 
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Start(
     const HttpServerOptions& options, HttpHandler handler) {
   auto impl = std::make_unique<Impl>();
   impl->handler = std::move(handler);
   impl->max_body = options.max_body;
-  const std::string listen = options.listen.ToString();
-  const std::string threads = std::to_string(options.threads);
-  const char* settings[] = {"listening_ports",
-                            listen.c_str(),
-                            "num_threads",
-                            threads.c_str(),
-                            "enable_keep_alive",
-                            "yes",
-                            "keep_alive_timeout_ms",
-                            kKeepAliveTimeoutMs,
-                            "tcp_nodelay",
-                            "1",
-                            nullptr};
-  mg_callbacks callbacks{};
-  callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
-  impl->context = mg_start(&callbacks, impl.get(), settings);
-  if (impl->context == nullptr) {
-    return absl::UnavailableError(absl::StrCat("can't listen on ", listen));
-  }
-  const auto on_request = [](mg_connection* connection, void* user) {
-    const Impl& server = *static_cast<Impl*>(user);
-    const mg_request_info& info = *mg_get_request_info(connection);
-    HttpRequest request = HeadToRequest(info);
-    HttpResponder responder(connection);
-    bool too_large = info.content_length >
-                     static_cast<long long>(server.max_body);  // NOLINT
-    if (too_large ||
-        !ReadBody(connection, server.max_body, &request.body, &too_large)) {
-      if (too_large) {
-        responder.Send(
-            {413,
-             {{"Content-Type", "application/json"}, {"Connection", "close"}},
-             kTooLargeBody});
-        mg_disable_connection_keep_alive(connection);
-      }
-      return 413;
-    }
-    server.handler(request, responder);
-    return 200;
-  };
-  mg_set_request_handler(impl->context, "**", on_request, impl.get());
+  impl->max_threads = static_cast<size_t>(std::max(1, options.threads));
+  const absl::Status listening = impl->Listen(options.listen);
+  if (!listening.ok()) return listening;
+  impl->accept_thread =
+      std::thread([server = impl.get()] { server->Accept(); });
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
 
 HttpServer::HttpServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-HttpServer::~HttpServer() { mg_stop(impl_->context); }
+HttpServer::~HttpServer() { impl_->Stop(); }
 
 }  // namespace knapweed
--- a/src/sidecar/dispatcher.cc
+++ b/src/sidecar/dispatcher.cc
@@ -397,7 +397,7 @@
   const std::lock_guard lock(mu_);
   CrashRecord record;
   record.digest = report.digest;
-  record.at = WallTime();
+  record.at = report.at_ms > 0 ? Ms{report.at_ms} : WallTime();
   record.cleared = report.crashes == 0;
   record.upstream_hash = record.cleared ? 0 : HashBytes(report.upstream);
   if (record.cleared) local_crashes_.erase(report.digest);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <string>
 #include <vector>
 
@@ -10,6 +14,8 @@
 namespace knapweed {
 namespace {
 
+namespace asio = boost::asio;
+
 const Address kNobody{"127.0.0.1", 1};
 
 void Echo(const HttpRequest& request, HttpResponder& responder) {
@@ -49,6 +55,7 @@
                                 "q=a%20b",
                                 {{"X-Ask", "me"}},
                                 "body" + std::to_string(i)});
+      INFO(std::string(reply.status().message()));
       REQUIRE(reply.ok());
       CHECK(reply->status == 200);
       CHECK(reply->body == "POST/xa bbody" + std::to_string(i));
@@ -88,6 +95,66 @@
   }
 }
 
+// Sends bytes as they are and returns all that comes back until the end.
+std::string Exchange(const Address& server, std::string_view bytes) {
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({asio::ip::make_address(server.host),
+                  static_cast<uint16_t>(server.port)});
+  asio::write(socket, asio::buffer(bytes.data(), bytes.size()));
+  std::string answer;
+  boost::system::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  return answer;
+}
+
+TEST_CASE("a server answers what came whole and no more") {
+  struct Row {
+    std::string name;
+    std::string sent;
+    std::vector<std::string> found;
+  };
+  const std::vector<Row> rows = {
+      {"no HTTP", "hello\r\n\r\n", {"HTTP/1.1 400", "not_run"}},
+      {"two requests at once, then a close",
+       "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+       "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+       {"GET/a", "GET/b"}},
+      {"a chunked body",
+       "POST /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+       {"POST/cabc"}},
+      {"a client that waits for leave to send",
+       "POST /e HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+       "Expect: 100-continue\r\nContent-Length: 1\r\n\r\nx",
+       {"HTTP/1.1 100", "POST/ex"}},
+  };
+  const Address listen = FreeLoopbackAddress();
+  auto server = HttpServer::Start({listen, 2, 1000}, Echo);
+  REQUIRE(server.ok());
+  for (const Row& row : rows) {
+    const std::string answer = Exchange(listen, row.sent);
+    CAPTURE(row.name);
+    CAPTURE(answer);
+    for (const std::string& text : row.found) {
+      CHECK(answer.find(text) != std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("a server stops at once beside connections at rest") {
+  const Address listen = FreeLoopbackAddress();
+  auto server = HttpServer::Start({listen, 2, 1000}, Echo);
+  REQUIRE(server.ok());
+  HttpClient client(listen);
+  REQUIRE(client.Call({"GET", "/x", "", {}, ""}).ok());
+  const Clock clock = Clock::Steady();
+  const Ms began = clock.Now();
+  server->reset();
+  CHECK(clock.Now() - began < Seconds(2));
+  CHECK_FALSE(client.Call({"GET", "/x", "", {}, ""}).ok());
+}
+
 TEST_CASE("no server means that nothing was sent") {
   HttpClient client(kNobody);
   CHECK(client.Call({}).status().code() == absl::StatusCode::kUnavailable);
