Let programs begin by the room that their calls will need, those not refused before first

Programs began on what the last window had used, which shows their calls only later; and the second try of a first turn passed for a call under way, since its program's row existed by then. Now a program begins while the programs begun in the window, by the calls that a program makes (learned), fit into the rate; each gateway takes its part of that room; what was refused before waits for much room, since it can hardly end in time. The program's home says whether it has begun and how long ago it asked.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -67,10 +67,12 @@
   kUnavailable,
 };
 
-/// `is_new` when no gateway had heard of the program.
+/// `begins` when the program has spent nothing and has no other turn under way;
+/// `waited` is how long ago it first asked.
 struct ReserveResult {
   Reservation reservation = Reservation::kUnavailable;
-  bool is_new = false;
+  bool begins = false;
+  Ms waited;
 };
 
 /// A turn's reservation, for the one who is to settle it.
@@ -136,7 +138,10 @@
     uint64_t allowance = 0;
     Ms allowed_at;
     uint64_t spent = 0;
+    /// Spent by all gateways, as last read or written.
+    uint64_t recorded = 0;
     uint64_t running = 0;
+    Ms first_asked_at;
     Ms used_at;
     /// The last claim left tokens ahead.
     bool ample = false;
@@ -164,8 +169,8 @@
   ProgramPtr Find(const std::string& name);
   Task<bool> Lock(ProgramPtr program, Ms deadline);
   static void Unlock(Program& program);
-  Task<ReserveResult> Claim(std::string name, ProgramPtr program,
-                            uint64_t budget, uint64_t most, Ms deadline);
+  Task<Reservation> Claim(std::string name, ProgramPtr program, uint64_t budget,
+                          uint64_t most, Ms deadline);
   Task<bool> WriteBack(std::string name, ProgramPtr program, bool release);
   bool IsIdle(const Program& program) const;
   void DropIdle();
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <random>
 #include <span>
 #include <string>
 #include <vector>
@@ -30,6 +31,10 @@
   double calls = 0;
   /// Calls that came, let through or not, but for programs that may not begin.
   double demand_per_s = 0;
+  /// Programs begun in the last window.
+  double programs = 0;
+  /// First turns that came, let through or not.
+  double program_demand_per_s = 0;
 };
 using UseByWorkspace = std::map<std::string, WorkspaceUse>;
 
@@ -47,6 +52,14 @@
   /// Nothing was heard of the others for a while.
   bool out_of_touch = false;
   bool begins_program = false;
+  /// Since the program first asked to begin.
+  Ms waited;
+  /// Calls that a program of this workspace makes, as learned.
+  double calls_per_program = 0;
+  /// Programs begun here since the others were last heard of.
+  double begun_since_heard = 0;
+  /// Between 0 and 1, to round a part of a program up or down.
+  double chance = 0;
 };
 
 enum class QuotaDecision : uint8_t {
@@ -58,8 +71,12 @@
 
 /// Far below the limit a gateway lets calls through up to a cap that keeps what
 /// others have not heard of yet within the tolerance. Near it each spends its
-/// share, and programs do not begin: one needs many calls to be worth anything,
-/// and those under way go first. At the limit calls are refused.
+/// share. At the limit calls are refused.
+///
+/// A program is worth nothing unless all its calls pass, so programs begin only
+/// while the calls of those begun in the last window fit into the rate; the
+/// load this answers is a workspace that asks for more than its rate. Those
+/// that have not been refused go first, since only they can still end in time.
 QuotaDecision DecideQuota(const QuotaInput& input);
 
 /// The part of the rate that this gateway may spend by itself. The parts of all
@@ -78,8 +95,10 @@
   Quotas(const Clock& clock, QuotaTolerance tolerance)
       : clock_(clock), tolerance_(tolerance) {}
 
-  /// Counts one call of the workspace, if it may go.
-  QuotaVerdict Take(const Workspace& workspace, bool begins_program);
+  /// Counts one call of the workspace, if it may go. `waited` is how long ago a
+  /// program that begins with it first asked.
+  QuotaVerdict Take(const Workspace& workspace, bool begins_program,
+                    Ms waited = Ms{0});
   /// A call that was counted is not sent after all.
   void Return(const std::string& workspace);
   void SetTolerance(QuotaTolerance tolerance) { tolerance_ = tolerance; }
@@ -95,9 +114,16 @@
  private:
   /// Calls by slots of time, newest last.
   static constexpr size_t kSlots = 10;
+  /// Before anything is learned.
+  static constexpr double kUsualCallsPerProgram = 10;
   struct Counts {
     std::array<uint32_t, kSlots> allowed{};
     std::array<uint32_t, kSlots> came{};
+    /// Programs begun, and first turns that came.
+    std::array<uint32_t, kSlots> begun{};
+    std::array<uint32_t, kSlots> asked_to_begin{};
+    uint32_t begun_since_heard = 0;
+    double calls_per_program = kUsualCallsPerProgram;
     int64_t newest_slot = 0;
     RateBucket share;
   };
@@ -105,6 +131,8 @@
   int64_t SlotNow() const;
   void Advance(Counts& counts) const;
   WorkspaceUse UseOf(const Counts& counts) const;
+  /// Learns from what all gateways told how many calls a program makes.
+  void LearnPrograms();
 
   const Clock& clock_;
   QuotaTolerance tolerance_;
@@ -115,6 +143,7 @@
   static constexpr uint32_t kAssumedGateways = 32;
   uint32_t gateways_ = kAssumedGateways;
   Ms heard_at_;
+  std::minstd_rand random_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -133,9 +133,8 @@
   program.freed.Notify();
 }
 
-Task<ReserveResult> Budgets::Claim(std::string name, ProgramPtr program,
-                                   uint64_t budget, uint64_t most,
-                                   Ms deadline) {
+Task<Reservation> Budgets::Claim(std::string name, ProgramPtr program,
+                                 uint64_t budget, uint64_t most, Ms deadline) {
   BudgetClaim claim;
   claim.gateway = gateway_;
   claim.budget = budget;
@@ -144,14 +143,14 @@
   claim.most = most;
   ClaimVerdict verdict = ClaimVerdict::kGranted;
   uint64_t allowance = 0;
-  bool is_new = false;
   const RowChange change = [&](nlohmann::json& json) {
-    is_new = !json.is_object();
     BudgetState state = DecodeBudget(json);
+    program->recorded = state.spent;
     claim.now = store_.StoreNow();
     verdict = ApplyClaim(claim, state);
     if (verdict != ClaimVerdict::kGranted) return false;
     allowance = state.allowances[gateway_].tokens;
+    program->recorded = state.spent;
     json = EncodeBudget(state);
     return true;
   };
@@ -163,17 +162,15 @@
     program->allowance = allowance;
     program->ample = allowance > program->running + most;
     program->allowed_at = clock_.Now();
-    co_return ReserveResult{Reservation::kReserved, is_new};
+    co_return Reservation::kReserved;
   }
   if (outcome == UpdateOutcome::kDeclined) {
-    co_return ReserveResult{verdict == ClaimVerdict::kExhausted
-                                ? Reservation::kExhausted
-                                : Reservation::kHeldElsewhere,
-                            is_new};
+    co_return verdict == ClaimVerdict::kExhausted ? Reservation::kExhausted
+                                                  : Reservation::kHeldElsewhere;
   }
   // After an unknown outcome the row may hold a larger allowance than is
   // believed here, which the next write corrects.
-  co_return ReserveResult{Reservation::kUnavailable, is_new};
+  co_return Reservation::kUnavailable;
 }
 
 BudgetHome ChooseHome(std::string_view program, const Address& self,
@@ -244,7 +241,8 @@
               json.value("reservation", -1) >= 0;
   if (!*answered) co_return result;
   result.reservation = static_cast<Reservation>(json.value("reservation", 0));
-  result.is_new = json.value("is_new", false);
+  result.begins = json.value("begins", false);
+  result.waited = Ms{json.value("waited_ms", int64_t{0})};
   co_return result;
 }
 
@@ -307,7 +305,8 @@
   answer.status = 200;
   answer.body =
       nlohmann::json{{"reservation", static_cast<int>(result.reservation)},
-                     {"is_new", result.is_new}}
+                     {"begins", result.begins},
+                     {"waited_ms", result.waited.count}}
           .dump();
   co_return answer;
 }
@@ -329,12 +328,18 @@
   const ProgramPtr program = Find(name);
   const bool locked = co_await Lock(program, deadline);
   if (!locked) co_return ReserveResult{};
-  ReserveResult result{Reservation::kReserved, false};
+  ReserveResult result;
+  result.reservation = Reservation::kReserved;
   const bool lapsed =
       clock_.Now() - program->allowed_at > kAllowanceLapses - kConfirmEvery;
   if (lapsed || program->spent + program->running + most > program->allowance) {
-    result = co_await Claim(name, program, budget, most, deadline);
+    result.reservation = co_await Claim(name, program, budget, most, deadline);
+  }
+  result.begins = program->recorded + program->spent + program->running == 0;
+  if (program->first_asked_at == Ms{0}) {
+    program->first_asked_at = clock_.Now();
   }
+  result.waited = clock_.Now() - program->first_asked_at;
   if (result.reservation == Reservation::kReserved) program->running += most;
   Unlock(*program);
   co_return result;
@@ -363,6 +368,7 @@
     BudgetState state = DecodeBudget(json);
     claim.now = store_.StoreNow();
     ApplyClaim(claim, state);
+    program->recorded = state.spent;
     json = EncodeBudget(state);
     return true;
   };
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -76,8 +76,8 @@
 
 Task<CallRunner::Step> CallRunner::TakeRate(StatePtr state) {
   if (state->workspace == nullptr) co_return Step::kNext;
-  const QuotaVerdict verdict =
-      parts_.quotas.Take(*state->workspace, state->begins_program);
+  const QuotaVerdict verdict = parts_.quotas.Take(
+      *state->workspace, state->begins_program, state->waited);
   if (!verdict.allowed) {
     co_await Refuse(state, 429, verdict.retry_after, "over rate");
     co_return Step::kDone;
@@ -137,7 +137,8 @@
     co_return Step::kDone;
   }
   state->holds_budget = true;
-  state->begins_program = result.is_new && head.previous_turn.empty();
+  state->begins_program = result.begins && head.previous_turn.empty();
+  state->waited = result.waited;
   co_return Step::kNext;
 }
 
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -41,6 +41,8 @@
   bool holds_budget = false;
   /// The first turn of a program.
   bool begins_program = false;
+  /// Since that program first asked.
+  Ms waited;
   ReservationTicket ticket;
   // The answer so far.
   unsigned status = 0;
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -29,23 +29,34 @@
 constexpr char kGatewayTable[] = "gateways";
 
 /// Calls and demand of each workspace, as a pair of numbers.
+/// A tenth of a call a second is enough, and short to write.
+double Short(double value) { return std::round(value * 10) / 10; }
+
 nlohmann::json EncodeUse(const UseByWorkspace& use) {
   nlohmann::json json = nlohmann::json::object();
   for (const auto& [name, item] : use) {
-    // A tenth of a call a second is enough, and short to write.
-    json[name] = {std::lround(item.calls),
-                  std::round(item.demand_per_s * 10) / 10};
+    json[name] = {std::lround(item.calls), Short(item.demand_per_s),
+                  std::lround(item.programs), Short(item.program_demand_per_s)};
   }
   return json;
 }
 
 UseByWorkspace DecodeUse(const nlohmann::json& json) {
+  constexpr size_t kNumbers = 4;
   UseByWorkspace use;
   if (!json.is_object()) return use;
   for (const auto& [name, item] : json.items()) {
-    const bool readable = item.is_array() && item.size() == 2 &&
-                          item[0].is_number() && item[1].is_number();
-    if (readable) use[name] = {item[0].get<double>(), item[1].get<double>()};
+    const bool readable =
+        item.is_array() && item.size() == kNumbers &&
+        std::all_of(item.begin(), item.end(),
+                    [](const auto& number) { return number.is_number(); });
+    if (!readable) {
+      kLog.Warning("A gateway's use of a workspace can't be read.",
+                   {{"workspace", name}});
+      continue;
+    }
+    use[name] = {item[0].get<double>(), item[1].get<double>(),
+                 item[2].get<double>(), item[3].get<double>()};
   }
   return use;
 }
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -16,10 +16,21 @@
 /// programs do not begin. What lies above is for calls of those under way.
 constexpr double kCalmShare = 0.65;
 constexpr double kBusyShare = 0.85;
-constexpr double kProgramShare = 0.7;
-/// Programs do not begin either while those under way send more than this share
-/// of the rate: their next calls are still to come.
-constexpr double kProgramDemand = 0.85;
+constexpr double kProgramShare = 0.85;
+/// Below this share of the limit and of the rate programs begin freely.
+constexpr double kFreeShare = 0.5;
+/// The calls of the programs begun in a window, by the calls that a program
+/// makes, against what the rate carries: some programs break off early.
+constexpr double kProgramLoad = 1.1;
+/// Share of that for programs that first asked longer ago than this.
+constexpr double kWaitedShare = 0.5;
+constexpr Ms kFreshFor{300};
+/// Weight of what was just heard in the calls that a program makes, and the
+/// programs that it takes to learn anything.
+constexpr double kLearnWeight = 0.05;
+constexpr double kLearnLeast = 3;
+constexpr double kFewestCalls = 1;
+constexpr double kMostCalls = 60;
 /// Part of the burst that the window's limit counts; the rest and the tolerance
 /// cover what gateways have not heard of each other yet.
 constexpr double kBurstCounted = 0.5;
@@ -41,6 +52,12 @@
 constexpr Ms kRetryCall{300};
 constexpr Ms kRetryProgram{700};
 
+template <size_t N>
+void Shift(std::array<uint32_t, N>& slots) {
+  std::rotate(slots.begin(), slots.begin() + 1, slots.end());
+  slots.back() = 0;
+}
+
 uint32_t Sum(std::span<const uint32_t> counts) {
   return std::accumulate(counts.begin(), counts.end(), uint32_t{0});
 }
@@ -56,16 +73,42 @@
          (input.rate_per_s - all) / std::max(input.gateways, uint32_t{1});
 }
 
+namespace {
+
+/// Whether a program may begin. Each gateway takes its part of the room that is
+/// left, by the first turns that come to it; the others hear of it later.
+bool MayBegin(const QuotaInput& input, double used, double limit) {
+  const double demand = input.own.demand_per_s + input.others.demand_per_s;
+  const bool free =
+      used < kFreeShare * limit && demand < kFreeShare * input.rate_per_s;
+  if (free) return true;
+  if (used >= kProgramShare * limit) return false;
+  const double most = kProgramLoad * input.rate_per_s * input.window.Seconds() /
+                      std::max(input.calls_per_program, kFewestCalls);
+  // Programs begun here since then are taken from the part below.
+  const double begun =
+      input.own.programs + input.others.programs - input.begun_since_heard;
+  // One that was refused before will hardly end in time: it waits for others
+  // that can, unless there is much room.
+  const double share = input.waited > kFreshFor ? kWaitedShare : 1;
+  const double room = share * most - begun;
+  if (room <= 0) return false;
+  const double asked =
+      input.own.program_demand_per_s + input.others.program_demand_per_s;
+  const double part = asked > 0 ? input.own.program_demand_per_s / asked
+                                : 1.0 / std::max(input.gateways, uint32_t{1});
+  return input.begun_since_heard < std::floor(room * part + input.chance);
+}
+
+}  // namespace
+
 QuotaDecision DecideQuota(const QuotaInput& input) {
   const double limit =
       input.rate_per_s * input.window.Seconds() + kBurstCounted * input.burst;
   const double used = input.own.calls + input.others.calls;
   if (used >= limit) return QuotaDecision::kRefuse;
-  if (input.begins_program) {
-    const double demand = input.own.demand_per_s + input.others.demand_per_s;
-    const bool room = used < kProgramShare * limit &&
-                      demand < kProgramDemand * input.rate_per_s;
-    if (!room) return QuotaDecision::kRefuse;
+  if (input.begins_program && !MayBegin(input, used, limit)) {
+    return QuotaDecision::kRefuse;
   }
   if (input.out_of_touch) return QuotaDecision::kFromShare;
   const double even = input.rate_per_s / std::max(input.gateways, uint32_t{1});
@@ -86,12 +129,10 @@
   const int64_t passed =
       std::min(now - counts.newest_slot, static_cast<int64_t>(kSlots));
   for (int64_t i = 0; i < passed; ++i) {
-    std::rotate(counts.allowed.begin(), counts.allowed.begin() + 1,
-                counts.allowed.end());
-    counts.allowed.back() = 0;
-    std::rotate(counts.came.begin(), counts.came.begin() + 1,
-                counts.came.end());
-    counts.came.back() = 0;
+    Shift(counts.allowed);
+    Shift(counts.came);
+    Shift(counts.begun);
+    Shift(counts.asked_to_begin);
   }
   counts.newest_slot = now;
 }
@@ -99,19 +140,24 @@
 WorkspaceUse Quotas::UseOf(const Counts& counts) const {
   // The demand of the last second and a half, so that a new one shows soon.
   constexpr size_t kDemandSlots = 3;
-  const std::span came(counts.came);
-  const double span_s =
-      tolerance_.window.Seconds() * kDemandSlots / static_cast<double>(kSlots);
-  return {static_cast<double>(Sum(counts.allowed)),
-          Sum(came.last(kDemandSlots)) / std::max(span_s, 1e-3)};
+  const double span_s = std::max(
+      tolerance_.window.Seconds() * kDemandSlots / static_cast<double>(kSlots),
+      1e-3);
+  const auto per_s = [&](std::span<const uint32_t> slots) {
+    return Sum(slots.last(kDemandSlots)) / span_s;
+  };
+  return {static_cast<double>(Sum(counts.allowed)), per_s(counts.came),
+          static_cast<double>(Sum(counts.begun)), per_s(counts.asked_to_begin)};
 }
 
-QuotaVerdict Quotas::Take(const Workspace& workspace, bool begins_program) {
+QuotaVerdict Quotas::Take(const Workspace& workspace, bool begins_program,
+                          Ms waited) {
   if (workspace.rate_per_s <= 0) return {true, Ms{0}};
   const auto [it, is_new] = counts_.try_emplace(workspace.name);
   Counts& counts = it->second;
   if (is_new) counts.share.tokens = kShareBurstLeast;
   Advance(counts);
+  if (begins_program) ++counts.asked_to_begin.back();
   constexpr size_t kSecondSlots = 2;
   QuotaInput input;
   input.rate_per_s = workspace.rate_per_s;
@@ -124,6 +170,10 @@
   input.gateways = gateways_;
   input.out_of_touch = clock_.Now() - heard_at_ > kOutOfTouchAfter;
   input.begins_program = begins_program;
+  input.waited = waited;
+  input.calls_per_program = counts.calls_per_program;
+  input.begun_since_heard = counts.begun_since_heard;
+  input.chance = std::uniform_real_distribution<double>(0, 1)(random_);
   QuotaDecision decision = DecideQuota(input);
   if (decision == QuotaDecision::kFromShare) {
     const Ms now = clock_.Now();
@@ -142,6 +192,10 @@
   }
   if (decision == QuotaDecision::kAllow) {
     ++counts.allowed.back();
+    if (begins_program) {
+      ++counts.begun.back();
+      ++counts.begun_since_heard;
+    }
     return {true, Ms{0}};
   }
   kLog.Info("A call is over its workspace's rate.",
@@ -150,6 +204,9 @@
              {"own_calls", std::to_string(input.own.calls)},
              {"other_calls", std::to_string(input.others.calls)},
              {"heard_ms_ago", (clock_.Now() - heard_at_).count},
+             {"calls_per_program", std::to_string(counts.calls_per_program)},
+             {"programs_begun",
+              std::to_string(input.own.programs + input.others.programs)},
              {"begins_program", begins_program ? 1 : 0}});
   return {false, begins_program ? kRetryProgram : kRetryCall};
 }
@@ -189,10 +246,31 @@
     for (const auto& [name, item] : use) {
       others_[name].calls += item.calls;
       others_[name].demand_per_s += item.demand_per_s;
+      others_[name].programs += item.programs;
+      others_[name].program_demand_per_s += item.program_demand_per_s;
     }
   }
   gateways_ = static_cast<uint32_t>(others.size()) + 1;
   heard_at_ = clock_.Now();
+  LearnPrograms();
+}
+
+void Quotas::LearnPrograms() {
+  for (auto& [name, counts] : counts_) {
+    Advance(counts);
+    counts.begun_since_heard = 0;
+    WorkspaceUse all = UseOf(counts);
+    const auto others = others_.find(name);
+    if (others != others_.end()) {
+      all.calls += others->second.calls;
+      all.programs += others->second.programs;
+    }
+    if (all.programs < kLearnLeast) continue;
+    const double seen =
+        std::clamp(all.calls / all.programs, kFewestCalls, kMostCalls);
+    counts.calls_per_program +=
+        kLearnWeight * (seen - counts.calls_per_program);
+  }
 }
 
 }  // namespace knapweed::gateway
