Let a gateway that starts while the store is away learn the fleet from a peer

A gateway that is not ready after 300 ms now asks its seeds for the rows that they last read: configuration, upstreams, gateways with what they let through; with the age of each, so that what may have come into force since is still answered 503 and not 401 or 404. The new test (path_test, "learns from a peer") fails on the code before: 503. Also a cast that lint refuses.

--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "knapweed/gateway/call_runner.h"
+#include "knapweed/gateway/known_rows.h"
 #include "knapweed/gateway/store.h"
 
 /// Follows the store's tables, so that a gateway's view of configuration,
@@ -36,6 +37,9 @@
 
   /// Runs until the process ends.
   void Start();
+  /// What to tell a peer that can't read the store; empty before this gateway
+  /// has read it all.
+  KnownRows Known() const;
   /// Whether configuration, upstreams and other gateways have been read.
   bool ready() const {
     return view_.config != nullptr && upstreams_read_ && gateways_read_;
@@ -54,7 +58,12 @@
   void DropOverdue();
   Task<void> InheritUse();
   Task<bool> Announce();
-  void TakeGateways(const std::vector<Row>& rows);
+  /// `now` is the store's time at which the rows were read, `age` ago.
+  void TakeGateways(const std::vector<Row>& rows, Ms now, Ms age);
+  void InheritFrom(const std::vector<Row>& rows, Ms now);
+  /// Asks peers for what they know until this gateway is ready.
+  Task<void> LearnFromPeers();
+  void TakeKnown(const KnownRows& known);
 
   asio::io_context& loop_;
   const Clock& clock_;
@@ -67,7 +76,12 @@
   std::vector<Address> seeds_;
   bool upstreams_read_ = false;
   bool gateways_read_ = false;
-  uint64_t config_row_version_ = 0;
+  /// As last read, for peers.
+  Row config_row_;
+  std::map<std::string, Row> upstream_rows_;
+  std::vector<Row> gateway_rows_;
+  Ms gateways_heard_at_;
+  bool inherited_ = false;
   uint64_t own_row_version_ = 0;
   /// Upstreams that the store dropped around an outage, and when they go.
   std::map<std::string, Ms> overdue_;
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -108,8 +108,8 @@
   /// Counts what an earlier run of this gateway told, `age` ago, as let through
   /// here: a restart must not forget it.
   void Inherit(const UseByWorkspace& use, Ms age);
-  /// What the other serving gateways told, just read from the store.
-  void SetOthers(std::span<const UseByWorkspace> others);
+  /// What the other serving gateways told, read from the store `age` ago.
+  void SetOthers(std::span<const UseByWorkspace> others, Ms age = Ms{0});
 
  private:
   /// Calls by slots of time, newest last.
--- a/include/knapweed/gateway/store.h
+++ b/include/knapweed/gateway/store.h
@@ -46,6 +46,8 @@
   Ms regained_at() const { return regained_at_; }
   /// The store's clock, extrapolated from its last answer.
   Ms StoreNow() const;
+  /// Takes over a peer's notion of that clock while there is none here.
+  void TakeClock(Ms store_now);
 
  private:
   Task<StoreAnswer> Run(const HttpCall& call, Ms timeout, bool anyway);
--- a/src/entry/crash_board.cc
+++ b/src/entry/crash_board.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "knapweed/base/clock.h"
 #include "knapweed/base/log.h"
 
@@ -130,7 +131,7 @@
   kLog.Warning("A crash report did not reach a peer; it is sent again.",
                {{"peer", peer.ToString()},
                 {"digest", report.digest},
-                {"error", std::string(told.status().message())}});
+                {"error", absl::StrCat(told.status().message())}});
   return false;
 }
 
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -27,8 +27,12 @@
 /// the window of rates, so that what one let through is not forgotten early.
 constexpr Ms kAnnouncedFresh{9000};
 constexpr char kGatewayTable[] = "gateways";
+/// A gateway that is not ready after the first asks its peers what they know,
+/// and again after the second.
+constexpr Ms kLearnAfter{300};
+constexpr Ms kLearnPause{200};
+constexpr Ms kLearnTimeout{500};
 
-/// Calls and demand of each workspace, as a pair of numbers.
 /// A tenth of a call a second is enough, and short to write.
 double Short(double value) { return std::round(value * 10) / 10; }
 
@@ -82,6 +86,78 @@
   Spawn(loop_, FollowConfig());
   Spawn(loop_, FollowUpstreams());
   Spawn(loop_, FollowGateways());
+  Spawn(loop_, LearnFromPeers());
+}
+
+KnownRows FleetWatch::Known() const {
+  KnownRows known;
+  if (!ready()) return known;
+  const Ms now = clock_.Now();
+  known.rows.push_back(config_row_);
+  for (const auto& [id, row] : upstream_rows_) known.rows.push_back(row);
+  known.rows.insert(known.rows.end(), gateway_rows_.begin(),
+                    gateway_rows_.end());
+  known.store_now = store_.StoreNow();
+  known.config_age = now - view_.config_confirmed_at;
+  known.gateways_age = now - gateways_heard_at_;
+  return known;
+}
+
+Task<void> FleetWatch::LearnFromPeers() {
+  std::vector<std::unique_ptr<HttpClient>> peers;
+  for (const Address& seed : seeds_) {
+    if (seed == self_.peer_address) continue;
+    peers.push_back(std::make_unique<HttpClient>(loop_, clock_, seed));
+  }
+  co_await Sleep(loop_, kLearnAfter);
+  HttpCall call;
+  call.target = std::string(kKnownRowsPath);
+  for (size_t next = 0; !ready() && !peers.empty(); ++next) {
+    HttpClient& peer = *peers[next % peers.size()];
+    const HttpAnswer answer = co_await peer.Send(call, kLearnTimeout);
+    if (answer.status == 200 && !ready()) {
+      const absl::StatusOr<KnownRows> known = DecodeKnownRows(answer.body);
+      if (known.ok()) {
+        TakeKnown(*known);
+        kLog.Info("Learnt the fleet from a peer.",
+                  {{"peer", peer.address().ToString()},
+                   {"rows", known->rows.size()},
+                   {"config_age_ms", known->config_age.count},
+                   {"gateways_age_ms", known->gateways_age.count}});
+      } else {
+        kLog.Warning("What a peer knows can't be read.",
+                     {{"peer", peer.address().ToString()},
+                      {"error", known.status().ToString()}});
+      }
+    }
+    if (!ready()) {
+      co_await Sleep(loop_, kLearnPause);
+    }
+  }
+}
+
+// Rows that were read from the store meanwhile are newer.
+void FleetWatch::TakeKnown(const KnownRows& known) {
+  std::vector<Row> upstreams;
+  std::vector<Row> gateways;
+  const bool config_is_news = view_.config == nullptr;
+  for (const Row& row : known.rows) {
+    if (row.key == dialect_.config_row) TakeConfig(row);
+    if (row.key.table == dialect_.upstream_table) upstreams.push_back(row);
+    if (row.key.table == kGatewayTable) gateways.push_back(row);
+  }
+  const Ms now = clock_.Now();
+  if (config_is_news) view_.config_confirmed_at = now - known.config_age;
+  if (view_.config == nullptr) return;
+  if (!upstreams_read_) {
+    for (const Row& row : upstreams) TakeUpstream(row);
+    upstreams_read_ = true;
+  }
+  if (gateways_read_) return;
+  store_.TakeClock(known.store_now);
+  const Ms read_at = known.store_now - known.gateways_age;
+  InheritFrom(gateways, known.store_now);
+  TakeGateways(gateways, read_at, known.gateways_age);
 }
 
 Task<bool> FleetWatch::ReadTable(std::string_view table, std::vector<Row>* rows,
@@ -107,14 +183,14 @@
 
 void FleetWatch::TakeConfig(const Row& row) {
   if (row.key != dialect_.config_row || row.deleted) return;
-  if (row.version <= config_row_version_) return;
+  if (row.version <= config_row_.version) return;
   absl::StatusOr<FleetConfig> config = dialect_.decode_config(row.value);
   if (!config.ok()) {
     kLog.Error("Keeping the configuration: a new one can't be read.",
                {{"error", config.status().ToString()}});
     return;
   }
-  config_row_version_ = row.version;
+  config_row_ = row;
   kLog.Info("Configuration in force.",
             {{"version", config->version},
              {"row", row.version},
@@ -156,9 +232,11 @@
 void FleetWatch::TakeUpstream(const Row& row) {
   const std::string& id = row.key.key;
   if (row.deleted) {
+    upstream_rows_.erase(id);
     DropUpstream(id);
     return;
   }
+  upstream_rows_[id] = row;
   absl::StatusOr<UpstreamEntry> entry = dialect_.decode_upstream(id, row.value);
   if (!entry.ok()) {
     kLog.Warning("An upstream's entry can't be read.",
@@ -200,7 +278,10 @@
   for (const auto& [id, up] : view_.upstreams.all()) {
     if (!listed.contains(id)) absent.push_back(id);
   }
-  for (const std::string& id : absent) DropUpstream(id);
+  for (const std::string& id : absent) {
+    upstream_rows_.erase(id);
+    DropUpstream(id);
+  }
 }
 
 void FleetWatch::DropOverdue() {
@@ -274,10 +355,11 @@
   co_return false;
 }
 
-void FleetWatch::TakeGateways(const std::vector<Row>& rows) {
+void FleetWatch::TakeGateways(const std::vector<Row>& rows, Ms now, Ms age) {
   std::vector<Address> peers;
   std::vector<UseByWorkspace> uses;
-  const Ms now = store_.StoreNow();
+  gateway_rows_ = rows;
+  gateways_heard_at_ = clock_.Now() - age;
   for (const Row& row : rows) {
     const nlohmann::json value =
         nlohmann::json::parse(row.value, nullptr, false);
@@ -287,13 +369,13 @@
       kLog.Warning("A gateway's row can't be read.", {{"key", row.key.key}});
       continue;
     }
-    const Ms age = now - Ms{value.value("at_ms", int64_t{0})};
-    if (age > kAnnouncedFresh) continue;
+    const Ms silent_for = now - Ms{value.value("at_ms", int64_t{0})};
+    if (silent_for > kAnnouncedFresh) continue;
     if (row.key.key == self_.name) continue;
     uses.push_back(DecodeUse(value.value("use", nlohmann::json())));
     peers.push_back(address);
   }
-  quotas_.SetOthers(uses);
+  quotas_.SetOthers(uses, age);
   budgets_.SetOthers(peers);
   gateways_read_ = true;
   for (const Address& seed : seeds_) {
@@ -304,26 +386,32 @@
   store_.SetPeers(std::move(peers));
 }
 
-Task<void> FleetWatch::InheritUse() {
-  constexpr Ms kRetry{100};
-  std::vector<Row> rows;
-  uint64_t version = 0;
-  while (true) {
-    const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
-    if (read) break;
-    co_await Sleep(loop_, kRetry);
-  }
+void FleetWatch::InheritFrom(const std::vector<Row>& rows, Ms now) {
+  inherited_ = true;
   for (const Row& row : rows) {
     if (row.key.key != self_.name) continue;
     own_row_version_ = row.version;
     const nlohmann::json value =
         nlohmann::json::parse(row.value, nullptr, false);
     if (!value.is_object()) continue;
-    const Ms age = store_.StoreNow() - Ms{value.value("at_ms", int64_t{0})};
+    const Ms age = now - Ms{value.value("at_ms", int64_t{0})};
     quotas_.Inherit(DecodeUse(value.value("use", nlohmann::json())), age);
   }
 }
 
+Task<void> FleetWatch::InheritUse() {
+  constexpr Ms kRetry{100};
+  std::vector<Row> rows;
+  uint64_t version = 0;
+  while (!inherited_) {
+    const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
+    if (read && !inherited_) InheritFrom(rows, store_.StoreNow());
+    if (!read) {
+      co_await Sleep(loop_, kRetry);
+    }
+  }
+}
+
 Task<void> FleetWatch::FollowGateways() {
   // The first turn sets the store's clock.
   while (view_.config == nullptr) {
@@ -339,7 +427,7 @@
     std::vector<Row> rows;
     uint64_t version = 0;
     const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
-    if (read) TakeGateways(rows);
+    if (read) TakeGateways(rows, store_.StoreNow(), Ms{0});
     co_await Sleep(loop_, ok && read ? kAnnounceEvery : kRetry);
   }
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,8 +41,13 @@
 }
 
 Task<HttpAnswer> AnswerPeer(Store& store, Budgets& budgets,
-                            const HttpCall& call) {
+                            const FleetWatch& watch, const HttpCall& call) {
   HttpAnswer answer;
+  if (call.target == kKnownRowsPath) {
+    answer.status = watch.ready() ? 200 : 503;
+    answer.body = EncodeKnownRows(watch.Known());
+    co_return answer;
+  }
   if (call.target.starts_with(kBudgetPrefix)) {
     answer = co_await budgets.AnswerPeer(call);
     co_return answer;
@@ -161,7 +166,7 @@
       ServeSmall(parts.loop, config.peers,
                  [this](const HttpCall& call) -> Task<HttpAnswer> {
                    const HttpAnswer answer = co_await AnswerPeer(
-                       parts_->store, parts_->budgets, call);
+                       parts_->store, parts_->budgets, parts_->watch, call);
                    co_return answer;
                  });
   const bool metrics = ServeSmall(
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -240,7 +240,7 @@
   }
 }
 
-void Quotas::SetOthers(std::span<const UseByWorkspace> others) {
+void Quotas::SetOthers(std::span<const UseByWorkspace> others, Ms age) {
   others_.clear();
   for (const UseByWorkspace& use : others) {
     for (const auto& [name, item] : use) {
@@ -251,7 +251,7 @@
     }
   }
   gateways_ = static_cast<uint32_t>(others.size()) + 1;
-  heard_at_ = clock_.Now();
+  heard_at_ = clock_.Now() - age;
   LearnPrograms();
 }
 
--- a/src/gateway/store.cc
+++ b/src/gateway/store.cc
@@ -249,6 +249,10 @@
   clock_known_ = true;
 }
 
+void Store::TakeClock(Ms store_now) {
+  if (!clock_known_) store_offset_ = store_now - clock_.Now();
+}
+
 Ms Store::StoreNow() const { return clock_.Now() + store_offset_; }
 
 }  // namespace knapweed::gateway
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -339,6 +339,24 @@
   CHECK(world.Call(call, 1).status == 401);
 }
 
+TEST_CASE("a gateway that starts while the store is away learns from a peer") {
+  World world;
+  CallerCall call;
+  call.path = "/safe/x";
+  CHECK(world.Call(call, 0).status == 200);
+  world.store.faults.away = true;
+  const int late = world.AddGateway("late");
+  world.RunFor(Ms{1500});
+  CHECK(world.Call(call, late).status == 200);
+  call.headers["Key"] = "unknown";
+  // What came into force since then is known to nobody.
+  world.RunFor(Ms{2000});
+  CHECK(world.Call(call, late).status == 503);
+  world.store.faults.away = false;
+  world.RunFor(Ms{1500});
+  CHECK(world.Call(call, late).status == 401);
+}
+
 TEST_CASE("draining servers get no calls, withdrawn keys stop working") {
   World world;
   CHECK(world.Call(PlainCall("/safe/x")).status == 200);
