--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "knapweed/base/metrics.h"
 #include "knapweed/gateway/dialect.h"
 #include "knapweed/gateway/upstreams.h"
 
@@ -88,8 +89,8 @@
 /// Idle connections to upstreams, by incarnation.
 class ConnectionPool {
  public:
-  ConnectionPool(asio::io_context& loop, const Clock& clock)
-      : loop_(loop), clock_(clock) {}
+  ConnectionPool(asio::io_context& loop, const Clock& clock, Metrics& metrics)
+      : loop_(loop), clock_(clock), metrics_(metrics) {}
 
   /// A kept connection or a new one; null when none could be made in time.
   Task<std::unique_ptr<UpstreamConnection>> Get(const UpstreamPtr& upstream,
@@ -104,6 +105,7 @@
 
   asio::io_context& loop_;
   const Clock& clock_;
+  Metrics& metrics_;
   std::map<std::weak_ptr<Upstream>,
            std::list<std::unique_ptr<UpstreamConnection>>,
            std::owner_less<std::weak_ptr<Upstream>>>
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -164,13 +164,20 @@
 Task<std::unique_ptr<UpstreamConnection>> ConnectionPool::Get(
     const UpstreamPtr& upstream, Ms timeout) {
   auto& idle = idle_[upstream];
+  std::string_view reason = "none_idle";
   while (!idle.empty()) {
     std::unique_ptr<UpstreamConnection> conn = std::move(idle.back());
     idle.pop_back();
-    if (!IsFresh(*conn) || !IsQuiet(conn->stream)) continue;
+    if (!IsFresh(*conn) || !IsQuiet(conn->stream)) {
+      reason = IsFresh(*conn) ? "closed" : "idle_too_long";
+      continue;
+    }
     conn->reused = true;
     co_return conn;
   }
+  std::string name = "connections_opened_total{reason=\"";
+  name.append(reason).append("\"}");
+  metrics_.GetCounter(name).Add();
   auto conn = std::make_unique<UpstreamConnection>(loop_);
   const bool open =
       co_await Connect(conn->stream, upstream->entry.address, timeout);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -78,7 +78,7 @@
         quotas(clock, c.quota),
         budgets(l, clock, store, rows, incarnation, c.peers),
         turns(clock, store, c.row_bytes),
-        pool(l, clock),
+        pool(l, clock, metrics),
         runner(CallParts{l, clock, d, view, store, quotas, budgets, turns, pool,
                          metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
