Keep requests that crash their upstreams from running again, at every gateway

An attempt that broke off is now followed by a look whether the upstream still takes connections; if not, the crash counts against the request's digest (workspace, target, body). Three upstreams make a quarantine, a whole good answer lifts it, since then it was not the request. Gateways tell each other in the rows that they write anyway: no call more. Ruled out: counting broken attempts without the look (a garbled answer is no crash), and rows of their own.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -11,6 +11,7 @@
 #include "knapweed/base/metrics.h"
 #include "knapweed/gateway/budgets.h"
 #include "knapweed/gateway/channel.h"
+#include "knapweed/gateway/crash_watch.h"
 #include "knapweed/gateway/quotas.h"
 #include "knapweed/gateway/turns.h"
 
@@ -63,6 +64,7 @@
   Budgets& budgets;
   Turns& turns;
   ConnectionPool& pool;
+  CrashWatch& crashes;
   Metrics& metrics;
   std::string failure_domain;
 };
@@ -101,6 +103,7 @@
   /// When a call that the store's absence refused should come back.
   Ms RetryForStore() const;
   bool MayRunAgain(const State& state) const;
+  static uint64_t DigestOf(const State& state);
   void Arm(const StatePtr& state);
   void Report(const State& state);
 
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -28,6 +28,7 @@
   FleetView& view;
   Quotas& quotas;
   Budgets& budgets;
+  CrashWatch& crashes;
 };
 
 class FleetWatch {
@@ -72,6 +73,7 @@
   FleetView& view_;
   Quotas& quotas_;
   Budgets& budgets_;
+  CrashWatch& crashes_;
   GatewayEntry self_;
   std::vector<Address> seeds_;
   bool upstreams_read_ = false;
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -71,6 +71,11 @@
     co_return Step::kDone;
   }
   state->service = &service->second;
+  if (parts_.crashes.HasRecords() &&
+      parts_.crashes.IsQuarantined(DigestOf(*state))) {
+    co_await Refuse(state, 503, Ms{0}, "it crashed several upstreams");
+    co_return Step::kDone;
+  }
   co_return Step::kNext;
 }
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -55,6 +55,11 @@
         state->service != nullptr ? state->service->tokens_per_event : 1;
     parts_.budgets.Settle(state->ticket, state->events_sent * per_event);
   }
+  const bool ran_well = state->status == 200 && !state->broken_off &&
+                        !state->gone && state->runs > 0;
+  if (ran_well && parts_.crashes.HasRecords()) {
+    parts_.crashes.OnSuccess(DigestOf(*state));
+  }
   Report(*state);
   --under_way_;
 }
@@ -219,6 +224,12 @@
   co_return Step::kDone;
 }
 
+uint64_t CallRunner::DigestOf(const State& state) {
+  return RequestDigest(
+      state.workspace != nullptr ? state.workspace->name : std::string_view(),
+      state.request.target, state.request.body);
+}
+
 bool CallRunner::MayRunAgain(const State& state) const {
   const bool allowed = state.has_event
                            ? state.route->resumable
@@ -233,6 +244,8 @@
   if (state->gone) co_return Step::kDone;
   if (!state->timed_out) {
     RecordFailure(upstream->breaker, parts_.clock.Now(), 0.5);
+    parts_.crashes.OnBroken(DigestOf(*state), upstream,
+                            state->request.head.request_id);
     kLog.Info("An attempt broke off.",
               {{"request", state->request.head.request_id},
                {"upstream", upstream->entry.id},
--- /dev/null
+++ b/src/gateway/crash_watch.cc
@@ -0,0 +1,131 @@
+#include "knapweed/gateway/crash_watch.h"
+
+#include "knapweed/base/clock.h"
+#include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
+
+namespace knapweed::gateway {
+namespace {
+
+constexpr Logger kLog("crashes");
+
+/// A crash takes connections with it and is seen at once; a server that only
+/// broke one off takes the next.
+constexpr Ms kConfirmAfter{50};
+constexpr Ms kConfirmTimeout{300};
+/// Attempts that are looked into at once; a fleet that fails as a whole is not
+/// the fault of one request.
+constexpr size_t kMaxConfirming = 16;
+/// Upstreams that must have crashed under a request. Any one may have crashed
+/// for another reason while the request ran there.
+constexpr uint32_t kCrashesToQuarantine = 3;
+constexpr Ms kRecordsLast = Seconds(600);
+constexpr size_t kMaxDigests = 1024;
+/// Records told to the others, newest last.
+constexpr size_t kMaxOwn = 32;
+constexpr size_t kRecordFields = 4;
+
+QuarantineOptions Options() {
+  QuarantineOptions options;
+  options.crashes = kCrashesToQuarantine;
+  options.expiry = kRecordsLast;
+  options.max_digests = kMaxDigests;
+  return options;
+}
+
+}  // namespace
+
+uint64_t RequestDigest(std::string_view workspace, std::string_view target,
+                       std::string_view body) {
+  return HashBytes(body, HashBytes(target, HashBytes(workspace)));
+}
+
+CrashWatch::CrashWatch(asio::io_context& loop)
+    : loop_(loop), quarantine_(Options()) {}
+
+bool CrashWatch::IsQuarantined(uint64_t digest) const {
+  return quarantine_.VerdictOf(digest, WallTime()) ==
+         QuarantineVerdict::kQuarantined;
+}
+
+void CrashWatch::OnBroken(uint64_t digest, const UpstreamPtr& upstream,
+                          std::string_view request_id) {
+  if (confirming_ >= kMaxConfirming) return;
+  ++confirming_;
+  Spawn(loop_, Confirm(digest, upstream, std::string(request_id)));
+}
+
+Task<void> CrashWatch::Confirm(uint64_t digest, UpstreamPtr upstream,
+                               std::string request_id) {
+  co_await Sleep(loop_, kConfirmAfter);
+  beast::tcp_stream stream(loop_);
+  const bool alive =
+      co_await Connect(stream, upstream->entry.address, kConfirmTimeout);
+  --confirming_;
+  if (alive) co_return;
+  CrashRecord record;
+  record.digest = digest;
+  record.upstream_hash = HashBytes(upstream->entry.id);
+  record.at = WallTime();
+  AddOwn(record);
+  kLog.Warning("An upstream went down under a request.",
+               {{"request", request_id},
+                {"digest", digest},
+                {"upstream", upstream->entry.id},
+                {"quarantined", IsQuarantined(digest) ? 1 : 0}});
+}
+
+void CrashWatch::OnSuccess(uint64_t digest) {
+  if (quarantine_.VerdictOf(digest, WallTime()) == QuarantineVerdict::kClear) {
+    return;
+  }
+  CrashRecord record;
+  record.digest = digest;
+  record.at = WallTime();
+  record.cleared = true;
+  AddOwn(record);
+  kLog.Info("Cleared a request that upstreams went down under.",
+            {{"digest", digest}});
+}
+
+void CrashWatch::AddOwn(const CrashRecord& record) {
+  quarantine_.Merge(record);
+  own_.push_back(record);
+  if (own_.size() > kMaxOwn) own_.pop_front();
+}
+
+nlohmann::json CrashWatch::OwnRecords() {
+  const Ms now = WallTime();
+  quarantine_.Expire(now);
+  while (!own_.empty() && own_.front().at + kRecordsLast <= now) {
+    own_.pop_front();
+  }
+  nlohmann::json records = nlohmann::json::array();
+  for (const CrashRecord& it : own_) {
+    records.push_back(
+        {it.digest, it.upstream_hash, it.at.count, it.cleared ? 1 : 0});
+  }
+  return records;
+}
+
+void CrashWatch::TakeRecords(const nlohmann::json& records) {
+  if (!records.is_array()) return;
+  for (const nlohmann::json& item : records) {
+    const bool readable =
+        item.is_array() && item.size() == kRecordFields &&
+        item[0].is_number_unsigned() && item[1].is_number_unsigned() &&
+        item[2].is_number_integer() && item[3].is_number_integer();
+    if (!readable) {
+      kLog.Warning("A crash record of another gateway can't be read.");
+      continue;
+    }
+    CrashRecord record;
+    record.digest = item[0].get<uint64_t>();
+    record.upstream_hash = item[1].get<uint64_t>();
+    record.at = Ms{item[2].get<int64_t>()};
+    record.cleared = item[3].get<int>() != 0;
+    quarantine_.Merge(record);
+  }
+}
+
+}  // namespace knapweed::gateway
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -76,6 +76,7 @@
       view_(parts.view),
       quotas_(parts.quotas),
       budgets_(parts.budgets),
+      crashes_(parts.crashes),
       self_(std::move(self)),
       seeds_(std::move(seeds)) {
   std::erase(seeds_, self_.peer_address);
@@ -336,7 +337,8 @@
 Task<bool> FleetWatch::Announce() {
   const nlohmann::json value = {{"address", self_.peer_address.ToString()},
                                 {"at_ms", store_.StoreNow().count},
-                                {"use", EncodeUse(quotas_.OwnUse())}};
+                                {"use", EncodeUse(quotas_.OwnUse())},
+                                {"crashes", crashes_.OwnRecords()}};
   const RowKey key{kGatewayTable, "", self_.name};
   Commit commit;
   commit.conditions.push_back({key, own_row_version_});
@@ -372,6 +374,7 @@
     const Ms silent_for = now - Ms{value.value("at_ms", int64_t{0})};
     if (silent_for > kAnnouncedFresh) continue;
     if (row.key.key == self_.name) continue;
+    crashes_.TakeRecords(value.value("crashes", nlohmann::json::array()));
     uses.push_back(DecodeUse(value.value("use", nlohmann::json())));
     peers.push_back(address);
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -79,10 +79,11 @@
         budgets(l, clock, store, rows, incarnation, c.peers),
         turns(clock, store, c.row_bytes),
         pool(l, clock, metrics),
+        crashes(l),
         runner(CallParts{l, clock, d, view, store, quotas, budgets, turns, pool,
-                         metrics, c.failure_domain}),
+                         crashes, metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
-        watch(WatchParts{l, clock, d, store, view, quotas, budgets},
+        watch(WatchParts{l, clock, d, store, view, quotas, budgets, crashes},
               GatewayEntry{c.name, c.peers}, c.seeds) {}
 
   Clock clock = Clock::Steady();
@@ -99,6 +100,7 @@
   Budgets budgets;
   Turns turns;
   ConnectionPool pool;
+  CrashWatch crashes;
   CallRunner runner;
   Front front;
   FleetWatch watch;
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -71,6 +71,12 @@
   }
 }
 
+Task<void> FakeServer::Crash() {
+  acceptor_->close();
+  co_await gateway::Sleep(loop_, down_for);
+  Listen();
+}
+
 Task<void> FakeServer::Serve(beast::tcp_stream stream) {
   beast::flat_buffer buf;
   while (true) {
@@ -93,6 +99,10 @@
     }
     if (!meant_for_us) script.kind = Script::Kind::kOther;
     seen.push_back(request);
+    if (!crash_on.empty() && request.body.find(crash_on) != std::string::npos) {
+      gateway::Spawn(loop_, Crash());
+      co_return;
+    }
     const bool goes_on = co_await Play(stream, request, script);
     if (!goes_on) co_return;
   }
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -69,11 +69,15 @@
   /// Scripts for the next requests in turn; `usual` for those after.
   std::deque<Script> scripts;
   Script usual;
+  /// A request whose body holds this takes the server down for `down_for`.
+  std::string crash_on;
+  Ms down_for{400};
   std::vector<SeenRequest> seen;
   int connections = 0;
 
  private:
   gateway::Task<void> Accept();
+  gateway::Task<void> Crash();
   gateway::Task<void> Serve(gateway::beast::tcp_stream stream);
   gateway::Task<bool> Play(gateway::beast::tcp_stream& stream,
                            const SeenRequest& request, const Script& script);
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -339,6 +339,43 @@
   CHECK(world.Call(call, 1).status == 401);
 }
 
+TEST_CASE("a request that crashes its servers is kept out by all gateways") {
+  World world(2, 4);
+  for (auto& server : world.plain) server->crash_on = "crash me";
+  CallerCall call;
+  call.path = "/safe/x";
+  call.body = "crash me";
+  const auto ran = [&] { return world.SeenByPlain(); };
+  for (int i = 0; i < 6; ++i) {
+    CHECK(world.Call(call, i % 2).status != 200);
+    world.RunFor(Ms{800});
+  }
+  // Longer than gateways take to tell each other.
+  world.RunFor(Ms{1500});
+  const size_t before = ran();
+  CHECK(before >= 3);
+  // Two attempts of a call may be under way before the third crash is known.
+  CHECK(before <= 4);
+  for (int i = 0; i < 4; ++i) CHECK(world.Call(call, i % 2).status == 503);
+  CHECK(ran() == before);
+  call.body = "harmless";
+  CHECK(world.Call(call, 0).status == 200);
+}
+
+TEST_CASE("a request that ran well is not what crashed a server") {
+  World world(1, 4);
+  world.plain[0]->crash_on = "unlucky";
+  world.plain[1]->crash_on = "unlucky";
+  CallerCall call;
+  call.path = "/safe/x";
+  call.body = "unlucky";
+  for (int i = 0; i < 12; ++i) {
+    const int status = world.Call(call, 0).status;
+    CHECK((status == 200 || status == 502));
+    world.RunFor(Ms{500});
+  }
+}
+
 TEST_CASE("a gateway that starts while the store is away learns from a peer") {
   World world;
   CallerCall call;
