--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "knapweed/gateway/shared_row.h"
+#include "knapweed/gateway/swept_table.h"
 
 /// Token budgets of programs, shared by all gateways. A row per program holds
 /// what was spent and, under each gateway's name, what that gateway may spend
@@ -28,6 +29,8 @@
 
   uint64_t spent = 0;
   std::map<std::string, Allowance> allowances;
+  /// When it was last written, on the store's clock.
+  Ms written_at;
 };
 
 /// What a gateway wants to write.
@@ -60,6 +63,9 @@
 BudgetState DecodeBudget(const nlohmann::json& json);
 nlohmann::json EncodeBudget(const BudgetState& state);
 
+/// The table of budgets, for the sweeper.
+SweptTable BudgetTable();
+
 enum class Reservation : uint8_t {
   kReserved,
   kExhausted,
--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "knapweed/gateway/store.h"
+#include "knapweed/gateway/swept_table.h"
 
 /// Turns whose text is kept, so that later turns bring only what is new. One
 /// set of rows per turn in the store, under the turn's id; a bounded cache of
@@ -34,6 +35,9 @@
   std::string text;
 };
 
+/// The table of kept turns, for the sweeper.
+SweptTable TurnTable();
+
 class Turns {
  public:
   /// `row_bytes` is the most that one row of the store holds.
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -15,6 +15,8 @@
 /// Parts of the budget table. A part commits some 200 times a second, one after
 /// another; with this many two programs seldom wait for each other.
 constexpr uint64_t kParts = 256;
+constexpr char kTable[] = "budgets";
+constexpr char kPartPrefix[] = "b";
 /// A program that was silent for this long is forgotten here; its row stays.
 constexpr Ms kForgetAfter{60000};
 constexpr Ms kWriteBackTimeout{2000};
@@ -47,7 +49,15 @@
 constexpr Ms kIdleTight{350};
 
 RowKey KeyOf(const std::string& name) {
-  return {"budgets", "b" + std::to_string(HashBytes(name) % kParts), name};
+  return {kTable, kPartPrefix + std::to_string(HashBytes(name) % kParts), name};
+}
+
+std::optional<Ms> ExpiresAt(std::string_view value, Ms retention) {
+  const nlohmann::json row = nlohmann::json::parse(value, nullptr, false);
+  if (!row.is_object() || !row.contains("state")) return std::nullopt;
+  const BudgetState state = DecodeBudget(row["state"]);
+  if (state.written_at == Ms{0}) return std::nullopt;
+  return state.written_at + retention;
 }
 
 }  // namespace
@@ -59,6 +69,10 @@
   if (spent != json.end() && spent->is_number_unsigned()) {
     state.spent = spent->get<uint64_t>();
   }
+  const auto written_at = json.find("written_at");
+  if (written_at != json.end() && written_at->is_number_integer()) {
+    state.written_at = Ms{written_at->get<int64_t>()};
+  }
   const auto allowances = json.find("allowances");
   if (allowances == json.end() || !allowances->is_object()) return state;
   for (const auto& [gateway, item] : allowances->items()) {
@@ -77,9 +91,13 @@
   for (const auto& [gateway, allowance] : state.allowances) {
     allowances[gateway] = {allowance.tokens, allowance.at.count};
   }
-  return {{"spent", state.spent}, {"allowances", std::move(allowances)}};
+  return {{"spent", state.spent},
+          {"allowances", std::move(allowances)},
+          {"written_at", state.written_at.count}};
 }
 
+SweptTable BudgetTable() { return {kTable, kPartPrefix, kParts, ExpiresAt}; }
+
 ClaimVerdict ApplyClaim(const BudgetClaim& claim, BudgetState& state) {
   BudgetState next = state;
   next.spent += claim.spent;
@@ -107,6 +125,7 @@
                        kTurnsAhead * claim.most);
   }
   if (tokens > 0) next.allowances[claim.gateway] = {tokens, claim.now};
+  next.written_at = claim.now;
   state = std::move(next);
   return ClaimVerdict::kGranted;
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "knapweed/base/log.h"
 #include "knapweed/gateway/fleet_watch.h"
 #include "knapweed/gateway/front.h"
+#include "knapweed/gateway/row_sweeper.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -84,7 +85,8 @@
                          crashes, metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
         watch(WatchParts{l, clock, d, store, view, quotas, budgets, crashes},
-              GatewayEntry{c.name, c.peers}, c.seeds) {}
+              GatewayEntry{c.name, c.peers}, c.seeds),
+        sweeper(l, store, view, {BudgetTable(), TurnTable()}) {}
 
   Clock clock = Clock::Steady();
   asio::io_context& loop;
@@ -104,6 +106,7 @@
   CallRunner runner;
   Front front;
   FleetWatch watch;
+  RowSweeper sweeper;
   bool leaving = false;
 };
 
@@ -188,6 +191,7 @@
                          {"version", kVersionText}});
   parts.store.Start();
   parts.watch.Start();
+  Spawn(parts.loop, parts.sweeper.Run());
   Spawn(parts.loop, Upkeep(parts.loop, parts.metrics, parts.budgets,
                            parts.turns, parts.pool));
   return true;
--- /dev/null
+++ b/src/gateway/row_sweeper.cc
@@ -0,0 +1,107 @@
+#include "knapweed/gateway/row_sweeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
+
+namespace knapweed::gateway {
+namespace {
+
+constexpr Logger kLog("sweep");
+
+/// Seldom enough to be lost among the other calls of a gateway.
+constexpr Ms kEvery = Seconds(30);
+/// Rows outlive the time in which callers may come back by a factor and a
+/// margin: a row that goes too early costs a program its count.
+constexpr int64_t kRetentionFactor = 2;
+constexpr Ms kRetentionMargin = Seconds(60);
+/// A commit holds at most 100 entries, a condition and a removal for each row.
+constexpr size_t kRowsPerCommit = 50;
+
+}  // namespace
+
+std::vector<const Row*> ExpiredRows(const SweptTable& table,
+                                    std::span<const Row> rows, Ms now,
+                                    Ms retention) {
+  std::vector<const Row*> expired;
+  std::string_view first_key;
+  bool first_expired = false;
+  for (const Row& row : rows) {
+    const std::string_view key = row.key.key;
+    const bool is_further_piece =
+        !first_key.empty() && key.size() > first_key.size() &&
+        key.starts_with(first_key) && key[first_key.size()] == '~';
+    if (!is_further_piece) {
+      const std::optional<Ms> at = table.expires_at(row.value, retention);
+      first_key = key;
+      first_expired = at.has_value() && *at < now;
+    }
+    if (first_expired) expired.push_back(&row);
+  }
+  return expired;
+}
+
+RowSweeper::RowSweeper(asio::io_context& loop, Store& store,
+                       const FleetView& view, std::vector<SweptTable> tables)
+    : loop_(loop),
+      store_(store),
+      view_(view),
+      tables_(std::move(tables)),
+      random_(HashBytes(RandomHexId())) {}
+
+Ms RowSweeper::Retention() const {
+  Ms longest;
+  for (const Route& route : view_.config->routes) {
+    longest = std::max(longest, route.history_ttl);
+  }
+  return longest * kRetentionFactor + kRetentionMargin;
+}
+
+Task<void> RowSweeper::Run() {
+  for (size_t turn = 0;; ++turn) {
+    co_await Sleep(loop_, kEvery);
+    if (view_.config == nullptr || !store_.reachable()) continue;
+    const SweptTable& table = tables_[turn % tables_.size()];
+    const size_t removed = co_await SweepPart(table, random_() % table.parts);
+    if (removed > 0) {
+      kLog.Info("Removed rows whose time was over.",
+                {{"table", table.table}, {"rows", removed}});
+    }
+  }
+}
+
+Task<size_t> RowSweeper::SweepPart(const SweptTable& table, uint64_t part) {
+  RowRange range;
+  range.table = table.table;
+  range.part = table.part_prefix + std::to_string(part);
+  size_t removed = 0;
+  while (true) {
+    const StoreAnswer answer = co_await store_.Read(range);
+    if (answer.outcome != StoreOutcome::kDone) co_return removed;
+    const std::vector<const Row*> expired =
+        ExpiredRows(table, answer.rows, store_.StoreNow(), Retention());
+    removed += co_await Remove(expired);
+    if (!answer.more || answer.rows.empty()) co_return removed;
+    range.from = answer.rows.back().key.key + '\x01';
+  }
+}
+
+Task<size_t> RowSweeper::Remove(const std::vector<const Row*>& rows) {
+  size_t removed = 0;
+  for (size_t from = 0; from < rows.size(); from += kRowsPerCommit) {
+    Commit commit;
+    const size_t to = std::min(from + kRowsPerCommit, rows.size());
+    for (size_t i = from; i < to; ++i) {
+      commit.conditions.push_back({rows[i]->key, rows[i]->version});
+      commit.removals.push_back(rows[i]->key);
+    }
+    const StoreAnswer answer = co_await store_.Apply(commit);
+    // What another gateway wrote or removed meanwhile is looked at next time.
+    if (answer.outcome == StoreOutcome::kDone) removed += to - from;
+  }
+  co_return removed;
+}
+
+}  // namespace knapweed::gateway
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -7,6 +7,7 @@
 
 #include "knapweed/base/ids.h"
 #include "knapweed/base/log.h"
+#include "knapweed/base/parse.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -14,6 +15,7 @@
 constexpr Logger kLog("turns");
 constexpr uint64_t kParts = 256;
 constexpr char kTable[] = "turns";
+constexpr char kPartPrefix[] = "t";
 constexpr size_t kCacheBytes = 8 << 20;
 /// A line longer than this is taken for a loop in the rows.
 constexpr size_t kMaxLine = 1000;
@@ -22,12 +24,14 @@
 constexpr Ms kRetryPause{60};
 
 RowKey KeyOf(const std::string& id, size_t piece) {
-  RowKey key{kTable, "t" + std::to_string(HashBytes(id) % kParts), id};
+  RowKey key{kTable, kPartPrefix + std::to_string(HashBytes(id) % kParts), id};
   if (piece > 0) key.key += "~" + std::to_string(piece);
   return key;
 }
 
-std::string Encode(const Turn& turn) {
+/// The value begins with the time until which the turn is kept, in decimal, and
+/// a line feed, so that the first piece of a long one tells it.
+std::string Encode(const Turn& turn, Ms until) {
   const auto bytes = [](const std::string& text) {
     return nlohmann::json::binary({text.begin(), text.end()});
   };
@@ -37,7 +41,7 @@
                                {"output", bytes(turn.output)}};
   std::string out;
   nlohmann::json::to_cbor(json, out);
-  return out;
+  return std::to_string(until.count) + '\n' + out;
 }
 
 std::string BytesOf(const nlohmann::json& json, const char* name) {
@@ -46,7 +50,17 @@
   return {bytes.begin(), bytes.end()};
 }
 
+std::optional<Ms> ExpiresAt(std::string_view value, Ms /*retention*/) {
+  const size_t end = value.find('\n');
+  Ms until;
+  const bool readable = end != std::string_view::npos &&
+                        ParseNumber(value.substr(0, end), &until.count);
+  if (!readable) return std::nullopt;
+  return until + kRemoveAfter;
+}
+
 TurnPtr Decode(const std::string& id, std::string_view bytes) {
+  bytes.remove_prefix(std::min(bytes.find('\n') + 1, bytes.size()));
   const nlohmann::json json =
       nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
   if (!json.is_object() || !json.contains("input") ||
@@ -69,6 +83,8 @@
 
 }  // namespace
 
+SweptTable TurnTable() { return {kTable, kPartPrefix, kParts, ExpiresAt}; }
+
 TurnPtr Turns::FromCache(const std::string& id) {
   const auto it = cache_.find(id);
   if (it == cache_.end()) return nullptr;
@@ -146,7 +162,7 @@
 }
 
 Task<bool> Turns::Keep(TurnPtr turn, Ms ttl, Ms deadline) {
-  const std::string bytes = Encode(*turn);
+  const std::string bytes = Encode(*turn, store_.StoreNow() + ttl);
   Commit commit;
   for (size_t at = 0, piece = 0; at < bytes.size(); at += row_bytes_, ++piece) {
     const RowKey key = KeyOf(turn->id, piece);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -7,6 +7,8 @@
 #include "knapweed/gateway/event_splitter.h"
 #include "knapweed/gateway/fleet_config.h"
 #include "knapweed/gateway/quotas.h"
+#include "knapweed/gateway/row_sweeper.h"
+#include "knapweed/gateway/turns.h"
 #include "knapweed/gateway/upstreams.h"
 
 namespace knapweed::gateway {
@@ -369,6 +371,59 @@
   }
 }
 
+TEST_CASE("rows whose time is over") {
+  const auto budget = [](const char* key, int64_t written_at) {
+    Row row;
+    row.key = {"budgets", "b1", key};
+    row.value = nlohmann::json{{"state", EncodeBudget({5, {}, Ms{written_at}})},
+                               {"marks", nlohmann::json::array()}}
+                    .dump();
+    return row;
+  };
+  const auto turn = [](const char* key, const char* value) {
+    Row row;
+    row.key = {"turns", "t1", key};
+    row.value = value;
+    return row;
+  };
+  struct Case {
+    const char* what;
+    SweptTable table;
+    std::vector<Row> rows;
+    std::vector<std::string> expired;
+  };
+  // Now is 100,000 ms; budgets are kept for 50,000 ms after their last write,
+  // turns for 20,000 ms after the time that they name.
+  const Case cases[] = {
+      {"budgets",
+       BudgetTable(),
+       {budget("old", 40000), budget("used", 60000)},
+       {"old"}},
+      {"a budget without a time", BudgetTable(), {budget("new", 0)}, {}},
+      {"a row of another writer", BudgetTable(), {turn("odd", "{}")}, {}},
+      {"turns",
+       TurnTable(),
+       {turn("a", "70000\nbytes"), turn("b", "90000\nbytes")},
+       {"a"}},
+      {"a long turn goes whole",
+       TurnTable(),
+       {turn("a", "70000\nby"), turn("a~1", "tes"), turn("a~2", "more"),
+        turn("ab", "90000\nx"), turn("ab~1", "70000\nx")},
+       {"a", "a~1", "a~2"}},
+      {"bytes that are no turn", TurnTable(), {turn("a", "bytes")}, {}},
+  };
+  for (const Case& it : cases) {
+    const std::string what = it.what;
+    CAPTURE(what);
+    std::vector<std::string> expired;
+    for (const Row* row :
+         ExpiredRows(it.table, it.rows, Ms{100000}, Ms{50000})) {
+      expired.push_back(row->key.key);
+    }
+    CHECK(expired == it.expired);
+  }
+}
+
 TEST_CASE("an upstream that starts again under its name knows nothing") {
   UpstreamSet set;
   UpstreamEntry entry;
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -2,6 +2,7 @@
 // what servers see.
 #include <doctest/doctest.h>
 
+#include "knapweed/gateway/row_sweeper.h"
 #include "tests/platform/world.h"
 
 namespace knapweed::testing {
@@ -394,6 +395,39 @@
   CHECK(world.Call(call, late).status == 401);
 }
 
+TEST_CASE("a sweep removes what dead gateways left, and nothing else") {
+  World world;
+  CHECK(world.Call(TurnCall("t1", "prog", 1000, 20)).status == 200);
+  world.RunFor(Ms{600});
+  const Clock clock = Clock::Steady();
+  Metrics metrics;
+  gateway::Store store(world.loop, clock, users_platform::PlatformDialect(),
+                       world.configs.front().store, metrics);
+  gateway::FleetView view;
+  view.config = std::make_shared<const gateway::FleetConfig>();
+  gateway::RowSweeper sweeper(world.loop, store, view,
+                              {gateway::BudgetTable()});
+  const gateway::RowKey old{"budgets", "b7", "ws1/old"};
+  bool done = false;
+  size_t removed = 0;
+  const auto sweep = [&]() -> gateway::Task<void> {
+    gateway::Commit commit;
+    commit.conditions.push_back({old, 0});
+    commit.writes.push_back(
+        {old, R"({"state":{"spent":1,"written_at":-600000}})"});
+    co_await store.Apply(commit);
+    for (uint64_t part = 0; part < gateway::BudgetTable().parts; ++part) {
+      removed += co_await sweeper.SweepPart(gateway::BudgetTable(), part);
+    }
+    done = true;
+  };
+  gateway::Spawn(world.loop, sweep());
+  CHECK(world.RunUntil([&] { return done; }));
+  CHECK(removed == 1);
+  CHECK(world.store.Get("budgets", "ws1/old").empty());
+  CHECK_FALSE(world.store.Get("budgets", "ws1/prog").empty());
+}
+
 TEST_CASE("draining servers get no calls, withdrawn keys stop working") {
   World world;
   CHECK(world.Call(PlainCall("/safe/x")).status == 200);
