Test that a stop answers all that has begun to arrive

The test sends a request on a connection that was open before the stop, and one whose second half comes after the listener has closed. With the former condition in Leave it fails: the process has ended by then.

--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -2,6 +2,9 @@
 // what servers see.
 #include <doctest/doctest.h>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include "knapweed/gateway/row_sweeper.h"
 #include "tests/platform/world.h"
 
@@ -395,6 +398,94 @@
   CHECK(world.Call(call, late).status == 401);
 }
 
+// One connection of a caller that sends whole requests one after another.
+struct KeptConnection {
+  explicit KeptConnection(World& world) : stream(world.loop) {}
+  gateway::beast::tcp_stream stream;
+  gateway::beast::flat_buffer buf;
+};
+
+// Sends a GET of a route and reads its answer; 0 when none came whole.
+gateway::Task<void> Ask(KeptConnection& conn, unsigned* status, bool* done) {
+  namespace http = gateway::http;
+  http::request<http::empty_body> request(http::verb::get, "/safe/x", 11);
+  request.set(http::field::host, kHost);
+  request.set("Request-Id", "kept");
+  request.set("Key", "key1");
+  conn.stream.expires_never();
+  gateway::ErrorCodeOut ec;
+  co_await http::async_write(
+      conn.stream, request,
+      gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  http::response<http::string_body> response;
+  if (!ec) {
+    co_await http::async_read(
+        conn.stream, conn.buf, response,
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  }
+  *status = ec ? 0 : response.result_int();
+  *done = true;
+}
+
+unsigned AskAndWait(World& world, KeptConnection& conn) {
+  unsigned status = 0;
+  bool done = false;
+  gateway::Spawn(world.loop, Ask(conn, &status, &done));
+  world.RunUntil([&] { return done; });
+  return status;
+}
+
+TEST_CASE("a stop answers what comes on open connections until it has ended") {
+  World world(2);
+  KeptConnection conn(world);
+  const Address address = world.configs[0].callers;
+  bool open = false;
+  const auto connect = [&]() -> gateway::Task<void> {
+    open = co_await gateway::Connect(conn.stream, address, Seconds(1));
+  };
+  gateway::Spawn(world.loop, connect());
+  REQUIRE(world.RunUntil([&] { return open; }));
+  CHECK(AskAndWait(world, conn) == 200);
+  bool left = false;
+  const auto leave = [&]() -> gateway::Task<void> {
+    co_await world.gateways[0]->Leave();
+    left = true;
+  };
+  gateway::Spawn(world.loop, leave());
+  // The balancer has not noticed yet, and the caller knows nothing.
+  world.RunFor(Ms{1000});
+  CHECK_FALSE(world.gateways[0]->IsReady());
+  CHECK(AskAndWait(world, conn) == 200);
+  // A request that is still arriving when the listener closes is answered too.
+  KeptConnection late(world);
+  const std::string text =
+      "POST /safe/x HTTP/1.1\r\nHost: " + std::string(kHost) +
+      "\r\nRequest-Id: late\r\nKey: key1\r\nContent-Length: 8\r\n\r\nhalf";
+  std::string answer;
+  bool ended = false;
+  const auto send = [&]() -> gateway::Task<void> {
+    gateway::ErrorCodeOut ec;
+    co_await gateway::Connect(late.stream, address, Seconds(1));
+    late.stream.expires_never();
+    co_await gateway::asio::async_write(
+        late.stream, gateway::asio::buffer(text),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    co_await gateway::Sleep(world.loop, Ms{2500});
+    co_await gateway::asio::async_write(
+        late.stream, gateway::asio::buffer(text.substr(text.size() - 4)),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    co_await gateway::asio::async_read(
+        late.stream, gateway::asio::dynamic_buffer(answer),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    ended = true;
+  };
+  gateway::Spawn(world.loop, send());
+  CHECK(world.RunUntil([&] { return left; }, Seconds(12)));
+  // The process ends now: what is not answered yet never will be.
+  CHECK(ended);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a sweep removes what dead gateways left, and nothing else") {
   World world;
   CHECK(world.Call(TurnCall("t1", "prog", 1000, 20)).status == 200);
