Tell the story of a request from logs: knapweedctl explain ID

Cause: an engineer on call had to find by hand which lines of which gateway decided a call; the line about a rate named no request. knapweedctl explain reads logs from files or standard input and prints, in the order of time and across processes, the lines of a request or of all requests of a program, and around each call what its process had learnt of the store and the configuration and what any had learnt of the upstreams it went to. The line "A call is over its workspace's rate." now carries the request id, the calls that a program makes, the programs begun and how long this one has waited.

--- a/include/knapweed/ctl/ctl.h
+++ b/include/knapweed/ctl/ctl.h
@@ -2,6 +2,7 @@
 #define KNAPWEED_CTL_CTL_H_
 
 #include <functional>
+#include <istream>
 #include <ostream>
 
 #include "absl/status/statusor.h"
@@ -34,6 +35,8 @@
       call;
   std::ostream& out;
   std::ostream& err;
+  /// Logs for `explain`.
+  std::istream& in;
 };
 
 /// Runs one command to its end.
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -106,6 +106,7 @@
   static uint64_t DigestOf(const State& state);
   void Arm(const StatePtr& state);
   void Report(const State& state);
+  static void LogOverRate(const State& state, const QuotaVerdict& verdict);
 
   CallParts parts_;
   std::mt19937_64 random_;
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -83,10 +83,13 @@
 /// gateways that heard the same add up to the rate.
 double ShareOfRate(const QuotaInput& input);
 
-/// `allowed`, or when to come back.
+/// `allowed`, or when to come back; and what decided it.
 struct QuotaVerdict {
   bool allowed = false;
   Ms retry_after;
+  QuotaInput input;
+  /// Since the others were last heard of.
+  Ms heard_ago;
 };
 
 /// The counts of this gateway and what it heard of the others.
--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -4,10 +4,12 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "knapweed/ctl/log_story.h"
 #include "knapweed/rules/diff_rules.h"
 #include "knapweed/rules/parse_rules.h"
 
@@ -294,11 +296,42 @@
   return exit;
 }
 
+// The id is the first argument; the others name logs, standard input without.
+CtlExit Explain(const Command& command) {
+  const std::vector<std::string>& words = command.options.words;
+  const std::string& id = words[1];
+  std::vector<LogLine> lines;
+  size_t unreadable = 0;
+  if (words.size() == 2) unreadable = ReadLog("-", command.env.in, &lines);
+  for (size_t i = 2; i < words.size(); ++i) {
+    std::ifstream file(words[i]);
+    if (!file) {
+      return Fail(command, CtlExit::kUsage, words[i] + " can't be read");
+    }
+    const std::string name = std::filesystem::path(words[i]).stem().string();
+    unreadable += ReadLog(name, file, &lines);
+  }
+  if (unreadable > 0) {
+    command.env.err << "knapweedctl: passed over " << unreadable
+                    << " lines that are no structured log\n";
+  }
+  const std::vector<LogLine> story = StoryOf(lines, id);
+  if (story.empty()) {
+    return Fail(
+        command, CtlExit::kRefused,
+        "no line of " + std::to_string(lines.size()) + " names '" + id + "'");
+  }
+  PrintStory(story, command.env.out);
+  return CtlExit::kOk;
+}
+
 struct CommandEntry {
   std::vector<std::string_view> words;
   /// Name of the one argument; empty when there is none.
   std::string_view argument;
   CtlExit (*run)(const Command&);
+  /// More arguments may follow the first.
+  bool takes_more = false;
 };
 
 const std::vector<CommandEntry>& AllCommands() {
@@ -313,6 +346,7 @@
       {{"status"}, "", Status},
       {{"drain"}, "ADDRESS", Drain},
       {{"dump"}, "ADDRESS", Dump},
+      {{"explain"}, "ID", Explain, true},
   };
   return *kCommands;
 }
@@ -327,7 +361,9 @@
                  const CtlEnvironment& env) {
   Command command{options, env, ""};
   const size_t wanted = entry.words.size() + (entry.argument.empty() ? 0 : 1);
-  if (options.words.size() != wanted) {
+  const bool fits = options.words.size() == wanted ||
+                    (entry.takes_more && options.words.size() > wanted);
+  if (!fits) {
     return Fail(command, CtlExit::kUsage,
                 "'" + options.words.front() + "' takes " +
                     (entry.argument.empty() ? "no argument"
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -29,7 +29,7 @@
     return static_cast<int>(CtlExit::kUsage);
   }
   const CtlEnvironment environment{ConnectOverHttp, CallOverHttp, std::cout,
-                                   std::cerr};
+                                   std::cerr, std::cin};
   return static_cast<int>(RunCtl(*options, environment));
 }
 
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -124,6 +124,8 @@
   status                show the configuration in force at each --control
   drain ADDRESS         ask a process for a graceful shutdown
   dump ADDRESS          print a process's state
+  explain ID [LOG...]   tell from logs, or standard input, what became of a
+                        request or program, in order and across processes
 
 Options
   -p, --platform IP:PORT        the platform's service
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -1,14 +1,18 @@
 // What is checked before a call goes to an upstream: route, key, history,
 // budget and rate.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "call_state.h"
 #include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
 namespace {
 
+constexpr Logger kQuotaLog("quota");
+
 /// A configuration that was not confirmed for this long may be older than what
 /// an operator has put in force: what it does not know may exist.
 constexpr Ms kConfigStale{2600};
@@ -79,11 +83,29 @@
   co_return Step::kNext;
 }
 
+void CallRunner::LogOverRate(const State& state, const QuotaVerdict& verdict) {
+  const QuotaInput& input = verdict.input;
+  const auto text = [](double n) { return std::to_string(std::lround(n)); };
+  kQuotaLog.Info(
+      "A call is over its workspace's rate.",
+      {{"request", state.request.head.request_id},
+       {"workspace", state.workspace->name},
+       {"rate_per_s", text(input.rate_per_s)},
+       {"own_calls", text(input.own.calls)},
+       {"other_calls", text(input.others.calls)},
+       {"heard_ms_ago", verdict.heard_ago.count},
+       {"calls_per_program", text(input.calls_per_program)},
+       {"programs_begun", text(input.own.programs + input.others.programs)},
+       {"begins_program", input.begins_program ? 1 : 0},
+       {"waited_ms", input.waited.count}});
+}
+
 Task<CallRunner::Step> CallRunner::TakeRate(StatePtr state) {
   if (state->workspace == nullptr) co_return Step::kNext;
   const QuotaVerdict verdict = parts_.quotas.Take(
       *state->workspace, state->begins_program, state->waited);
   if (!verdict.allowed) {
+    LogOverRate(*state, verdict);
     co_await Refuse(state, 429, verdict.retry_after, "over rate");
     co_return Step::kDone;
   }
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -4,13 +4,9 @@
 #include <cmath>
 #include <numeric>
 
-#include "knapweed/base/log.h"
-
 namespace knapweed::gateway {
 namespace {
 
-constexpr Logger kLog("quota");
-
 /// Shares of the limit of a window. Below the first and the second a gateway
 /// need not ask how the rate is split, only keep to a cap; above the third
 /// programs do not begin. What lies above is for calls of those under way.
@@ -152,14 +148,18 @@
 
 QuotaVerdict Quotas::Take(const Workspace& workspace, bool begins_program,
                           Ms waited) {
-  if (workspace.rate_per_s <= 0) return {true, Ms{0}};
+  QuotaVerdict verdict;
+  if (workspace.rate_per_s <= 0) {
+    verdict.allowed = true;
+    return verdict;
+  }
   const auto [it, is_new] = counts_.try_emplace(workspace.name);
   Counts& counts = it->second;
   if (is_new) counts.share.tokens = kShareBurstLeast;
   Advance(counts);
   if (begins_program) ++counts.asked_to_begin.back();
   constexpr size_t kSecondSlots = 2;
-  QuotaInput input;
+  QuotaInput& input = verdict.input;
   input.rate_per_s = workspace.rate_per_s;
   input.burst = workspace.burst;
   input.window = tolerance_.window;
@@ -168,7 +168,8 @@
   const auto others = others_.find(workspace.name);
   if (others != others_.end()) input.others = others->second;
   input.gateways = gateways_;
-  input.out_of_touch = clock_.Now() - heard_at_ > kOutOfTouchAfter;
+  verdict.heard_ago = clock_.Now() - heard_at_;
+  input.out_of_touch = verdict.heard_ago > kOutOfTouchAfter;
   input.begins_program = begins_program;
   input.waited = waited;
   input.calls_per_program = counts.calls_per_program;
@@ -196,19 +197,11 @@
       ++counts.begun.back();
       ++counts.begun_since_heard;
     }
-    return {true, Ms{0}};
+    verdict.allowed = true;
+    return verdict;
   }
-  kLog.Info("A call is over its workspace's rate.",
-            {{"workspace", workspace.name},
-             {"rate_per_s", std::to_string(workspace.rate_per_s)},
-             {"own_calls", std::to_string(input.own.calls)},
-             {"other_calls", std::to_string(input.others.calls)},
-             {"heard_ms_ago", (clock_.Now() - heard_at_).count},
-             {"calls_per_program", std::to_string(counts.calls_per_program)},
-             {"programs_begun",
-              std::to_string(input.own.programs + input.others.programs)},
-             {"begins_program", begins_program ? 1 : 0}});
-  return {false, begins_program ? kRetryProgram : kRetryCall};
+  verdict.retry_after = begins_program ? kRetryProgram : kRetryCall;
+  return verdict;
 }
 
 void Quotas::Return(const std::string& workspace) {
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -30,6 +30,8 @@
   MemoryStore memory;
   std::vector<std::string> called;
   std::string state = R"({"config_version":1})";
+  /// What standard input holds.
+  std::string input;
 
   ~Bench() {
     for (const std::string& file : files_) std::remove(file.c_str());
@@ -46,6 +48,7 @@
     argv.push_back(nullptr);
     std::ostringstream out;
     std::ostringstream err;
+    std::istringstream in(input);
     const auto options = ParseCtlOptions(argc, argv.data());
     if (!options.ok()) return {2, "", options.status().ToString()};
     const CtlEnvironment env{
@@ -55,7 +58,7 @@
         [this](const Address& address, const HttpRequest& request, Ms) {
           return Answer(address, request);
         },
-        out, err};
+        out, err, in};
     const CtlExit exit = RunCtl(*options, env);
     return {static_cast<int>(exit), out.str(), err.str()};
   }
@@ -80,6 +83,9 @@
   };
   const std::vector<std::string> p = {"--platform", "127.0.0.1:1"};
   Bench bench;
+  bench.input =
+      "ts=2026-06-25T12:29:44.1 level=info part=call event=\"Call ended.\" "
+      "request=r1 status=429\n";
   const std::string good = bench.Write(kRules);
   const std::string bad = bench.Write("pool p\npol q # S: w\n");
   const std::string edited = bench.Write("# version 7\npool p\n");
@@ -109,6 +115,10 @@
       {{"dump", "127.0.0.1:4"}, 4, "status 500 no"},
       {{"drain", "127.0.0.1:2"}, 0, "config_version"},
       {{"dump", "127.0.0.1:2"}, 0, "config_version"},
+      {{"explain"}, 2, "takes ID"},
+      {{"explain", "r1", "no_such_file"}, 2, "no_such_file can't be read"},
+      {{"explain", "r1"}, 0, "call: Call ended. request=r1 status=429"},
+      {{"explain", "r9"}, 1, "no line of 1 names 'r9'"},
       {{"--help"}, 0, "Exit codes"},
       {{"--version"}, 0, "knapweedctl 0."},
   };
