--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -123,7 +123,7 @@
   }
   line->push_back('"');
   for (char c : value) {
-    if (c == '"') line->push_back('\\');
+    if (c == '"' || c == '\\') line->push_back('\\');
     line->push_back(c == '\n' ? ' ' : c);
   }
   line->push_back('"');
--- a/tests/ctl__explain_test.cc
+++ b/tests/ctl__explain_test.cc
@@ -1,10 +1,13 @@
 // From the id of a failed call to its cause, by logs alone.
 #include <doctest/doctest.h>
+#include <unistd.h>
 
+#include <cstdio>
 #include <sstream>
 #include <string>
 #include <vector>
 
+#include "knapweed/base/log.h"
 #include "knapweed/ctl/log_story.h"
 
 namespace knapweed {
@@ -111,5 +114,41 @@
   }
 }
 
+// Runs `write` with standard output in a file, and returns what it wrote.
+std::string OutputOf(void (*write)()) {
+  FILE* file = tmpfile();
+  REQUIRE(file != nullptr);
+  fflush(stdout);
+  const int kept = dup(STDOUT_FILENO);
+  dup2(fileno(file), STDOUT_FILENO);
+  write();
+  dup2(kept, STDOUT_FILENO);
+  close(kept);
+  rewind(file);
+  std::string text;
+  char buf[4096];
+  while (const size_t n = fread(buf, 1, sizeof(buf), file)) text.append(buf, n);
+  fclose(file);
+  return text;
+}
+
+TEST_CASE("what a process logs is read back as it was") {
+  static constexpr char kValue[] = R"(a "quoted" word and \ a backslash\)";
+  const std::string text = OutputOf([] {
+    StartStructuredLog(LogLevel::kInfo);
+    constexpr Logger kLog("call");
+    kLog.Info("Call ended.", {{"request", "r1"}, {"reason", kValue}, {"n", 7}});
+    FlushLog();
+  });
+  std::istringstream in(text);
+  std::vector<LogLine> lines;
+  CHECK(ReadLog("x", in, &lines) == 0);
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].part == "call");
+  CHECK(lines[0].event == "Call ended.");
+  CHECK(lines[0].Get("reason") == kValue);
+  CHECK(lines[0].Get("n") == "7");
+}
+
 }  // namespace
 }  // namespace knapweed
