--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -240,6 +240,13 @@
   return n;
 }
 
+CallerCall PlainCall(const std::string& path, const std::string& id) {
+  CallerCall call;
+  call.path = path;
+  call.headers["Request-Id"] = id;
+  return call;
+}
+
 CallerCall TurnCall(const std::string& id, const std::string& program,
                     int budget, int most) {
   CallerCall call;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -77,6 +77,8 @@
   Address store_address_;
 };
 
+/// A call without a body's meaning, under its own request id.
+CallerCall PlainCall(const std::string& path, const std::string& id = "p1");
 /// A turn of a program with a budget.
 CallerCall TurnCall(const std::string& id, const std::string& program,
                     int budget, int most);
