--- a/include/knapweed/gateway/fleet_config.h
+++ b/include/knapweed/gateway/fleet_config.h
@@ -17,7 +17,7 @@
 namespace knapweed::gateway {
 
 /// One service that a route may lead to, and its share of the route's calls.
-struct Backend {
+struct WeightedService {
   std::string service;
   uint32_t weight = 1;
 };
@@ -27,7 +27,7 @@
   std::string name;
   std::string host;
   std::string prefix;
-  std::vector<Backend> backends;
+  std::vector<WeightedService> services;
   /// The answer is a stream of events.
   bool streaming = false;
   /// A call may run more than once.
@@ -102,7 +102,7 @@
 
 /// Picks one of the route's services by weight; the same `hash` always picks
 /// the same one. Empty when the route has none.
-std::string_view PickBackend(const Route& route, uint64_t hash);
+std::string_view PickService(const Route& route, uint64_t hash);
 
 /// The rank that a call has: its workspace's where that is set, otherwise its
 /// route's.
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -68,7 +68,7 @@
   }
   const uint64_t split =
       HashBytes(!head.line.empty() ? head.line : head.request_id);
-  const std::string_view name = PickBackend(route, split);
+  const std::string_view name = PickService(route, split);
   const auto service = state->config->services.find(name);
   if (service == state->config->services.end()) {
     co_await Refuse(state, 503, kRetryNoUpstream, "route without a service");
--- a/src/gateway/fleet_config.cc
+++ b/src/gateway/fleet_config.cc
@@ -20,14 +20,14 @@
   return it == config.keys.end() ? nullptr : &config.workspaces[it->second];
 }
 
-std::string_view PickBackend(const Route& route, uint64_t hash) {
+std::string_view PickService(const Route& route, uint64_t hash) {
   uint64_t total = 0;
-  for (const Backend& backend : route.backends) total += backend.weight;
+  for (const WeightedService& it : route.services) total += it.weight;
   if (total == 0) return {};
   uint64_t at = hash % total;
-  for (const Backend& backend : route.backends) {
-    if (at < backend.weight) return backend.service;
-    at -= backend.weight;
+  for (const WeightedService& it : route.services) {
+    if (at < it.weight) return it.service;
+    at -= it.weight;
   }
   return {};
 }
--- a/tests/gateway__rate_load_test.cc
+++ b/tests/gateway__rate_load_test.cc
@@ -126,7 +126,8 @@
         if (tools > 0) ideal += kToolTakes;
         calls += 1 + tools;
       }
-      program.aim = Ms{static_cast<int64_t>(1.7 * ideal.count) + 250};
+      program.aim = Ms{
+          static_cast<int64_t>(1.7 * static_cast<double>(ideal.count)) + 250};
       Push(programs_.size(), true, at, kTurn.series);
       programs_.push_back(program);
       at += Ms{static_cast<int64_t>(gap(random_) * 1000)};
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -42,15 +42,15 @@
 
 TEST_CASE("a split route is shared out by weight, one line to one service") {
   Route route;
-  route.backends = {{"a", 90}, {"b", 10}};
+  route.services = {{"a", 90}, {"b", 10}};
   int to_b = 0;
   for (uint64_t hash = 0; hash < 1000; ++hash) {
-    CHECK(PickBackend(route, hash) == PickBackend(route, hash));
-    if (PickBackend(route, hash) == "b") ++to_b;
+    CHECK(PickService(route, hash) == PickService(route, hash));
+    if (PickService(route, hash) == "b") ++to_b;
   }
   CHECK(to_b == 100);
-  route.backends.clear();
-  CHECK(PickBackend(route, 7).empty());
+  route.services.clear();
+  CHECK(PickService(route, 7).empty());
 }
 
 TEST_CASE("events are cut byte for byte, however the bytes come") {
