Keep one copy of percent-encoding and of following a table

Cause: a reading of the whole change. The platform's translation had its own twin of PercentEncode and the fake store one of PercentDecode; both now call knapweed/base/percent.h, which the HTTP library uses as well. The loops that follow the configuration and the upstreams held the same read-then-feed steps; ReadNews holds them once. MayBegin stands in the one unnamed namespace of quotas.cc.

--- a/include/knapweed/gateway/crash_watch.h
+++ b/include/knapweed/gateway/crash_watch.h
@@ -26,7 +26,7 @@
 
   /// Whether any request is under suspicion; digests matter only then.
   bool HasRecords() const { return quarantine_.size() > 0; }
-  /// Whether so many upstreams crashed under the request that it must not run.
+  /// Whether upstreams crashed under the request so often that it must not run.
   bool IsQuarantined(uint64_t digest) const;
   /// An attempt broke off. Looks in the background whether the upstream still
   /// takes connections; if not, it crashed under this request.
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -47,6 +47,22 @@
   }
 
  private:
+  /// How far a table is known; a gap in the feed makes it unknown again.
+  struct TablePosition {
+    bool known = false;
+    uint64_t version = 0;
+  };
+  /// What the store told of a table. Without `ok` the rows are a part of it.
+  struct TableNews {
+    bool ok = false;
+    bool is_whole_table = false;
+    std::vector<Row> rows;
+  };
+
+  /// Reads the whole table at first and after a failure, otherwise waits a
+  /// while for what changes in it.
+  Task<TableNews> ReadNews(std::string_view table, TablePosition& position);
+  Task<void> PauseAfterFailure();
   Task<void> FollowConfig();
   Task<void> FollowUpstreams();
   Task<void> FollowGateways();
--- a/include/knapweed/http/http.h
+++ b/include/knapweed/http/http.h
@@ -37,13 +37,6 @@
 /// The value of a query parameter, decoded; empty when there is none.
 std::string QueryParam(std::string_view query, std::string_view name);
 
-/// Percent-encodes everything but unreserved characters, so that the text can
-/// stand in a path or as a query value.
-std::string PercentEncode(std::string_view text);
-
-/// Undoes `PercentEncode`; what is no escape stays as it is.
-std::string PercentDecode(std::string_view text);
-
 }  // namespace knapweed
 
 #endif  // KNAPWEED_HTTP_HTTP_H_
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -201,31 +201,43 @@
   view_.config = std::make_shared<const FleetConfig>(*std::move(config));
 }
 
+Task<FleetWatch::TableNews> FleetWatch::ReadNews(std::string_view table,
+                                                 TablePosition& position) {
+  TableNews news;
+  if (!position.known) {
+    news.is_whole_table = true;
+    news.ok = co_await ReadTable(table, &news.rows, &position.version);
+  } else {
+    FeedRequest feed;
+    feed.table = std::string(table);
+    feed.after = position.version;
+    feed.wait = kFeedWait;
+    StoreAnswer answer = co_await store_.Follow(feed);
+    news.ok = answer.outcome == StoreOutcome::kDone;
+    if (news.ok) {
+      news.rows = std::move(answer.rows);
+      position.version = std::max(position.version, answer.version);
+    }
+  }
+  position.known = news.ok;
+  co_return news;
+}
+
+Task<void> FleetWatch::PauseAfterFailure() {
+  co_await Sleep(loop_,
+                 store_.reachable() ? kPauseAfterFailure : kPauseInOutage);
+}
+
 Task<void> FleetWatch::FollowConfig() {
-  uint64_t version = 0;
-  bool known = false;
+  TablePosition position;
   while (true) {
-    if (!known) {
-      std::vector<Row> rows;
-      known = co_await ReadTable(dialect_.config_row.table, &rows, &version);
-      for (const Row& row : rows) TakeConfig(row);
-    } else {
-      FeedRequest feed;
-      feed.table = dialect_.config_row.table;
-      feed.after = version;
-      feed.wait = kFeedWait;
-      const StoreAnswer answer = co_await store_.Follow(feed);
-      known = answer.outcome == StoreOutcome::kDone;
-      if (known) {
-        for (const Row& row : answer.rows) TakeConfig(row);
-        version = std::max(version, answer.version);
-      }
-    }
-    if (known) {
+    const TableNews news =
+        co_await ReadNews(dialect_.config_row.table, position);
+    for (const Row& row : news.rows) TakeConfig(row);
+    if (news.ok) {
       view_.config_confirmed_at = clock_.Now();
     } else {
-      co_await Sleep(loop_,
-                     store_.reachable() ? kPauseAfterFailure : kPauseInOutage);
+      co_await PauseAfterFailure();
     }
   }
 }
@@ -299,37 +311,21 @@
 }
 
 Task<void> FleetWatch::FollowUpstreams() {
-  uint64_t version = 0;
-  bool known = false;
+  TablePosition position;
   while (true) {
     // Cache sizes of engines stand in the configuration.
     while (view_.config == nullptr) {
       co_await Sleep(loop_, Ms{20});
     }
-    if (!known) {
-      std::vector<Row> rows;
-      known = co_await ReadTable(dialect_.upstream_table, &rows, &version);
-      if (known) {
-        for (const Row& row : rows) TakeUpstream(row);
-        DropAbsent(rows);
-        upstreams_read_ = true;
-      }
-    } else {
-      FeedRequest feed;
-      feed.table = std::string(dialect_.upstream_table);
-      feed.after = version;
-      feed.wait = kFeedWait;
-      const StoreAnswer answer = co_await store_.Follow(feed);
-      known = answer.outcome == StoreOutcome::kDone;
-      if (known) {
-        for (const Row& row : answer.rows) TakeUpstream(row);
-        version = std::max(version, answer.version);
-      }
+    const TableNews news = co_await ReadNews(dialect_.upstream_table, position);
+    if (news.ok) {
+      for (const Row& row : news.rows) TakeUpstream(row);
+      if (news.is_whole_table) DropAbsent(news.rows);
+      upstreams_read_ = true;
     }
     DropOverdue();
-    if (!known) {
-      co_await Sleep(loop_,
-                     store_.reachable() ? kPauseAfterFailure : kPauseInOutage);
+    if (!news.ok) {
+      co_await PauseAfterFailure();
     }
   }
 }
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -58,19 +58,6 @@
   return std::accumulate(counts.begin(), counts.end(), uint32_t{0});
 }
 
-}  // namespace
-
-double ShareOfRate(const QuotaInput& input) {
-  const double all = input.own.demand_per_s + input.others.demand_per_s;
-  if (all >= input.rate_per_s) {
-    return input.rate_per_s * input.own.demand_per_s / std::max(all, 1e-9);
-  }
-  return input.own.demand_per_s +
-         (input.rate_per_s - all) / std::max(input.gateways, uint32_t{1});
-}
-
-namespace {
-
 /// Whether a program may begin. Each gateway takes its part of the room that is
 /// left, by the first turns that come to it; the others hear of it later.
 bool MayBegin(const QuotaInput& input, double used, double limit) {
@@ -98,6 +85,15 @@
 
 }  // namespace
 
+double ShareOfRate(const QuotaInput& input) {
+  const double all = input.own.demand_per_s + input.others.demand_per_s;
+  if (all >= input.rate_per_s) {
+    return input.rate_per_s * input.own.demand_per_s / std::max(all, 1e-9);
+  }
+  return input.own.demand_per_s +
+         (input.rate_per_s - all) / std::max(input.gateways, uint32_t{1});
+}
+
 QuotaDecision DecideQuota(const QuotaInput& input) {
   const double limit =
       input.rate_per_s * input.window.Seconds() + kBurstCounted * input.burst;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -16,6 +16,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "knapweed/base/log.h"
+#include "knapweed/base/percent.h"
 #include "timed_socket.h"
 
 namespace knapweed {
--- a/src/platform/object_store.cc
+++ b/src/platform/object_store.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "knapweed/base/percent.h"
 #include "store_http.h"
 
 namespace knapweed {
--- a/src/platform/table_service.cc
+++ b/src/platform/table_service.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "knapweed/base/percent.h"
 #include "store_http.h"
 
 namespace knapweed {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "knapweed/base/percent.h"
 #include "knapweed/http/client.h"
 #include "knapweed/http/server.h"
 #include "standins/free_port.h"
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 
 #include "knapweed/base/parse.h"
+#include "knapweed/base/percent.h"
 
 namespace knapweed::testing {
 namespace {
@@ -32,18 +33,7 @@
     const std::string item =
         target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
     if (item.starts_with(name + "=")) {
-      std::string out;
-      const std::string raw = item.substr(name.size() + 1);
-      for (size_t i = 0; i < raw.size(); ++i) {
-        if (raw[i] == '%' && i + 2 < raw.size()) {
-          out.push_back(
-              static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16)));
-          i += 2;
-        } else {
-          out.push_back(raw[i]);
-        }
-      }
-      return out;
+      return PercentDecode(item.substr(name.size() + 1));
     }
     at = end;
   }
