Log and show the limits that upstreams state

Change: platform/ decodes the header; the gateway keeps the newest statement of each incarnation (policy/send_limit), logs its changes with the requests sent since, and shows both in /state. No decision asks for it yet. Measured: tests of the decoding, of the state for a success, a failure, a refusal and a stream, and of which statement counts.

--- a/include/knapweed/gateway/call.h
+++ b/include/knapweed/gateway/call.h
@@ -72,6 +72,9 @@
   bool not_run = false;
   /// Whether the upstream states that it is draining.
   bool draining = false;
+  /// How many requests per second the upstream takes from all gateways
+  /// together, if it states a limit.
+  std::optional<double> limit_per_s;
   /// Whether the response is marked as made by the upstream's service, not by
   /// an intermediary.
   bool is_signed = false;
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -118,6 +118,9 @@
   Task<void> Refuse(StatePtr state, unsigned status, Ms retry_after,
                     std::string_view reason);
   void MarkDraining(const State& state, const UpstreamPtr& upstream);
+  /// Takes over the limit that the response to a request sent at `sent_at`
+  /// states or does not state.
+  void RecordLimit(const State& state, Upstream& upstream, Ms sent_at);
   UpstreamPtr Choose(State& state);
   UpstreamRequest MakeRequest(const State& state, const Upstream& upstream);
   /// Returns the Retry-After time of a call that is refused because the store
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -14,6 +14,7 @@
 #include "knapweed/base/settings.h"
 #include "knapweed/gateway/call.h"
 #include "knapweed/policy/circuit_breaker.h"
+#include "knapweed/policy/send_limit.h"
 
 /// The upstreams that the platform lists, and the state that this gateway keeps
 /// of each from its own calls.
@@ -72,6 +73,10 @@
   /// It stated in a response that it is draining. Final for this incarnation,
   /// whatever the platform lists.
   bool said_draining = false;
+  /// The limit on requests that it stated last.
+  StatedLimit limit;
+  /// Requests that this gateway sent to it since it states a limit.
+  uint64_t sent_under_limit = 0;
   CircuitBreaker breaker;
   /// Other upstreams are preferred until then, after a refusal or a failure.
   Ms avoid_until;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -28,6 +28,9 @@
 /// Assumed number of events in a streamed response, for the choice of an
 /// upstream.
 constexpr uint32_t kExpectedEvents = 8;
+/// Status of a response by another instance than the one that the request
+/// names.
+constexpr unsigned kMisdirected = 421;
 constexpr int kMostUrgent = 0;
 constexpr int kLeastUrgent = 9;
 
@@ -185,10 +188,15 @@
                          head.prompt_tokens);
   ++upstream->in_flight;
   upstream->pending_prefill_tokens += uncached_tokens;
+  if (upstream->limit.per_s.has_value()) ++upstream->sent_under_limit;
+  const Ms sent_at = deps_.clock.Now();
   const AttemptOutcome outcome =
       co_await attempt->Begin(std::move(conn), request, head.request_id);
   upstream->pending_prefill_tokens -= uncached_tokens;
   if (attempt->saw_draining()) MarkDraining(*state, upstream);
+  if (outcome != AttemptOutcome::kBroken) {
+    RecordLimit(*state, *upstream, sent_at);
+  }
   Step step = Step::kNext;
   if (state->caller_disconnected) {
     step = Step::kDone;
@@ -216,9 +224,30 @@
   deps_.view.upstreams.MarkDraining(upstream, WallTime());
 }
 
+void CallRunner::RecordLimit(const State& state, Upstream& upstream,
+                             Ms sent_at) {
+  // A 421 comes from another instance, at an address that was reused.
+  if (state.attempt->status() == kMisdirected) return;
+  const ResponseHead& head = state.attempt->head();
+  // Without a signature the upstream's service may not have made the response.
+  if (!head.limit_per_s.has_value() && !head.is_signed) return;
+  const StatedLimit news =
+      LimitInResponse(head.limit_per_s, sent_at, deps_.clock.Now());
+  const bool had_limit = upstream.limit.per_s.has_value();
+  const bool changed = MergeLimit(upstream.limit, news);
+  if (!changed) return;
+  kLog.Info(
+      "The limit that an upstream states has changed.",
+      {{"request", state.request.head.request_id},
+       {"upstream", upstream.entry.id},
+       {"per_s", news.per_s.has_value() ? std::to_string(*news.per_s) : "none"},
+       {"sent_under_limit", upstream.sent_under_limit}});
+  if (!had_limit) upstream.sent_under_limit = 0;
+}
+
 Task<CallRunner::Step> CallRunner::OnNotRun(StatePtr state,
                                             UpstreamPtr upstream) {
-  const bool misdirected = state->attempt->status() == 421;
+  const bool misdirected = state->attempt->status() == kMisdirected;
   upstream->avoid_until =
       deps_.clock.Now() + (misdirected ? kAvoidMisdirected : kAvoidFull);
   // The connection can be reused only after the body, which may be slow.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -144,6 +144,10 @@
     upstreams[id] = {{"service", up->entry.service},
                      {"address", up->entry.address.ToString()},
                      {"draining", up->entry.draining || up->said_draining},
+                     {"limit_per_s", up->limit.per_s.has_value()
+                                         ? nlohmann::json(*up->limit.per_s)
+                                         : nlohmann::json()},
+                     {"sent_under_limit", up->sent_under_limit},
                      {"in_flight", up->in_flight},
                      {"failures", up->breaker.failures},
                      {"avoided", up->avoid_until > now}};
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -98,6 +98,7 @@
     request.target = std::string(parser.get().target());
     request.fields = parser.get();
     request.body = parser.get().body();
+    request.at = clock_.Now();
     const bool is_expected_instance = request.Get("Expect-Instance") == id_;
     Script script = default_script;
     if (!scripts.empty()) {
@@ -119,7 +120,7 @@
                              const std::string& more) const {
   return "HTTP/1.1 " + std::to_string(status) +
          " X\r\nRequest-Id: " + request.Get("Request-Id") + "\r\n" +
-         LeavingField() + more;
+         StateFields() + more;
 }
 
 std::string FakeServer::LargeBody() {
@@ -128,8 +129,11 @@
   return body;
 }
 
-std::string FakeServer::LeavingField() const {
-  return leaving ? "Server-Leaving: 1\r\n" : "";
+std::string FakeServer::StateFields() const {
+  std::string fields;
+  if (leaving) fields += "Server-Leaving: 1\r\n";
+  if (!limit_per_s.empty()) fields += "Server-Limit: " + limit_per_s + "\r\n";
+  return fields;
 }
 
 Task<void> FakeServer::SendEndlessly(beast::tcp_stream& stream,
@@ -251,7 +255,7 @@
              Head(request, 200, signature + "Content-Length: 4\r\n\r\nevil");
       break;
     case Script::Kind::kMismatched:
-      text = "HTTP/1.1 200 X\r\nRequest-Id: another\r\n" + LeavingField() +
+      text = "HTTP/1.1 200 X\r\nRequest-Id: another\r\n" + StateFields() +
              signature + "Content-Length: 4\r\n\r\nevil" +
              "HTTP/1.1 200 X\r\nRequest-Id: " + request.Get("Request-Id") +
              "\r\n" + signature + plain;
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -82,6 +82,8 @@
   std::string target;
   gateway::http::fields fields;
   std::string body;
+  /// When it arrived, on the clock of the machine.
+  Ms at;
   std::string Get(const std::string& name) const {
     return std::string(fields[name]);
   }
@@ -114,6 +116,8 @@
   Ms restart_delay{400};
   /// Every response states that the server is leaving.
   bool leaving = false;
+  /// Limit in requests per second that every response states; empty for none.
+  std::string limit_per_s;
   std::vector<ReceivedRequest> received;
   /// Connections accepted so far.
   int connections = 0;
@@ -141,10 +145,12 @@
   /// Returns the status line, the request ID and `more`, which ends the header.
   std::string Head(const ReceivedRequest& request, int status,
                    const std::string& more) const;
-  /// Returns the header that states that the server is leaving, if it is.
-  std::string LeavingField() const;
+  /// Returns the headers that state that the server is leaving, if it is, and
+  /// its limit, if it has one.
+  std::string StateFields() const;
 
   gateway::asio::io_context& loop_;
+  Clock clock_ = Clock::Steady();
   std::string id_;
   Address address_;
   std::unique_ptr<gateway::asio::ip::tcp::acceptor> acceptor_;
