Keep the list of other gateways in Peers, which chooses homes

Cause: the budgets and the starts of programs each kept this gateway's address, the list of others and a call of the same choice, which made a text of each address for each decision; a third user would have been a third copy. Change: Peers holds the addresses with their texts and answers HomeOf. The weights are the same, so gateways of both builds choose the same homes.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -115,14 +115,13 @@
   /// `gateway` names this gateway in budget rows and is unique to this process.
   /// `self` is its peer address.
   Budgets(asio::io_context& loop, const Clock& clock, Store& store,
-          SharedRows& rows, std::string gateway, Address self)
+          SharedRows& rows, std::string gateway, const Address& self)
       : loop_(loop),
         clock_(clock),
         store_(store),
         rows_(rows),
         gateway_(std::move(gateway)),
-        self_(std::move(self)),
-        peers_(loop, clock) {}
+        peers_(loop, clock, self) {}
 
   /// Reserves `ticket.max_tokens` tokens of the program's `budget` at the
   /// program's home, or at this gateway if the home does not answer. Waits
@@ -137,7 +136,7 @@
   /// one as a program's home.
   Task<HttpResponse> AnswerPeer(const HttpRequest& call);
   /// Sets the peer addresses of the other serving gateways.
-  void SetOthers(std::vector<Address> others) { others_ = std::move(others); }
+  void SetOthers(std::span<const Address> others) { peers_.SetOthers(others); }
   /// Writes pending spending to the store, returns allowances of programs that
   /// have been idle for a while and confirms those in use. With `all`, returns
   /// every token that running turns do not need. Must be called periodically.
@@ -195,8 +194,6 @@
   Store& store_;
   SharedRows& rows_;
   std::string gateway_;
-  Address self_;
-  std::vector<Address> others_;
   Peers peers_;
   std::map<std::string, ProgramPtr> programs_;
   std::map<std::string, RemoteTurn> remote_turns_;
--- a/include/knapweed/gateway/peers.h
+++ b/include/knapweed/gateway/peers.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "knapweed/gateway/net.h"
 
@@ -20,16 +22,18 @@
   bool is_self = true;
 };
 
-/// Chooses a name's home by rendezvous (highest random weight) hashing.
-Home ChooseHome(std::string_view name, const Address& self,
-                std::span<const Address> others);
-
-/// HTTP clients of the other gateways. A peer that does not answer is skipped
-/// for a while. Not thread-safe.
+/// The other gateways as this one knows them, with an HTTP client of each. A
+/// peer that does not answer is skipped for a while. Not thread-safe.
 class Peers {
  public:
-  Peers(asio::io_context& loop, const Clock& clock)
-      : loop_(loop), clock_(clock) {}
+  /// `self` is this gateway's peer address.
+  Peers(asio::io_context& loop, const Clock& clock, const Address& self)
+      : loop_(loop), clock_(clock), self_(NameOf(self)) {}
+
+  /// Replaces the peer addresses of the other serving gateways.
+  void SetOthers(std::span<const Address> others);
+  /// Chooses a name's home by rendezvous (highest random weight) hashing.
+  Home HomeOf(std::string_view name) const;
 
   /// Returns the client of a peer, which lives as long as this object.
   HttpClient& At(const Address& address);
@@ -39,8 +43,19 @@
   void Skip(const Address& address);
 
  private:
+  /// A gateway's address, and as text for hashing.
+  struct Name {
+    Address address;
+    std::string text;
+  };
+  static Name NameOf(const Address& address) {
+    return {address, address.ToString()};
+  }
+
   asio::io_context& loop_;
   const Clock& clock_;
+  Name self_;
+  std::vector<Name> others_;
   std::map<Address, std::unique_ptr<HttpClient>> clients_;
   std::map<Address, Ms> skipped_until_;
 };
--- a/include/knapweed/gateway/program_starts.h
+++ b/include/knapweed/gateway/program_starts.h
@@ -27,11 +27,8 @@
 
   /// `self` is this gateway's peer address.
   ProgramStarts(asio::io_context& loop, const Clock& clock, Quotas& quotas,
-                Address self, FindByName find)
-      : quotas_(quotas),
-        peers_(loop, clock),
-        self_(std::move(self)),
-        find_(std::move(find)) {}
+                const Address& self, FindByName find)
+      : quotas_(quotas), peers_(loop, clock, self), find_(std::move(find)) {}
 
   /// Decides on a call that starts a program and counts it if it is admitted.
   /// Without an answer of the home this gateway decides by what it knows.
@@ -39,7 +36,7 @@
   /// Handles another gateway's request for a start.
   HttpResponse AnswerPeer(const HttpRequest& call);
   /// Sets the peer addresses of the other serving gateways.
-  void SetOthers(std::vector<Address> others) { others_ = std::move(others); }
+  void SetOthers(std::span<const Address> others) { peers_.SetOthers(others); }
 
  private:
   /// The home's answer; not `decided` if there was none.
@@ -47,8 +44,6 @@
 
   Quotas& quotas_;
   Peers peers_;
-  Address self_;
-  std::vector<Address> others_;
   FindByName find_;
 };
 
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -199,7 +199,7 @@
 
 Task<ReserveResult> Budgets::Reserve(ReservationTicket& ticket, uint64_t budget,
                                      Ms deadline) {
-  const Home home = ChooseHome(ticket.program, self_, others_);
+  const Home home = peers_.HomeOf(ticket.program);
   const bool ask_home = !home.is_self && peers_.MayAsk(home.address);
   if (ask_home) {
     bool answered = false;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -10,18 +10,20 @@
 
 }  // namespace
 
-Home ChooseHome(std::string_view name, const Address& self,
-                std::span<const Address> others) {
-  const auto weight = [&](const Address& address) {
-    return HashBytes(address.ToString(), HashBytes(name));
-  };
-  Home home{self, true};
-  uint64_t best = weight(self);
-  for (const Address& other : others) {
-    const uint64_t w = weight(other);
-    if (w <= best) continue;
-    best = w;
-    home = {other, false};
+void Peers::SetOthers(std::span<const Address> others) {
+  others_.clear();
+  for (const Address& address : others) others_.push_back(NameOf(address));
+}
+
+Home Peers::HomeOf(std::string_view name) const {
+  const uint64_t seed = HashBytes(name);
+  Home home{self_.address, true};
+  uint64_t best = HashBytes(self_.text, seed);
+  for (const Name& other : others_) {
+    const uint64_t weight = HashBytes(other.text, seed);
+    if (weight <= best) continue;
+    best = weight;
+    home = {other.address, false};
   }
   return home;
 }
--- a/src/gateway/program_starts.cc
+++ b/src/gateway/program_starts.cc
@@ -22,7 +22,7 @@
 
 Task<QuotaVerdict> ProgramStarts::Take(const Workspace& workspace, Ms waited) {
   if (workspace.rate_per_s <= 0) co_return quotas_.Take(workspace);
-  const Home home = ChooseHome(workspace.name, self_, others_);
+  const Home home = peers_.HomeOf(workspace.name);
   QuotaVerdict start;
   if (home.is_self) {
     start = quotas_.GrantStart(workspace, waited);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -138,17 +138,24 @@
 TEST_CASE("gateways that know the same peers choose the same home") {
   std::vector<Address> all;
   for (uint16_t port = 80; port < 87; ++port) all.push_back({"10.0.0.1", port});
+  asio::io_context loop;
+  const Clock clock = Clock::Manual();
+  std::vector<std::unique_ptr<Peers>> gateways;
+  for (const Address& self : all) {
+    std::vector<Address> others;
+    for (const Address& other : all) {
+      if (other != self) others.push_back(other);
+    }
+    gateways.push_back(std::make_unique<Peers>(loop, clock, self));
+    gateways.back()->SetOthers(others);
+  }
   std::map<Address, int> homes;
   for (int n = 0; n < 700; ++n) {
     const std::string program = "p" + std::to_string(n);
     Address chosen;
-    for (const Address& self : all) {
-      std::vector<Address> others;
-      for (const Address& other : all) {
-        if (other != self) others.push_back(other);
-      }
-      const Home home = ChooseHome(program, self, others);
-      CHECK(home.is_self == (home.address == self));
+    for (size_t i = 0; i < all.size(); ++i) {
+      const Home home = gateways[i]->HomeOf(program);
+      CHECK(home.is_self == (home.address == all[i]));
       if (chosen == Address{}) chosen = home.address;
       CHECK(home.address == chosen);
     }
