Keep the limits that upstreams state, by grants of one gateway

What callers and operators saw: an upstream in need got two to three times the requests that it had stated it takes. Cause: responses state the limit, and no decision asked for it (class of fault: a signal of the upstream that is not part of the decision). A limit for all gateways together can't be kept by each alone: with 84 gateways a share of 5 a second is one request each 17 s. Change: each request to a limited upstream needs a grant of the upstream's home, one gateway by highest random weight (gateway/send_limits, gateway/grant_ledger); the decisions are pure functions in policy/send_limit. The home grants the whole limit and a burst of two requests and a quarter second. Where it does not answer, the next in its order first tries to pass the request on, then grants 0.3 of the limit, and all of it once the home has stopped or has been silent for 2 s, also for a longer probe. A grant lasts 0.5 s, so a paused VM does not use an old one. A gateway tells the home at once when a limit begins, changes or ends; the home's row tells the others. Nothing of it needs the store. A home that others may not know yet introduces itself to the one that would act for it. A call that finds all limits used up waits for a promised turn, the start of a program at most its objective, or is refused with the time of the next turn. Choice and grants move from call_runner.cc to call_placement.cc; the three users of peers share their connections.

--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -7,6 +7,7 @@
 
 #include "absl/status/statusor.h"
 #include "knapweed/base/settings.h"
+#include "knapweed/gateway/grant_ledger.h"
 #include "knapweed/gateway/quotas.h"
 
 /// The row by which a gateway tells the others that it runs, and what it has
@@ -21,13 +22,16 @@
   UseByWorkspace use;
   /// Records of `CrashWatch`, which decodes them.
   nlohmann::json crashes = nlohmann::json::array();
+  /// Limits of upstreams that it grants; times are on the store's clock.
+  std::vector<LimitRecord> limits;
 };
 
 std::string EncodeAnnouncement(const Announcement& announcement);
 
-/// Decodes a row's value. Skips the usage of a workspace that is malformed.
-/// Returns InvalidArgument if the address or the time is missing. A row of a
-/// build that does not publish admitted calls has its demand in their place.
+/// Decodes a row's value. Skips the usage of a workspace and the limit of an
+/// upstream that are malformed. Returns InvalidArgument if the address or the
+/// time is missing. A row of a build that does not publish admitted calls has
+/// its demand in their place.
 absl::StatusOr<Announcement> DecodeAnnouncement(std::string_view bytes);
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -115,13 +115,15 @@
   /// `gateway` names this gateway in budget rows and is unique to this process.
   /// `self` is its peer address.
   Budgets(asio::io_context& loop, const Clock& clock, Store& store,
-          SharedRows& rows, std::string gateway, const Address& self)
+          SharedRows& rows, PeerClients& clients, std::string gateway,
+          const Address& self)
       : loop_(loop),
         clock_(clock),
         store_(store),
         rows_(rows),
         gateway_(std::move(gateway)),
-        peers_(loop, clock, self) {}
+        clients_(clients),
+        peers_(clock, self) {}
 
   /// Reserves `ticket.max_tokens` tokens of the program's `budget` at the
   /// program's home, or at this gateway if the home does not answer. Waits
@@ -194,6 +196,7 @@
   Store& store_;
   SharedRows& rows_;
   std::string gateway_;
+  PeerClients& clients_;
   Peers peers_;
   std::map<std::string, ProgramPtr> programs_;
   std::map<std::string, RemoteTurn> remote_turns_;
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -15,6 +15,7 @@
 #include "knapweed/gateway/event_splitter.h"
 #include "knapweed/gateway/program_starts.h"
 #include "knapweed/gateway/quotas.h"
+#include "knapweed/gateway/send_limits.h"
 #include "knapweed/gateway/turns.h"
 
 /// Processing of one call: checks its route, key, history, budget and rate,
@@ -71,6 +72,7 @@
   ProgramStarts& starts;
   Budgets& budgets;
   Turns& turns;
+  SendLimits& send_limits;
   ConnectionPool& pool;
   CrashWatch& crashes;
   Metrics& metrics;
@@ -120,8 +122,16 @@
   void MarkDraining(const State& state, const UpstreamPtr& upstream);
   /// Takes over the limit that the response to a request sent at `sent_at`
   /// states or does not state.
-  void RecordLimit(const State& state, Upstream& upstream, Ms sent_at);
-  UpstreamPtr Choose(State& state);
+  void RecordLimit(const State& state, const UpstreamPtr& upstream, Ms sent_at);
+  /// Returns the best upstream, or the best that states no limit; null if there
+  /// is none to which a request may be sent now.
+  UpstreamPtr Choose(State& state, bool without_limit);
+  /// Chooses an upstream to which the call may be sent now; waits for that if
+  /// the limits of all are used up. Refuses the call and returns null if there
+  /// is none.
+  Task<UpstreamPtr> ChooseWithGrant(StatePtr state);
+  /// Waits for a grant of the upstream whose limit first allows a request.
+  Task<UpstreamPtr> WaitForGrant(StatePtr state, UpstreamPtr upstream);
   UpstreamRequest MakeRequest(const State& state, const Upstream& upstream);
   /// Returns the Retry-After time of a call that is refused because the store
   /// is unreachable.
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -29,6 +29,7 @@
   Quotas& quotas;
   ProgramStarts& starts;
   Budgets& budgets;
+  SendLimits& send_limits;
   CrashWatch& crashes;
 };
 
@@ -82,6 +83,8 @@
   void RunPendingRemovals();
   Task<void> RestoreOwnUse();
   Task<bool> Announce();
+  /// Returns the records of limits with their times on the store's clock.
+  std::vector<LimitRecord> LimitsToTell();
   /// `now` is the store's time when the rows were read; `age` is the time since
   /// then.
   void ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age);
@@ -98,6 +101,7 @@
   Quotas& quotas_;
   ProgramStarts& starts_;
   Budgets& budgets_;
+  SendLimits& send_limits_;
   CrashWatch& crashes_;
   GatewayEntry self_;
   std::vector<Address> seeds_;
--- a/include/knapweed/gateway/peers.h
+++ b/include/knapweed/gateway/peers.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEED_GATEWAY_PEERS_H_
 #define KNAPWEED_GATEWAY_PEERS_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
@@ -10,7 +11,7 @@
 
 #include "knapweed/gateway/net.h"
 
-/// Connections to the other gateways, and the choice of the one among them that
+/// Requests to the other gateways, and the choice of the one among them that
 /// decides for all.
 namespace knapweed::gateway {
 
@@ -22,25 +23,58 @@
   bool is_self = true;
 };
 
-/// The other gateways as this one knows them, with an HTTP client of each. A
-/// peer that does not answer is skipped for a while. Not thread-safe.
+/// HTTP clients of the other gateways, by peer address. Not thread-safe.
+class PeerClients {
+ public:
+  PeerClients(asio::io_context& loop, const Clock& clock)
+      : loop_(loop), clock_(clock) {}
+
+  /// Returns the client of a peer, which lives as long as this object.
+  HttpClient& At(const Address& address);
+
+ private:
+  asio::io_context& loop_;
+  const Clock& clock_;
+  std::map<Address, std::unique_ptr<HttpClient>> clients_;
+};
+
+/// Sends a request to another gateway's peer address and waits for its response
+/// for the given time. The request must outlive the call.
+using SendToPeer =
+    std::function<Task<HttpResponse>(const Address&, const HttpRequest&, Ms)>;
+
+/// The other gateways as this one knows them, for one purpose. A peer that does
+/// not answer is skipped for a while. Not thread-safe.
 class Peers {
  public:
   /// `self` is this gateway's peer address.
-  Peers(asio::io_context& loop, const Clock& clock, const Address& self)
-      : loop_(loop), clock_(clock), self_(NameOf(self)) {}
+  Peers(const Clock& clock, const Address& self)
+      : clock_(clock), self_(NameOf(self)) {}
 
   /// Replaces the peer addresses of the other serving gateways.
   void SetOthers(std::span<const Address> others);
   /// Chooses a name's home by rendezvous (highest random weight) hashing.
   Home HomeOf(std::string_view name) const;
+  /// Returns the gateway that acts for the home of a name, as far as this one
+  /// can tell: the home, or the next in its order that is not being skipped.
+  Home ReachableHomeOf(std::string_view name) const;
+  /// Returns the other gateway that acts for the home of a name if this one
+  /// does not; this one if there is no other.
+  Home SubstituteOf(std::string_view name) const;
+  /// Adds a gateway that has sent a request and is not known yet.
+  void AddOther(const Address& address);
+  /// From now on chooses this gateway only where there is no other.
+  void ExcludeSelf() { excludes_self_ = true; }
 
-  /// Returns the client of a peer, which lives as long as this object.
-  HttpClient& At(const Address& address);
   /// Returns whether the peer may be asked, i.e. is not being skipped.
   bool MayAsk(const Address& address) const;
   /// Skips a peer for a while because it did not answer.
   void Skip(const Address& address);
+  /// Ends the time for which a peer counts as unreachable.
+  void RecordAnswer(const Address& address);
+  /// Returns the time since the first of the requests that a peer has left
+  /// unanswered; zero if it answered the last one.
+  Ms UnreachableFor(const Address& address) const;
 
  private:
   /// A gateway's address, and as text for hashing.
@@ -48,16 +82,21 @@
     Address address;
     std::string text;
   };
+  /// Chooses the first in the order of a name among the other gateways that may
+  /// be chosen, and this one if `own_weight_counts`.
+  template <typename Filter>
+  Home Choose(std::string_view name, bool own_weight_counts,
+              const Filter& may_choose) const;
   static Name NameOf(const Address& address) {
     return {address, address.ToString()};
   }
 
-  asio::io_context& loop_;
   const Clock& clock_;
   Name self_;
   std::vector<Name> others_;
-  std::map<Address, std::unique_ptr<HttpClient>> clients_;
   std::map<Address, Ms> skipped_until_;
+  std::map<Address, Ms> unreachable_since_;
+  bool excludes_self_ = false;
 };
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/program_starts.h
+++ b/include/knapweed/gateway/program_starts.h
@@ -26,9 +26,12 @@
   using FindByName = std::function<const Workspace*(std::string_view name)>;
 
   /// `self` is this gateway's peer address.
-  ProgramStarts(asio::io_context& loop, const Clock& clock, Quotas& quotas,
+  ProgramStarts(const Clock& clock, PeerClients& clients, Quotas& quotas,
                 const Address& self, FindByName find)
-      : quotas_(quotas), peers_(loop, clock, self), find_(std::move(find)) {}
+      : quotas_(quotas),
+        clients_(clients),
+        peers_(clock, self),
+        find_(std::move(find)) {}
 
   /// Decides on a call that starts a program and counts it if it is admitted.
   /// Without an answer of the home this gateway decides by what it knows.
@@ -43,6 +46,7 @@
   Task<QuotaVerdict> AskHome(Address home, std::string workspace, Ms waited);
 
   Quotas& quotas_;
+  PeerClients& clients_;
   Peers peers_;
   FindByName find_;
 };
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -77,6 +77,8 @@
   StatedLimit limit;
   /// Requests that this gateway sent to it since it states a limit.
   uint64_t sent_under_limit = 0;
+  /// Its limit is used up until then, as far as this gateway knows.
+  Ms closed_until;
   CircuitBreaker breaker;
   /// Other upstreams are preferred until then, after a refusal or a failure.
   Ms avoid_until;
@@ -92,6 +94,9 @@
 /// neither the platform nor the upstream itself says that it is draining.
 bool AcceptsCalls(const Upstream& up);
 
+/// Returns whether a request to the upstream needs a grant.
+inline bool IsLimited(const Upstream& up) { return up.limit.per_s.has_value(); }
+
 /// The inputs for choosing the upstream of a call.
 struct ChoiceInput {
   std::string_view service;
@@ -102,6 +107,8 @@
   /// Calls with the same nonzero hash prefer the same upstream.
   uint64_t affinity_hash = 0;
   uint64_t random = 0;
+  /// Only upstreams that state no limit.
+  bool without_limit = false;
   Ms now;
 };
 
@@ -121,11 +128,15 @@
   void MarkDraining(const UpstreamPtr& upstream, Ms wall_time);
   const std::map<std::string, UpstreamPtr>& all() const { return by_id_; }
 
-  /// Returns the upstream with the earliest expected finish, none of
-  /// `excluded`; null when there is none. Upstreams that failed recently are
-  /// chosen only when no other is left.
+  /// Returns the upstream with the earliest expected finish, none of `excluded`
+  /// and none whose limit is used up; null when there is none. Upstreams that
+  /// failed recently are chosen only when no other is left.
   UpstreamPtr Choose(const ChoiceInput& input,
                      std::span<const UpstreamPtr> excluded) const;
+  /// Returns the upstream whose limit first allows a request again, none of
+  /// `excluded`; null when there is none whose limit is used up.
+  UpstreamPtr FirstToOpen(std::string_view service,
+                          std::span<const UpstreamPtr> excluded, Ms now) const;
 
  private:
   /// What is kept of an upstream that stated that it is draining.
--- a/include/knapweed/policy/send_limit.h
+++ b/include/knapweed/policy/send_limit.h
@@ -6,8 +6,10 @@
 #include "knapweed/base/clock.h"
 
 /// Limits that an upstream in need states in its responses: how many requests a
-/// second it takes from all gateways together. Pure functions over plain
-/// structs.
+/// second it takes from all gateways together. One gateway, the upstream's
+/// home, grants each request; these pure functions decide what a response says
+/// of the limit, when a request may be sent, how much a gateway grants in place
+/// of the home, and how long a call waits for its turn.
 namespace knapweed {
 
 /// What a gateway knows of the limit of one incarnation of an upstream.
@@ -18,15 +20,79 @@
   Ms observed_at;
 };
 
-/// Returns what a response says. One that states no limit may be older than
-/// another that does and arrived first, so it counts as of the time at which
-/// its request was sent.
-StatedLimit LimitInResponse(std::optional<double> stated_per_s, Ms sent_at,
-                            Ms received_at);
+/// What a response says of the limit.
+struct LimitInResponse {
+  std::optional<double> per_s;
+  /// When its request was sent.
+  Ms sent_at;
+  Ms received_at;
+};
+
+/// Takes over what a response says. Returns whether the limit changed. One that
+/// states no limit may be older than another that does and arrived first, so it
+/// ends only a limit that was known when its request was sent.
+bool MergeResponse(StatedLimit& known, const LimitInResponse& news);
+
+/// Takes over what another gateway tells, unless it is older than what is
+/// known. Returns whether the limit changed. Each message makes it look newer
+/// by its transit time, so that gateways which tell each other the same limit
+/// would never see its end; the same limit counts only if it is newer by far
+/// more than that.
+bool MergeTold(StatedLimit& known, const StatedLimit& news);
+
+/// Requests that one gateway has granted to one limited upstream. A token is a
+/// request; below zero, later ones are promised already. Starts with one, so
+/// that a gateway that begins to grant adds no burst.
+struct SendSchedule {
+  double tokens = 1;
+  Ms filled_at;
+};
+
+/// Answer to a request to send.
+struct SendGrant {
+  bool granted = false;
+  /// Time until the request may be sent if granted, otherwise until another
+  /// attempt can succeed.
+  Ms wait;
+};
+
+/// Decides on one request at `rate_per_s`; promises one of the next if that is
+/// due within `max_wait`. A limit of zero still admits a rare request, because
+/// only a response tells that the limit has ended. Never grants more in a span
+/// than the rate allows and `MaxSendBurst`.
+SendGrant GrantSend(SendSchedule& schedule, double rate_per_s, Ms max_wait,
+                    Ms now);
+
+/// Returns the number of requests that may be sent at once after a lull.
+double MaxSendBurst(double rate_per_s);
+
+/// An upstream's home as another gateway sees it that is asked in its place.
+struct HomeStatus {
+  bool is_self = false;
+  /// It answers that it grants no more, because it stops.
+  bool has_stopped = false;
+  /// Time for which it has not answered this gateway.
+  Ms unreachable_for;
+};
+
+/// Returns the fraction of the limit that this gateway may grant. The home
+/// grants all of it. It may be reachable for others, so a gateway in its place
+/// grants only a part at first: what upstreams tolerate above their limit.
+double GrantableShare(const HomeStatus& home);
+
+/// A call that finds the limits of all its upstreams used up.
+struct LimitedCall {
+  Ms time_left;
+  /// Time to the first part of the answer that the caller hopes for.
+  Ms objective;
+  /// It starts a program.
+  bool begins_program = false;
+};
 
-/// Takes over `news` unless it is older than what is known. Returns whether the
-/// limit changed.
-bool MergeLimit(StatedLimit& known, const StatedLimit& news);
+/// Returns how long the call should wait for its turn rather than be refused.
+/// Answers an overload of limited upstreams: a program that has not started
+/// loses least by a refusal, while a refused later turn wastes those before.
+Ms MaxSendWait(const LimitedCall& call);
 
 }  // namespace knapweed
 
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -51,6 +51,35 @@
   return use;
 }
 
+/// A limit is an array: start of the incarnation, requests per second or null,
+/// and the age of the statement in ms.
+json EncodeLimit(const LimitRecord& record, Ms at) {
+  json limit = json::array(
+      {record.started_at_ms, nullptr, (at - record.limit.observed_at).count});
+  if (record.limit.per_s.has_value()) limit[1] = *record.limit.per_s;
+  return limit;
+}
+
+std::vector<LimitRecord> DecodeLimits(const json& limits_json, Ms at) {
+  constexpr size_t kFieldCount = 3;
+  std::vector<LimitRecord> limits;
+  for (const auto& [id, item] : limits_json.items()) {
+    const bool readable = item.is_array() && item.size() == kFieldCount &&
+                          item[0].is_number_unsigned() &&
+                          (item[1].is_null() || item[1].is_number()) &&
+                          item[2].is_number_integer();
+    if (!readable) {
+      kLog.Warning("An upstream's limit can't be decoded.", {{"upstream", id}});
+      continue;
+    }
+    LimitRecord record{id, item[0].get<uint64_t>(), {}};
+    if (item[1].is_number()) record.limit.per_s = item[1].get<double>();
+    record.limit.observed_at = at - Ms{item[2].get<int64_t>()};
+    limits.push_back(std::move(record));
+  }
+  return limits;
+}
+
 }  // namespace
 
 std::string EncodeAnnouncement(const Announcement& announcement) {
@@ -65,11 +94,16 @@
       admitted[name] = RoundToTenth(item.admitted_per_s);
     }
   }
+  json limits = json::object();
+  for (const LimitRecord& record : announcement.limits) {
+    limits[record.upstream] = EncodeLimit(record, announcement.at);
+  }
   return json{{"address", announcement.peer_address.ToString()},
               {"at_ms", announcement.at.count},
               {"use", std::move(use)},
               {"admitted", std::move(admitted)},
-              {"crashes", announcement.crashes}}
+              {"crashes", announcement.crashes},
+              {"limits", std::move(limits)}}
       .dump();
 }
 
@@ -90,6 +124,7 @@
   announcement.use = DecodeUse(ObjectOf(row, "use"), ObjectOf(row, "admitted"));
   const auto crashes = row.find("crashes");
   if (crashes != row.end()) announcement.crashes = *crashes;
+  announcement.limits = DecodeLimits(ObjectOf(row, "limits"), announcement.at);
   return announcement;
 }
 
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -234,7 +234,7 @@
   call.method = http::verb::post;
   call.target = std::string(kBudgetPrefix) + "/reserve";
   call.body = body.dump();
-  const HttpResponse raw = co_await peers_.At(home).Send(call, kPeerTimeout);
+  const HttpResponse raw = co_await clients_.At(home).Send(call, kPeerTimeout);
   const nlohmann::json json = nlohmann::json::parse(raw.body, nullptr, false);
   *answered = raw.status == 200 && json.is_object() &&
               json.value("reservation", -1) >= 0;
@@ -261,7 +261,7 @@
   call.body = body.dump();
   for (int i = 0; i < kSettleAttempts; ++i) {
     const HttpResponse raw =
-        co_await peers_.At(ticket.home).Send(call, kPeerTimeout);
+        co_await clients_.At(ticket.home).Send(call, kPeerTimeout);
     if (raw.status == 200) co_return;
     co_await Sleep(loop_, kSettlePause);
   }
--- /dev/null
+++ b/src/gateway/call_placement.cc
@@ -0,0 +1,107 @@
+// Choice of the upstream for an attempt: placement, and the limits that
+// upstreams state.
+#include "call_state.h"
+#include "knapweed/base/ids.h"
+#include "knapweed/base/log.h"
+
+namespace knapweed::gateway {
+namespace {
+
+constexpr Logger kLog("call");
+
+/// Grants that may be refused to a call before it tries only upstreams that need
+/// none, and then waits for one.
+constexpr int kMaxGrantsRefused = 4;
+/// A request for which a grant was given must be sent within this time; later,
+/// after a pause of the VM, the grant counts for another span.
+constexpr Ms kGrantTtl{500};
+/// Assumed number of events in a streamed response, for the choice of an
+/// upstream.
+constexpr uint32_t kExpectedEvents = 8;
+
+}  // namespace
+
+UpstreamPtr CallRunner::Choose(State& state, bool without_limit) {
+  const CallHead& head = state.request.head;
+  ChoiceInput input;
+  input.service = state.service->name;
+  input.failure_domain = deps_.failure_domain;
+  input.prompt = head.prompt;
+  input.prompt_tokens = head.prompt_tokens;
+  input.expected_output_tokens =
+      state.route->streaming ? kExpectedEvents * state.service->tokens_per_event
+                             : 0;
+  if (!head.affinity.empty()) input.affinity_hash = HashBytes(head.affinity);
+  input.random = random_();
+  input.without_limit = without_limit;
+  input.now = deps_.clock.Now();
+  return deps_.view.upstreams.Choose(input, state.tried);
+}
+
+Task<UpstreamPtr> CallRunner::ChooseWithGrant(StatePtr state) {
+  for (int refused = 0;; ++refused) {
+    UpstreamPtr upstream = Choose(*state, refused >= kMaxGrantsRefused);
+    if (upstream == nullptr) break;
+    state->send_by = state->deadline;
+    if (!IsLimited(*upstream)) co_return upstream;
+    const SendGrant grant = co_await deps_.send_limits.Ask(upstream, Ms{0});
+    state->send_by = deps_.clock.Now() + kGrantTtl;
+    if (grant.granted) co_return upstream;
+  }
+  const UpstreamPtr first = deps_.view.upstreams.FirstToOpen(
+      state->service->name, state->tried, deps_.clock.Now());
+  if (first != nullptr) {
+    UpstreamPtr granted = co_await WaitForGrant(state, first);
+    co_return granted;
+  }
+  const bool none = state->tried.empty();
+  co_await Refuse(state, state->runs == 0 ? 503 : 502,
+                  none ? kRetryNoUpstream : kRetryFull,
+                  none ? "no upstream" : "every upstream refused");
+  co_return nullptr;
+}
+
+Task<UpstreamPtr> CallRunner::WaitForGrant(StatePtr state,
+                                           UpstreamPtr upstream) {
+  LimitedCall call;
+  call.time_left = state->deadline - deps_.clock.Now();
+  call.objective = state->route->objective;
+  call.begins_program = state->begins_program;
+  const Ms max_wait = MaxSendWait(call);
+  const SendGrant grant = co_await deps_.send_limits.Ask(upstream, max_wait);
+  if (grant.granted) {
+    co_await Sleep(deps_.loop, grant.wait);
+    state->send_by = deps_.clock.Now() + kGrantTtl;
+    co_return upstream;
+  }
+  kLog.Info("The limits of all upstreams are used up.",
+            {{"request", state->request.head.request_id},
+             {"first_to_open", upstream->entry.id},
+             {"wait_ms", grant.wait.count},
+             {"max_wait_ms", max_wait.count},
+             {"begins_program", call.begins_program ? 1 : 0}});
+  co_await Refuse(state, state->runs == 0 ? 503 : 502, grant.wait,
+                  "upstreams at their limit");
+  co_return nullptr;
+}
+
+void CallRunner::RecordLimit(const State& state, const UpstreamPtr& upstream,
+                             Ms sent_at) {
+  // A 421 comes from another instance, at an address that was reused.
+  if (state.attempt->status() == kMisdirected) return;
+  const ResponseHead& head = state.attempt->head();
+  // Without a signature the upstream's service may not have made the response.
+  if (!head.limit_per_s.has_value() && !head.is_signed) return;
+  const LimitInResponse news{head.limit_per_s, sent_at, deps_.clock.Now()};
+  const bool had_limit = IsLimited(*upstream);
+  if (!deps_.send_limits.RecordResponse(upstream, news)) return;
+  kLog.Info(
+      "The limit that an upstream states has changed.",
+      {{"request", state.request.head.request_id},
+       {"upstream", upstream->entry.id},
+       {"per_s", news.per_s.has_value() ? std::to_string(*news.per_s) : "none"},
+       {"sent_under_limit", upstream->sent_under_limit}});
+  if (!had_limit) upstream->sent_under_limit = 0;
+}
+
+}  // namespace knapweed::gateway
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -23,14 +23,6 @@
 constexpr Ms kAvoidBroken{500};
 /// With less time than this an upstream can't respond before the deadline.
 constexpr Ms kMinAttemptTime{5};
-/// Retry-After if every upstream tried was full.
-constexpr Ms kRetryFull{150};
-/// Assumed number of events in a streamed response, for the choice of an
-/// upstream.
-constexpr uint32_t kExpectedEvents = 8;
-/// Status of a response by another instance than the one that the request
-/// names.
-constexpr unsigned kMisdirected = 421;
 constexpr int kMostUrgent = 0;
 constexpr int kLeastUrgent = 9;
 
@@ -93,22 +85,6 @@
       });
 }
 
-UpstreamPtr CallRunner::Choose(State& state) {
-  const CallHead& head = state.request.head;
-  ChoiceInput input;
-  input.service = state.service->name;
-  input.failure_domain = deps_.failure_domain;
-  input.prompt = head.prompt;
-  input.prompt_tokens = head.prompt_tokens;
-  input.expected_output_tokens =
-      state.route->streaming ? kExpectedEvents * state.service->tokens_per_event
-                             : 0;
-  if (!head.affinity.empty()) input.affinity_hash = HashBytes(head.affinity);
-  input.random = random_();
-  input.now = deps_.clock.Now();
-  return deps_.view.upstreams.Choose(input, state.tried);
-}
-
 Task<void> CallRunner::RunAttempts(StatePtr state) {
   while (!state->caller_disconnected) {
     const Ms left = state->deadline - deps_.clock.Now();
@@ -117,14 +93,8 @@
                       "deadline passed");
       co_return;
     }
-    UpstreamPtr upstream = Choose(*state);
-    if (upstream == nullptr) {
-      const bool none = state->tried.empty();
-      co_await Refuse(state, state->runs == 0 ? 503 : 502,
-                      none ? kRetryNoUpstream : kRetryFull,
-                      none ? "no upstream" : "every upstream refused");
-      co_return;
-    }
+    UpstreamPtr upstream = co_await ChooseWithGrant(state);
+    if (upstream == nullptr) co_return;
     const Step step = co_await RunAttempt(state, upstream);
     if (step == Step::kDone) co_return;
   }
@@ -154,12 +124,14 @@
 
 Task<CallRunner::Step> CallRunner::RunAttempt(StatePtr state,
                                               UpstreamPtr upstream) {
-  state->tried.push_back(upstream);
   const Ms timeout =
       std::min(kConnectTimeout, state->deadline - deps_.clock.Now());
   std::unique_ptr<UpstreamConnection> conn =
       co_await deps_.pool.Get(upstream, timeout);
   if (state->caller_disconnected || state->timed_out) co_return Step::kNext;
+  const bool may_send = deps_.clock.Now() <= state->send_by;
+  if (conn != nullptr && !may_send) co_return Step::kNext;
+  state->tried.push_back(upstream);
   if (conn == nullptr) {
     RecordFailure(upstream->breaker, deps_.clock.Now(), 0.5);
     upstream->avoid_until = deps_.clock.Now() + kAvoidBroken;
@@ -188,14 +160,14 @@
                          head.prompt_tokens);
   ++upstream->in_flight;
   upstream->pending_prefill_tokens += uncached_tokens;
-  if (upstream->limit.per_s.has_value()) ++upstream->sent_under_limit;
+  if (IsLimited(*upstream)) ++upstream->sent_under_limit;
   const Ms sent_at = deps_.clock.Now();
   const AttemptOutcome outcome =
       co_await attempt->Begin(std::move(conn), request, head.request_id);
   upstream->pending_prefill_tokens -= uncached_tokens;
   if (attempt->saw_draining()) MarkDraining(*state, upstream);
   if (outcome != AttemptOutcome::kBroken) {
-    RecordLimit(*state, *upstream, sent_at);
+    RecordLimit(*state, upstream, sent_at);
   }
   Step step = Step::kNext;
   if (state->caller_disconnected) {
@@ -224,27 +196,6 @@
   deps_.view.upstreams.MarkDraining(upstream, WallTime());
 }
 
-void CallRunner::RecordLimit(const State& state, Upstream& upstream,
-                             Ms sent_at) {
-  // A 421 comes from another instance, at an address that was reused.
-  if (state.attempt->status() == kMisdirected) return;
-  const ResponseHead& head = state.attempt->head();
-  // Without a signature the upstream's service may not have made the response.
-  if (!head.limit_per_s.has_value() && !head.is_signed) return;
-  const StatedLimit news =
-      LimitInResponse(head.limit_per_s, sent_at, deps_.clock.Now());
-  const bool had_limit = upstream.limit.per_s.has_value();
-  const bool changed = MergeLimit(upstream.limit, news);
-  if (!changed) return;
-  kLog.Info(
-      "The limit that an upstream states has changed.",
-      {{"request", state.request.head.request_id},
-       {"upstream", upstream.entry.id},
-       {"per_s", news.per_s.has_value() ? std::to_string(*news.per_s) : "none"},
-       {"sent_under_limit", upstream.sent_under_limit}});
-  if (!had_limit) upstream.sent_under_limit = 0;
-}
-
 Task<CallRunner::Step> CallRunner::OnNotRun(StatePtr state,
                                             UpstreamPtr upstream) {
   const bool misdirected = state->attempt->status() == kMisdirected;
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -8,11 +8,16 @@
 #include "knapweed/gateway/call_runner.h"
 
 /// State of a call, shared by the source files of the call runner for
-/// admission, attempts and responses.
+/// admission, placement, attempts and responses.
 namespace knapweed::gateway {
 
 /// Retry-After for a service that has no upstream at present.
 inline constexpr Ms kRetryNoUpstream{400};
+/// Retry-After if every upstream tried was full.
+inline constexpr Ms kRetryFull{150};
+/// Status of a response by another instance than the one that the request
+/// names.
+inline constexpr unsigned kMisdirected = 421;
 
 /// One call in progress.
 struct CallRunner::State {
@@ -30,6 +35,8 @@
   std::shared_ptr<const std::string> body;
   std::shared_ptr<Attempt> attempt;
   std::vector<UpstreamPtr> tried;
+  /// The permission to send the next attempt ends then.
+  Ms send_by;
   UpstreamPtr last_upstream;
   /// Number of attempts that may have run the call.
   uint32_t runs = 0;
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -47,6 +47,7 @@
       quotas_(parts.quotas),
       starts_(parts.starts),
       budgets_(parts.budgets),
+      send_limits_(parts.send_limits),
       crashes_(parts.crashes),
       self_(std::move(self)),
       seeds_(std::move(seeds)) {
@@ -304,9 +305,19 @@
   }
 }
 
+std::vector<LimitRecord> FleetWatch::LimitsToTell() {
+  std::vector<LimitRecord> records = send_limits_.Records();
+  const Ms to_store_clock = store_.StoreNow() - clock_.Now();
+  for (LimitRecord& record : records) {
+    record.limit.observed_at += to_store_clock;
+  }
+  return records;
+}
+
 Task<bool> FleetWatch::Announce() {
   const Announcement announcement{self_.peer_address, store_.StoreNow(),
-                                  quotas_.OwnUse(), crashes_.OwnRecords()};
+                                  quotas_.OwnUse(), crashes_.OwnRecords(),
+                                  LimitsToTell()};
   const RowKey key{kGatewayTable, "", self_.name};
   Commit commit;
   commit.conditions.push_back({key, own_row_version_});
@@ -340,12 +351,17 @@
     if (now - told->at > kAnnouncementTtl) continue;
     if (row.key.key == self_.name) continue;
     crashes_.MergeRecords(told->crashes);
+    for (LimitRecord& record : told->limits) {
+      record.limit.observed_at += clock_.Now() - age - now;
+    }
+    send_limits_.MergeRecords(told->limits);
     uses.push_back(std::move(told->use));
     peers.push_back(told->peer_address);
   }
   quotas_.SetOthers(uses, age);
   budgets_.SetOthers(peers);
   starts_.SetOthers(peers);
+  send_limits_.SetOthers(peers);
   gateways_read_ = true;
   for (const Address& seed : seeds_) {
     if (std::find(peers.begin(), peers.end(), seed) == peers.end()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,7 +44,8 @@
 }
 
 Task<HttpResponse> AnswerPeer(Store& store, Budgets& budgets,
-                              ProgramStarts& starts, const FleetWatch& watch,
+                              ProgramStarts& starts, SendLimits& send_limits,
+                              const FleetWatch& watch,
                               const HttpRequest& call) {
   HttpResponse answer;
   if (call.target == kKnownRowsPath) {
@@ -56,6 +57,10 @@
     answer = starts.AnswerPeer(call);
     co_return answer;
   }
+  if (call.target == kGrantPath) {
+    answer = co_await send_limits.AnswerPeer(call);
+    co_return answer;
+  }
   if (call.target.starts_with(kBudgetPrefix)) {
     answer = co_await budgets.AnswerPeer(call);
     co_return answer;
@@ -83,22 +88,29 @@
         store(l, clock, d, c.store, metrics),
         incarnation(c.name + "-" + RandomHexId().substr(0, 8)),
         rows(store, clock, incarnation),
+        clients(l, clock),
         quotas(clock, c.quota),
-        starts(l, clock, quotas, c.peers,
+        starts(clock, clients, quotas, c.peers,
                [this](std::string_view name) {
                  return view.config == nullptr
                             ? nullptr
                             : FindWorkspaceByName(*view.config, name);
                }),
-        budgets(l, clock, store, rows, incarnation, c.peers),
+        budgets(l, clock, store, rows, clients, incarnation, c.peers),
         turns(clock, store, c.row_bytes),
+        send_limits(
+            l, clock, view.upstreams, metrics, c.peers,
+            [this](const Address& peer, const HttpRequest& call, Ms timeout) {
+              return clients.At(peer).Send(call, timeout);
+            }),
         pool(l, clock, metrics),
         crashes(l),
         runner(CallRunnerDeps{l, clock, d, view, store, quotas, starts, budgets,
-                              turns, pool, crashes, metrics, c.failure_domain}),
+                              turns, send_limits, pool, crashes, metrics,
+                              c.failure_domain}),
         front(l, clock, d, view, runner),
         watch(FleetWatchDeps{l, clock, d, store, view, quotas, starts, budgets,
-                             crashes},
+                             send_limits, crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
         sweeper(l, store, view, {BudgetTable(), TurnTable()}) {}
 
@@ -112,10 +124,12 @@
   /// Identifies this run of the process in shared rows.
   std::string incarnation;
   SharedRows rows;
+  PeerClients clients;
   Quotas quotas;
   ProgramStarts starts;
   Budgets budgets;
   Turns turns;
+  SendLimits send_limits;
   ConnectionPool pool;
   CrashWatch crashes;
   CallRunner runner;
@@ -192,7 +206,7 @@
                     [this](const HttpRequest& call) -> Task<HttpResponse> {
                       const HttpResponse answer = co_await AnswerPeer(
                           parts_->store, parts_->budgets, parts_->starts,
-                          parts_->watch, call);
+                          parts_->send_limits, parts_->watch, call);
                       co_return answer;
                     });
   const bool metrics = ServeInternal(
@@ -224,6 +238,7 @@
   const Ms stop_at = started_at + parts.config.grace - kShutdownMargin;
   parts.shutting_down = true;
   parts.front.BeginDraining();
+  parts.send_limits.StopGranting();
   kLog.Info("Stopping.", {{"under_way", parts.runner.under_way()}});
   constexpr Ms kPollInterval{50};
   while (parts.clock.Now() < started_at + kDrainNoticeTime) {
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -1,5 +1,7 @@
 #include "knapweed/gateway/peers.h"
 
+#include <algorithm>
+
 #include "knapweed/base/ids.h"
 
 namespace knapweed::gateway {
@@ -15,20 +17,44 @@
   for (const Address& address : others) others_.push_back(NameOf(address));
 }
 
-Home Peers::HomeOf(std::string_view name) const {
+void Peers::AddOther(const Address& address) {
+  const bool is_known =
+      address == self_.address ||
+      std::any_of(others_.begin(), others_.end(),
+                  [&](const Name& other) { return other.address == address; });
+  if (!is_known) others_.push_back(NameOf(address));
+}
+
+template <typename Filter>
+Home Peers::Choose(std::string_view name, bool own_weight_counts,
+                   const Filter& may_choose) const {
   const uint64_t seed = HashBytes(name);
   Home home{self_.address, true};
-  uint64_t best = HashBytes(self_.text, seed);
+  uint64_t best = own_weight_counts ? HashBytes(self_.text, seed) : 0;
   for (const Name& other : others_) {
     const uint64_t weight = HashBytes(other.text, seed);
-    if (weight <= best) continue;
+    if (weight <= best || !may_choose(other.address)) continue;
     best = weight;
     home = {other.address, false};
   }
   return home;
 }
 
-HttpClient& Peers::At(const Address& address) {
+Home Peers::HomeOf(std::string_view name) const {
+  return Choose(name, !excludes_self_, [](const Address&) { return true; });
+}
+
+Home Peers::ReachableHomeOf(std::string_view name) const {
+  return Choose(name, !excludes_self_,
+                [this](const Address& address) { return MayAsk(address); });
+}
+
+Home Peers::SubstituteOf(std::string_view name) const {
+  return Choose(name, false,
+                [this](const Address& address) { return MayAsk(address); });
+}
+
+HttpClient& PeerClients::At(const Address& address) {
   std::unique_ptr<HttpClient>& client = clients_[address];
   if (client == nullptr) {
     client = std::make_unique<HttpClient>(loop_, clock_, address);
@@ -43,6 +69,16 @@
 
 void Peers::Skip(const Address& address) {
   skipped_until_[address] = clock_.Now() + kSkipTime;
+  unreachable_since_.try_emplace(address, clock_.Now());
+}
+
+void Peers::RecordAnswer(const Address& address) {
+  unreachable_since_.erase(address);
+}
+
+Ms Peers::UnreachableFor(const Address& address) const {
+  const auto it = unreachable_since_.find(address);
+  return it == unreachable_since_.end() ? Ms{0} : clock_.Now() - it->second;
 }
 
 }  // namespace knapweed::gateway
--- a/src/gateway/program_starts.cc
+++ b/src/gateway/program_starts.cc
@@ -47,7 +47,7 @@
   call.body =
       nlohmann::json{{"workspace", workspace}, {"waited_ms", waited.count}}
           .dump();
-  const HttpResponse raw = co_await peers_.At(home).Send(call, kHomeTimeout);
+  const HttpResponse raw = co_await clients_.At(home).Send(call, kHomeTimeout);
   if (raw.status == 0) peers_.Skip(home);
   const nlohmann::json answer = nlohmann::json::parse(raw.body, nullptr, false);
   const bool readable = raw.status == 200 && answer.is_object() &&
--- /dev/null
+++ b/src/gateway/send_limits.cc
@@ -0,0 +1,198 @@
+#include "knapweed/gateway/send_limits.h"
+
+#include <algorithm>
+
+namespace knapweed::gateway {
+namespace {
+
+/// A gateway that takes longer to answer is not waited for.
+constexpr Ms kAskTimeout{200};
+/// The same for a request that is passed on, whose sender waits meanwhile.
+constexpr Ms kForwardTimeout{80};
+/// Gateways that are asked for one request, one after the other.
+constexpr int kMaxAsked = 2;
+/// Time without a grant if no gateway answers.
+constexpr Ms kNoAnswerWait{100};
+/// Time for which a gateway that has stopped granting is taken to be stopping.
+constexpr Ms kStopTime{10000};
+
+/// Time after which a peer that does not answer at all is not merely slow;
+/// shorter than the time after which a home counts as dead.
+constexpr Ms kProbeTimeout{1500};
+
+/// Returns a request that only reports what is known of the limit.
+GrantRequest ReportOf(const Upstream& upstream) {
+  GrantRequest request;
+  request.wants_grant = false;
+  request.record = {upstream.entry.id, upstream.entry.started_at_ms,
+                    upstream.limit};
+  return request;
+}
+
+void OpenIfUnlimited(Upstream& upstream) {
+  if (!upstream.limit.per_s.has_value()) upstream.closed_until = Ms{0};
+}
+
+}  // namespace
+
+SendLimits::SendLimits(asio::io_context& loop, const Clock& clock,
+                       UpstreamSet& upstreams, Metrics& metrics,
+                       const Address& self, SendToPeer send)
+    : loop_(loop),
+      clock_(clock),
+      upstreams_(upstreams),
+      metrics_(metrics),
+      self_(self),
+      send_(std::move(send)),
+      peers_(clock, self),
+      ledger_(clock) {}
+
+void SendLimits::TakeOverTold(Upstream& upstream, const StatedLimit& news) {
+  MergeTold(upstream.limit, news);
+  OpenIfUnlimited(upstream);
+}
+
+Task<SendGrant> SendLimits::Ask(UpstreamPtr upstream, Ms max_wait) {
+  GrantRequest request = ReportOf(*upstream);
+  request.wants_grant = true;
+  request.max_wait = max_wait;
+  const GrantAnswer answer = co_await AskAny(std::move(request));
+  TakeOverTold(*upstream, answer.limit);
+  if (!answer.grant.granted) {
+    upstream->closed_until = clock_.Now() + answer.grant.wait;
+  }
+  metrics_
+      .GetCounter(answer.grant.granted ? "send_grants_total{granted=\"1\"}"
+                                       : "send_grants_total{granted=\"0\"}")
+      .Add();
+  co_return answer.grant;
+}
+
+Task<GrantAnswer> SendLimits::AskAny(GrantRequest request) {
+  for (int i = 0; i < kMaxAsked; ++i) {
+    const Home home = peers_.ReachableHomeOf(request.record.upstream);
+    if (home.is_self) co_return DecideHere(request);
+    const MaybeAnswer answer =
+        co_await AskPeer(home.address, request, kAskTimeout);
+    if (answer.has_value()) co_return *answer;
+  }
+  co_return GrantAnswer{{false, kNoAnswerWait}, request.record.limit};
+}
+
+Task<SendLimits::MaybeAnswer> SendLimits::Exchange(Address peer,
+                                                   GrantRequest request,
+                                                   Ms timeout) {
+  HttpRequest call;
+  call.method = http::verb::post;
+  call.target = std::string(kGrantPath);
+  request.sender = self_;
+  call.body = EncodeGrantRequest(request, clock_.Now());
+  const HttpResponse raw = co_await send_(peer, call, timeout);
+  if (raw.status == 503) stopped_at_[peer] = clock_.Now();
+  if (raw.status != 200) co_return std::nullopt;
+  peers_.RecordAnswer(peer);
+  stopped_at_.erase(peer);
+  const absl::StatusOr<GrantAnswer> answer =
+      DecodeGrantAnswer(raw.body, clock_.Now());
+  if (!answer.ok()) co_return std::nullopt;
+  co_return *answer;
+}
+
+Task<SendLimits::MaybeAnswer> SendLimits::AskPeer(Address peer,
+                                                  GrantRequest request,
+                                                  Ms timeout) {
+  const MaybeAnswer answer = co_await Exchange(peer, request, timeout);
+  if (answer.has_value()) co_return answer;
+  peers_.Skip(peer);
+  if (probed_.insert(peer).second) Spawn(loop_, Probe(peer, request));
+  co_return std::nullopt;
+}
+
+Task<void> SendLimits::Probe(Address peer, GrantRequest request) {
+  request.wants_grant = false;
+  co_await Exchange(peer, std::move(request), kProbeTimeout);
+  probed_.erase(peer);
+}
+
+Task<void> SendLimits::Introduce(GrantRequest request) {
+  request.wants_grant = false;
+  request.forwarded = true;
+  const Home substitute = peers_.SubstituteOf(request.record.upstream);
+  if (substitute.is_self) co_return;
+  co_await AskPeer(substitute.address, std::move(request), kAskTimeout);
+}
+
+HomeStatus SendLimits::StatusOfHome(std::string_view upstream) const {
+  const Home home = peers_.HomeOf(upstream);
+  HomeStatus status;
+  status.is_self = home.is_self;
+  if (home.is_self) return status;
+  const auto stopped = stopped_at_.find(home.address);
+  status.has_stopped = stopped != stopped_at_.end() &&
+                       clock_.Now() - stopped->second < kStopTime;
+  status.unreachable_for = peers_.UnreachableFor(home.address);
+  return status;
+}
+
+GrantAnswer SendLimits::DecideHere(const GrantRequest& request) {
+  const HomeStatus home = StatusOfHome(request.record.upstream);
+  if (home.is_self && !ledger_.Knows(request.record.upstream)) {
+    Spawn(loop_, Introduce(request));
+  }
+  return ledger_.Decide(request, GrantableShare(home));
+}
+
+bool SendLimits::RecordResponse(const UpstreamPtr& upstream,
+                                const LimitInResponse& news) {
+  if (!MergeResponse(upstream->limit, news)) return false;
+  OpenIfUnlimited(*upstream);
+  Spawn(loop_, Report(ReportOf(*upstream)));
+  return true;
+}
+
+Task<void> SendLimits::Report(GrantRequest request) {
+  co_await AskAny(std::move(request));
+}
+
+Task<HttpResponse> SendLimits::AnswerPeer(const HttpRequest& call) {
+  HttpResponse response;
+  response.status = 503;
+  if (has_stopped_) co_return response;
+  absl::StatusOr<GrantRequest> request =
+      DecodeGrantRequest(call.body, clock_.Now());
+  response.status = 400;
+  if (!request.ok()) co_return response;
+  response.status = 200;
+  peers_.AddOther(request->sender);
+  // The sender may not know the home yet, or may not reach it.
+  const Home home = peers_.ReachableHomeOf(request->record.upstream);
+  if (!home.is_self && !request->forwarded) {
+    request->forwarded = true;
+    const MaybeAnswer answer =
+        co_await AskPeer(home.address, *request, kForwardTimeout);
+    if (answer.has_value()) {
+      response.body = EncodeGrantAnswer(*answer, clock_.Now());
+      co_return response;
+    }
+  }
+  response.body = EncodeGrantAnswer(DecideHere(*request), clock_.Now());
+  co_return response;
+}
+
+void SendLimits::StopGranting() {
+  has_stopped_ = true;
+  peers_.ExcludeSelf();
+}
+
+void SendLimits::MergeRecords(std::span<const LimitRecord> records) {
+  const auto& upstreams = upstreams_.all();
+  for (const LimitRecord& record : records) {
+    const auto it = upstreams.find(record.upstream);
+    const bool is_known =
+        it != upstreams.end() &&
+        it->second->entry.started_at_ms == record.started_at_ms;
+    if (is_known) TakeOverTold(*it->second, record.limit);
+  }
+}
+
+}  // namespace knapweed::gateway
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -141,6 +141,18 @@
   return started_at + kMaxClockSkew < notice.read_at;
 }
 
+UpstreamPtr UpstreamSet::FirstToOpen(std::string_view service,
+                                     std::span<const UpstreamPtr> excluded,
+                                     Ms now) const {
+  UpstreamPtr first;
+  for (const auto& [id, up] : by_id_) {
+    if (!MayGetCalls(*up, service) || Contains(excluded, up)) continue;
+    if (up->closed_until <= now) continue;
+    if (first == nullptr || up->closed_until < first->closed_until) first = up;
+  }
+  return first;
+}
+
 UpstreamPtr UpstreamSet::Choose(const ChoiceInput& input,
                                 std::span<const UpstreamPtr> excluded) const {
   std::vector<UpstreamView> views;
@@ -148,6 +160,8 @@
   views.reserve(by_id_.size());
   for (const auto& [id, up] : by_id_) {
     if (!MayGetCalls(*up, input.service) || Contains(excluded, up)) continue;
+    if (up->closed_until > input.now) continue;
+    if (input.without_limit && IsLimited(*up)) continue;
     views.push_back(
         ViewOf(*up, static_cast<uint32_t>(candidates.size()), input));
     views.back().usable =
--- a/src/policy/send_limit.cc
+++ b/src/policy/send_limit.cc
@@ -1,13 +1,30 @@
 #include "knapweed/policy/send_limit.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace knapweed {
+namespace {
 
-StatedLimit LimitInResponse(std::optional<double> stated_per_s, Ms sent_at,
-                            Ms received_at) {
-  return {stated_per_s, stated_per_s.has_value() ? received_at : sent_at};
-}
+/// Lowest rate of requests to an upstream whose limit is about zero.
+constexpr double kMinRatePerS = 0.2;
+/// Burst of a schedule: a number of requests and seconds of its rate.
+constexpr double kBurstRequests = 2;
+constexpr double kBurstS = 0.25;
+/// Tolerance for rounding errors in sums of fractions.
+constexpr double kRoundingTolerance = 1e-9;
+constexpr Ms kMinWait{10};
+/// By how much the same limit must be newer to count; more than the time of a
+/// message between gateways.
+constexpr Ms kRetoldAfter{1000};
+/// A home that has not answered for longer than this is taken for dead; longer
+/// than a slow one takes to answer, and than the skip of a peer.
+constexpr Ms kHomeDeadAfter{2000};
+/// Fraction of the limit that a gateway grants before that.
+constexpr double kDeputyShare = 0.3;
 
-bool MergeLimit(StatedLimit& known, const StatedLimit& news) {
+/// Takes over `news` unless it is older. Returns whether the limit changed.
+bool MergeNewer(StatedLimit& known, const StatedLimit& news) {
   const bool is_newer = news.observed_at > known.observed_at;
   // Of two statements from the same time, the one with a limit counts.
   const bool decides_tie =
@@ -18,4 +35,50 @@
   return changed;
 }
 
+}  // namespace
+
+bool MergeResponse(StatedLimit& known, const LimitInResponse& news) {
+  const bool may_be_older = !news.per_s.has_value() &&
+                            known.per_s.has_value() &&
+                            news.sent_at <= known.observed_at;
+  return !may_be_older && MergeNewer(known, {news.per_s, news.received_at});
+}
+
+bool MergeTold(StatedLimit& known, const StatedLimit& news) {
+  const bool is_echo = news.per_s == known.per_s &&
+                       news.observed_at - known.observed_at < kRetoldAfter;
+  return !is_echo && MergeNewer(known, news);
+}
+
+double MaxSendBurst(double rate_per_s) {
+  return kBurstRequests + kBurstS * rate_per_s;
+}
+
+SendGrant GrantSend(SendSchedule& schedule, double rate_per_s, Ms max_wait,
+                    Ms now) {
+  const double rate = std::max(rate_per_s, kMinRatePerS);
+  if (now > schedule.filled_at) {
+    const double earned = (now - schedule.filled_at).Seconds() * rate;
+    schedule.tokens = std::min(schedule.tokens + earned, MaxSendBurst(rate));
+    schedule.filled_at = now;
+  }
+  const double missing = 1 - schedule.tokens - kRoundingTolerance;
+  Ms wait;
+  if (missing > 0) wait.count = std::llround(std::ceil(missing / rate * 1000));
+  if (wait > max_wait) return {false, std::max(wait, kMinWait)};
+  schedule.tokens -= 1;
+  return {true, wait};
+}
+
+double GrantableShare(const HomeStatus& home) {
+  const bool replaces_home =
+      home.is_self || home.has_stopped || home.unreachable_for > kHomeDeadAfter;
+  return replaces_home ? 1 : kDeputyShare;
+}
+
+Ms MaxSendWait(const LimitedCall& call) {
+  if (call.begins_program) return std::min(call.objective, call.time_left / 4);
+  return call.time_left / 2;
+}
+
 }  // namespace knapweed
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -138,7 +138,6 @@
 TEST_CASE("gateways that know the same peers choose the same home") {
   std::vector<Address> all;
   for (uint16_t port = 80; port < 87; ++port) all.push_back({"10.0.0.1", port});
-  asio::io_context loop;
   const Clock clock = Clock::Manual();
   std::vector<std::unique_ptr<Peers>> gateways;
   for (const Address& self : all) {
@@ -146,7 +145,7 @@
     for (const Address& other : all) {
       if (other != self) others.push_back(other);
     }
-    gateways.push_back(std::make_unique<Peers>(loop, clock, self));
+    gateways.push_back(std::make_unique<Peers>(clock, self));
     gateways.back()->SetOthers(others);
   }
   std::map<Address, int> homes;
