Drop all idle connections to a peer after one was silent

Cause: found while looking for ways in which a home of an upstream's limit seems dead though it is alive. After a network fault that silences open connections, each further request took the next idle one and timed out as well: up to four timeouts in a row, in which a peer or the store counts as unreachable. Change: a request without a response drops the idle connections to that address. Measured: gateway__net_test fails before (the second request gets no response) and passes.

--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -110,12 +110,18 @@
   NetErrorCode ec;
   co_await http::async_write(conn->stream, request,
                              asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) co_return answer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
-  co_await http::async_read(conn->stream, conn->buf, parser,
-                            asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) co_return answer;
+  if (!ec) {
+    co_await http::async_read(conn->stream, conn->buf, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+  }
+  if (ec) {
+    // What silenced this connection may have silenced the idle ones too; a new
+    // one shows whether the peer is alive.
+    idle_.clear();
+    co_return answer;
+  }
   answer.status = parser.get().result_int();
   answer.body = std::move(parser.get().body());
   const bool reusable = parser.get().keep_alive() && conn->buf.size() == 0;
