--- a/include/knapweed/gateway/call.h
+++ b/include/knapweed/gateway/call.h
@@ -46,6 +46,9 @@
   std::vector<PromptPart> prompt;
   /// Id of the last event that the caller has received, if it resumes a stream.
   std::optional<uint64_t> resume_after;
+  /// Id of the request that brought the first event of the stream that it
+  /// resumes.
+  std::string begun_by;
 };
 
 /// Values that the gateway adds to the header of a request to an upstream.
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -132,6 +132,8 @@
   Task<UpstreamPtr> ChooseWithGrant(StatePtr state);
   /// Waits for a grant of the upstream whose limit first allows a request.
   Task<UpstreamPtr> WaitForGrant(StatePtr state, UpstreamPtr upstream);
+  /// Logs an attempt that goes on with a stream after its first event.
+  static void LogResume(const State& state, const Upstream& upstream);
   UpstreamRequest MakeRequest(const State& state, const Upstream& upstream);
   /// Returns the Retry-After time of a call that is refused because the store
   /// is unreachable.
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -28,6 +28,8 @@
   /// with the same id.
   uint64_t started_at_ms = 0;
   std::string service;
+  /// Version of its software. Streams of two versions do not fit together.
+  std::string version;
   Address address;
   std::string failure_domain;
   uint32_t slots = 1;
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -173,7 +173,9 @@
       co_return co_await OnBroken(state, upstream, "stream broke off");
     }
     std::string out;
+    const bool had_event = state->has_event;
     const bool within_limits = TakeEvents(*state, splitter, &out);
+    if (!had_event) state->stream_version = upstream->entry.version;
     if (!within_limits) {
       // A run that goes on elsewhere would send as much again.
       state->body_begun = true;
--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -9,8 +9,8 @@
 
 constexpr Logger kLog("call");
 
-/// Grants that may be refused to a call before it tries only upstreams that need
-/// none, and then waits for one.
+/// Grants that may be refused to a call before it tries only upstreams that
+/// need none, and then waits for one.
 constexpr int kMaxGrantsRefused = 4;
 /// A request for which a grant was given must be sent within this time; later,
 /// after a pause of the VM, the grant counts for another span.
@@ -85,6 +85,20 @@
   co_return nullptr;
 }
 
+void CallRunner::LogResume(const State& state, const Upstream& upstream) {
+  const CallHead& head = state.request.head;
+  if (!state.has_event && !head.resume_after.has_value()) return;
+  const uint64_t after =
+      state.has_event ? state.last_event : head.resume_after.value_or(0);
+  kLog.Info("A stream goes on.",
+            {{"request", head.request_id},
+             {"begun_by", state.has_event ? head.request_id : head.begun_by},
+             {"begun_version", state.stream_version},
+             {"after_event", after},
+             {"upstream", upstream.entry.id},
+             {"version", upstream.entry.version}});
+}
+
 void CallRunner::RecordLimit(const State& state, const UpstreamPtr& upstream,
                              Ms sent_at) {
   // A 421 comes from another instance, at an address that was reused.
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -152,6 +152,7 @@
       std::make_shared<Attempt>(deps_.loop, deps_.clock, deps_.dialect);
   const std::shared_ptr<Attempt> attempt = state->attempt;
   state->last_upstream = upstream;
+  LogResume(*state, *upstream);
   state->holds_rate_token = false;
   const CallHead& head = state->request.head;
   const uint64_t uncached_tokens =
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -61,6 +61,8 @@
   bool body_begun = false;
   uint64_t last_event = 0;
   bool has_event = false;
+  /// Software version of the upstream that sent the first event.
+  std::string stream_version;
   uint64_t events_sent = 0;
   std::string output;
   bool stream_aborted = false;
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -238,9 +238,11 @@
     }
   }
   const bool draining = entry->draining;
+  const std::string version = entry->version;
   if (view_.upstreams.Put(*std::move(entry), cache_tokens)) {
-    kLog.Info("An upstream changed.",
-              {{"upstream", id}, {"draining", draining ? 1 : 0}});
+    kLog.Info("An upstream changed.", {{"upstream", id},
+                                       {"version", version},
+                                       {"draining", draining ? 1 : 0}});
   }
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -156,6 +156,7 @@
   nlohmann::json upstreams = nlohmann::json::object();
   for (const auto& [id, up] : parts.view.upstreams.all()) {
     upstreams[id] = {{"service", up->entry.service},
+                     {"version", up->entry.version},
                      {"address", up->entry.address.ToString()},
                      {"draining", up->entry.draining || up->said_draining},
                      {"limit_per_s", up->limit.per_s.has_value()
--- a/src/gateway/grant_ledger.cc
+++ b/src/gateway/grant_ledger.cc
@@ -88,7 +88,8 @@
   request.forwarded = reader.Flag("forwarded");
   const bool has_sender = ParseAddress(
       reader.Get<std::string>("sender", &json::is_string), &request.sender);
-  if (!reader.valid() || !has_sender) return absl::InvalidArgumentError("not a grant request");
+  if (!reader.valid() || !has_sender)
+    return absl::InvalidArgumentError("not a grant request");
   return request;
 }
 
@@ -120,7 +121,8 @@
   }
   const bool is_new =
       entry.used_at == Ms{0} || record.started_at_ms > entry.started_at_ms;
-  if (is_new) entry = {record.started_at_ms, record.limit, {.filled_at = now}, now};
+  if (is_new)
+    entry = {record.started_at_ms, record.limit, {.filled_at = now}, now};
   MergeTold(entry.limit, record.limit);
   GrantAnswer answer{{true, Ms{0}}, entry.limit};
   if (!request.wants_grant) return answer;
--- a/tests/gateway__grant_ledger_test.cc
+++ b/tests/gateway__grant_ledger_test.cc
@@ -1,9 +1,8 @@
 // Tests of the messages about grants and of the ledger that decides on them.
-#include "knapweed/gateway/grant_ledger.h"
-
 #include <doctest/doctest.h>
 
 #include "knapweed/gateway/announcement.h"
+#include "knapweed/gateway/grant_ledger.h"
 
 namespace knapweed::gateway {
 namespace {
--- a/tests/gateway__net_test.cc
+++ b/tests/gateway__net_test.cc
@@ -1,12 +1,12 @@
 // Tests of the HTTP client for the store and other gateways.
-#include "knapweed/gateway/net.h"
-
 #include <doctest/doctest.h>
 
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <vector>
 
+#include "knapweed/gateway/net.h"
+
 namespace knapweed::gateway {
 namespace {
 
--- a/tests/gateway__send_limit_fleet_test.cc
+++ b/tests/gateway__send_limit_fleet_test.cc
@@ -1,12 +1,12 @@
 // Simulates fleets of gateways before one upstream that states a limit, with
 // faults of the gateways, their network and the store.
-#include "tests/send_limit_fleet.h"
-
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <cstdlib>
 
+#include "tests/send_limit_fleet.h"
+
 namespace knapweed::testing {
 namespace {
 
@@ -248,8 +248,8 @@
           end();
         });
       };
-      Spawn(loop_, Answer(to, nodes_[index(to)].process, call, respond,
-                          exchange));
+      Spawn(loop_,
+            Answer(to, nodes_[index(to)].process, call, respond, exchange));
     });
   }
   gateway::NetErrorCode ec;
