--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -118,6 +118,8 @@
   bool leaving = false;
   /// Limit in requests per second that every response states; empty for none.
   std::string limit_per_s;
+  /// Version of its software, as its entry states it.
+  std::string version = "v1";
   std::vector<ReceivedRequest> received;
   /// Connections accepted so far.
   int connections = 0;
