Keep the ports of the test cluster bound until they are used

Cause: users_platform__draining_test failed once in a single run ("REQUIRE( 0 > 0 )": no call reached a server). Traced by 48 runs, 12 at a time: 2 failed, each with "Can't listen. error=Address already in use" before it. A port was chosen, released and listened on later; meanwhile a connection of this or another process could get it. Change: the cluster holds a bound socket on each port for its lifetime; listening with reuse of the address still works beside it.

--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -11,13 +11,6 @@
 
 constexpr char kLoopback[] = "127.0.0.1";
 
-/// Returns a loopback address on whose port nothing listens.
-Address FreeAddress(asio::io_context& loop) {
-  asio::ip::tcp::acceptor acceptor(loop,
-                                   {asio::ip::make_address_v4(kLoopback), 0});
-  return {kLoopback, acceptor.local_endpoint().port()};
-}
-
 /// Two services and a route of each kind; two workspaces, "ws2" without a rate.
 json DefaultConfig() {
   const auto route = [](const char* name, const char* prefix, const char* kind,
@@ -126,18 +119,18 @@
 
 TestCluster::TestCluster(int gateway_count, int servers, int partitioned)
     : store(loop, 7) {
-  const Address store_address = FreeAddress(loop);
+  const Address store_address = ReserveAddress();
   store.Listen(store_address);
   for (int i = 0; i < servers; ++i) {
     const std::string n = std::to_string(i);
     engines.push_back(
-        std::make_unique<FakeServer>(loop, "engine-" + n, FreeAddress(loop)));
+        std::make_unique<FakeServer>(loop, "engine-" + n, ReserveAddress()));
     engines.back()->Listen();
     engines.back()->default_script.kind = Script::Kind::kEvents;
     store.Put("servers", engines.back()->id(),
               engines.back()->Entry("engines"));
     plain.push_back(
-        std::make_unique<FakeServer>(loop, "plain-" + n, FreeAddress(loop)));
+        std::make_unique<FakeServer>(loop, "plain-" + n, ReserveAddress()));
     plain.back()->Listen();
     store.Put("servers", plain.back()->id(), plain.back()->Entry("plain"));
   }
@@ -155,15 +148,23 @@
 
 TestCluster::~TestCluster() = default;
 
+Address TestCluster::ReserveAddress() {
+  asio::ip::tcp::socket& socket = reserved_.emplace_back(loop);
+  socket.open(asio::ip::tcp::v4());
+  socket.set_option(asio::socket_base::reuse_address(true));
+  socket.bind({asio::ip::make_address_v4(kLoopback), 0});
+  return {kLoopback, socket.local_endpoint().port()};
+}
+
 int TestCluster::AddGateway(const std::string& name, bool partitioned) {
   gateway::GatewayConfig& config = configs.emplace_back();
   config.name = name;
   config.failure_domain = "a";
-  config.callers = FreeAddress(loop);
-  config.readiness = FreeAddress(loop);
-  config.peers = FreeAddress(loop);
-  config.metrics = FreeAddress(loop);
-  config.store = partitioned ? FreeAddress(loop) : store_address_;
+  config.callers = ReserveAddress();
+  config.readiness = ReserveAddress();
+  config.peers = ReserveAddress();
+  config.metrics = ReserveAddress();
+  config.store = partitioned ? ReserveAddress() : store_address_;
   config.seeds.push_back(configs.front().peers);
   gateways.push_back(std::make_unique<gateway::Gateway>(
       loop, config, users_platform::PlatformDialect()));
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -89,6 +89,11 @@
   uint64_t config_version = 1;
 
  private:
+  /// Returns a loopback address on whose port nothing listens. The port stays
+  /// bound, so that no connection gets it meanwhile.
+  Address ReserveAddress();
+
+  std::deque<gateway::asio::ip::tcp::socket> reserved_;
   Address store_address_;
 };
 
