Count the life of a send grant from the time at which it was asked for

A call that waits for its turn took the grant's end from the time at which it woke, so a paused VM sent all requests that it had been promised at once. Change: SendBy in policy/send_limit, from the time of asking and the promised turn; such a request asks again.

--- a/include/knapweed/policy/send_limit.h
+++ b/include/knapweed/policy/send_limit.h
@@ -56,6 +56,11 @@
   Ms wait;
 };
 
+/// Returns the time by which a request must be sent for which a grant was asked
+/// at `asked_at`. Later, for example after a pause of the VM, the request would
+/// count for another span than the grant.
+Ms SendBy(Ms asked_at, const SendGrant& grant);
+
 /// Decides on one request at `rate_per_s`; promises one of the next if that is
 /// due within `max_wait`. A limit of zero still admits a rare request, because
 /// only a response tells that the limit has ended. Never grants more in a span
--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -12,9 +12,6 @@
 /// Grants that may be refused to a call before it tries only upstreams that
 /// need none, and then waits for one.
 constexpr int kMaxGrantsRefused = 4;
-/// A request for which a grant was given must be sent within this time; later,
-/// after a pause of the VM, the grant counts for another span.
-constexpr Ms kGrantTtl{500};
 /// Assumed number of events in a streamed response, for the choice of an
 /// upstream.
 constexpr uint32_t kExpectedEvents = 8;
@@ -47,8 +44,9 @@
     if (upstream == nullptr) break;
     state->send_by = state->deadline;
     if (!IsLimited(*upstream)) co_return upstream;
+    const Ms asked_at = deps_.clock.Now();
     const SendGrant grant = co_await deps_.send_limits.Ask(upstream, Ms{0});
-    state->send_by = deps_.clock.Now() + kGrantTtl;
+    state->send_by = SendBy(asked_at, grant);
     if (grant.granted) co_return upstream;
   }
   const UpstreamPtr first =
@@ -71,10 +69,11 @@
   call.objective = state->route->objective;
   call.begins_program = state->begins_program;
   const Ms max_wait = MaxSendWait(call);
+  const Ms asked_at = deps_.clock.Now();
   const SendGrant grant = co_await deps_.send_limits.Ask(upstream, max_wait);
   if (grant.granted) {
+    state->send_by = SendBy(asked_at, grant);
     co_await Sleep(deps_.loop, grant.wait);
-    state->send_by = deps_.clock.Now() + kGrantTtl;
     co_return upstream;
   }
   kLog.Info("The limits of all upstreams are used up.",
--- a/src/policy/send_limit.cc
+++ b/src/policy/send_limit.cc
@@ -14,6 +14,7 @@
 /// Tolerance for rounding errors in sums of fractions.
 constexpr double kRoundingTolerance = 1e-9;
 constexpr Ms kMinWait{10};
+constexpr Ms kGrantTtl{500};
 /// By how much the same limit must be newer to count; more than the time of a
 /// message between gateways.
 constexpr Ms kRetoldAfter{1000};
@@ -54,6 +55,10 @@
   return kBurstRequests + kBurstS * rate_per_s;
 }
 
+Ms SendBy(Ms asked_at, const SendGrant& grant) {
+  return asked_at + grant.wait + kGrantTtl;
+}
+
 SendGrant GrantSend(SendSchedule& schedule, double rate_per_s, Ms max_wait,
                     Ms now) {
   const double rate = std::max(rate_per_s, kMinRatePerS);
--- a/tests/gateway__send_limit_fleet_test.cc
+++ b/tests/gateway__send_limit_fleet_test.cc
@@ -30,7 +30,6 @@
 constexpr Ms kToldBefore{500};
 constexpr Ms kAnnounceInterval{600};
 constexpr Ms kAnnouncementTtl{9000};
-constexpr Ms kGrantTtl{500};
 constexpr Ms kServiceTime{50};
 
 /// One run of a gateway's process.
@@ -279,11 +278,12 @@
 }
 
 Task<void> Fleet::Ask(int n, std::shared_ptr<Process> process) {
+  const Ms asked_at = Now();
   const SendGrant grant =
       co_await process->limits->Ask(process->upstream, Ms{0});
   if (nodes_[index(n)].process != process || !grant.granted) co_return;
-  const Ms at = Now() + grant.wait;
-  OnNode(n, at, [this, n, at] { Send(n, at + kGrantTtl); });
+  const Ms send_by = SendBy(asked_at, grant);
+  OnNode(n, Now() + grant.wait, [this, n, send_by] { Send(n, send_by); });
 }
 
 void Fleet::Arrive() {
--- a/tests/gateway__stream_versions_test.cc
+++ b/tests/gateway__stream_versions_test.cc
@@ -1,12 +1,12 @@
 // Tests of the origins of streams that gateways tell each other, in fleets of
 // which a part is gone.
-#include "knapweed/gateway/stream_versions.h"
-
 #include <doctest/doctest.h>
 
 #include <memory>
 #include <random>
 
+#include "knapweed/gateway/stream_versions.h"
+
 namespace knapweed::gateway {
 namespace {
 
@@ -98,9 +98,12 @@
     double least;
   };
   const Row rows[] = {
-      {"two gateways", 2, 0, 1},        {"seven", 7, 0, 1},
-      {"seven, one more dead", 7, 0.15, 0.9}, {"seven, half dead", 7, 0.5, 0.5},
-      {"84, a tenth dead", 84, 0.1, 0.9},    {"84, most dead", 84, 0.55, 0.5},
+      {"two gateways", 2, 0, 1},
+      {"seven", 7, 0, 1},
+      {"seven, one more dead", 7, 0.15, 0.9},
+      {"seven, half dead", 7, 0.5, 0.5},
+      {"84, a tenth dead", 84, 0.1, 0.9},
+      {"84, most dead", 84, 0.55, 0.5},
       {"380, most dead", 380, 0.55, 0.5},
   };
   std::mt19937_64 random(11);
@@ -164,7 +167,10 @@
 
 TEST_CASE("malformed messages about streams are rejected") {
   Fleet fleet(2);
-  const char* rows[] = {"", "[]", "{}", R"({"request":1})",
+  const char* rows[] = {"",
+                        "[]",
+                        "{}",
+                        R"({"request":1})",
                         R"({"request":"r"})",
                         R"({"request":"r","service":"s","version":2})"};
   for (const char* text : rows) {
--- a/tests/platform/send_limit_test.cc
+++ b/tests/platform/send_limit_test.cc
@@ -98,6 +98,29 @@
   }
 }
 
+TEST_CASE(
+    "a gateway that was paused sends nothing by grants that have expired") {
+  TestCluster cluster(2, 1);
+  cluster.RunFor(Ms{1500});
+  FakeServer& server = *cluster.plain[0];
+  server.limit_per_s = "5";
+  for (const int gateway : {0, 1}) {
+    CHECK(cluster.Call(PlainCall("/safe/x", "first"), gateway).status == 200);
+  }
+  // These wait for grants of the next two seconds.
+  std::vector<std::shared_ptr<CallerResponse>> waiting;
+  for (int i = 0; i < 10; ++i) {
+    waiting.push_back(cluster.StartCall(
+        PlainCall("/safe/x", "w" + std::to_string(i)), i % 2));
+  }
+  cluster.RunFor(Ms{100});
+  SleepFor(Ms{3000});
+  const size_t before = server.received.size();
+  cluster.RunFor(Ms{100});
+  // What the schedule holds after a lull, not all that was granted before.
+  CHECK(server.received.size() - before <= 4);
+}
+
 TEST_CASE("all gateways learn that a limit has ended") {
   TestCluster cluster(3);
   cluster.RunFor(Ms{1500});
--- a/tests/policy__send_limit_test.cc
+++ b/tests/policy__send_limit_test.cc
@@ -135,6 +135,15 @@
   CHECK_FALSE(GrantSend(schedule, 5, Ms{400}, now).granted);
 }
 
+TEST_CASE("a grant ends soon after its turn") {
+  const Ms asked_at = Seconds(100);
+  const SendGrant now{true, Ms{0}};
+  const SendGrant later{true, Ms{700}};
+  CHECK(SendBy(asked_at, now) > asked_at);
+  CHECK(SendBy(asked_at, now) <= asked_at + Ms{500});
+  CHECK(SendBy(asked_at, later) == SendBy(asked_at, now) + Ms{700});
+}
+
 TEST_CASE("a limit of zero admits a request now and then") {
   SendSchedule schedule{0, Seconds(100)};
   int granted = 0;
--- a/tests/policy__stream_version_test.cc
+++ b/tests/policy__stream_version_test.cc
@@ -1,12 +1,12 @@
 // Tests of the decision whether a resumed stream may go on, and at which
 // software version.
-#include "knapweed/policy/stream_version.h"
-
 #include <doctest/doctest.h>
 
 #include <string>
 #include <vector>
 
+#include "knapweed/policy/stream_version.h"
+
 namespace knapweed {
 namespace {
 
@@ -30,13 +30,25 @@
   const Row rows[] = {
       {"known", "v1", true, {v1, v2}, kLongAgo, "v1"},
       {"known, its version has left", "v0", true, {v1}, kLongAgo, "v0"},
-      {"known by a gateway that has just started", "v2", true, {v1, v2}, kNow,
+      {"known by a gateway that has just started",
+       "v2",
+       true,
+       {v1, v2},
+       kNow,
        "v2"},
       {"unknown, two versions", {}, true, {v1, v2}, kLongAgo, ""},
       {"unknown, one version", {}, true, {v1}, kLongAgo, "v1"},
-      {"unknown, another has left lately", {}, true, {left_lately, v1}, kLongAgo,
+      {"unknown, another has left lately",
+       {},
+       true,
+       {left_lately, v1},
+       kLongAgo,
        ""},
-      {"unknown, another left long ago", {}, true, {left_long_ago, v1}, kLongAgo,
+      {"unknown, another left long ago",
+       {},
+       true,
+       {left_long_ago, v1},
+       kLongAgo,
        "v1"},
       {"unknown, gateway has just started", {}, true, {v1}, kLately, ""},
       {"beginning not named, one version", {}, false, {v1}, kLately, "v1"},
