--- a/benchmarks/rig/rig.h
+++ b/benchmarks/rig/rig.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "benchmarks/rig/fakes.h"
+#include "benchmarks/rig/fake_engine.h"
 #include "knapweed/policy/placement.h"
 
 namespace knapweed::rig {
