Read the change as a newcomer: peers' requests, names, a reason

Cause: the last read of the change: two functions of gateway.cc took seven components each, the gateway in place of a home had two names, a resumed stream without upstreams of its version said only that there was none, and its log line named the wrong beginning. Change: AnswerPeer and RunMaintenance are members of the gateway's parts; one name; the reason; the line.

--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -56,9 +56,12 @@
     co_return granted;
   }
   const bool none = state->tried.empty();
+  const std::string_view none_reason = state->stream_version.has_value()
+                                           ? "no upstream of its version"
+                                           : "no upstream";
   co_await Refuse(state, state->runs == 0 ? 503 : 502,
                   none ? kRetryNoUpstream : kRetryFull,
-                  none ? "no upstream" : "every upstream refused");
+                  none ? none_reason : "every upstream refused");
   co_return nullptr;
 }
 
@@ -90,11 +93,12 @@
 void CallRunner::LogResume(const State& state, const Upstream& upstream) {
   const CallHead& head = state.request.head;
   if (!state.has_event && !head.resume_after.has_value()) return;
+  const bool is_own = !head.resume_after.has_value();
   const uint64_t after =
       state.has_event ? state.last_event : head.resume_after.value_or(0);
   kLog.Info("A stream goes on.",
             {{"request", head.request_id},
-             {"begun_by", state.has_event ? head.request_id : head.begun_by},
+             {"begun_by", is_own ? head.request_id : head.begun_by},
              {"begun_version", state.stream_version.value_or("")},
              {"after_event", after},
              {"upstream", upstream.entry.id},
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -355,6 +355,7 @@
     if (row.key.key == self_.name) continue;
     crashes_.MergeRecords(told->crashes);
     for (LimitRecord& record : told->limits) {
+      // From the store's clock to that of this process.
       record.limit.observed_at += clock_.Now() - age - now;
     }
     send_limits_.MergeRecords(told->limits);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,63 +27,6 @@
 constexpr Ms kShutdownMargin{700};
 constexpr Ms kMaintenanceInterval{250};
 
-Task<void> RunMaintenance(asio::io_context& loop, const Metrics& metrics,
-                          Budgets& budgets, Turns& turns,
-                          StreamVersions& stream_versions,
-                          const FleetWatch& watch, ConnectionPool& pool) {
-  constexpr int kRoundsPerReport = 40;
-  for (int round = 1;; ++round) {
-    co_await Sleep(loop, kMaintenanceInterval);
-    if (round % kRoundsPerReport == 0) {
-      kLog.Info("Counters.", {{"metrics", metrics.ToJson()}});
-    }
-    co_await budgets.Flush(false);
-    co_await turns.RemoveExpired();
-    pool.CloseIdle();
-    if (watch.ready()) stream_versions.Update();
-    FlushLog();
-  }
-}
-
-Task<HttpResponse> AnswerPeer(Store& store, Budgets& budgets,
-                              ProgramStarts& starts, SendLimits& send_limits,
-                              StreamVersions& stream_versions,
-                              const FleetWatch& watch,
-                              const HttpRequest& call) {
-  HttpResponse answer;
-  if (call.target == kKnownRowsPath) {
-    answer.status = watch.ready() ? 200 : 503;
-    answer.body = EncodeKnownRows(watch.RowsForPeers());
-    co_return answer;
-  }
-  if (call.target == kStartPath) {
-    answer = starts.AnswerPeer(call);
-    co_return answer;
-  }
-  if (call.target == kGrantPath) {
-    answer = co_await send_limits.AnswerPeer(call);
-    co_return answer;
-  }
-  if (call.target == kStreamBegunPath || call.target == kStreamOriginPath) {
-    answer = stream_versions.AnswerPeer(call);
-    co_return answer;
-  }
-  if (call.target.starts_with(kBudgetPrefix)) {
-    answer = co_await budgets.AnswerPeer(call);
-    co_return answer;
-  }
-  if (!call.target.starts_with(kRelayPrefix)) {
-    answer.status = 404;
-    co_return answer;
-  }
-  HttpRequest inner = call;
-  inner.target.erase(0, kRelayPrefix.size());
-  answer = co_await store.RunForPeer(inner);
-  // 503 if the request was not sent and so did not run; 504 if it may have run.
-  if (answer.status == 0) answer.status = answer.not_sent ? 503 : 504;
-  co_return answer;
-}
-
 }  // namespace
 
 /// The components of one gateway, each after those that it depends on.
@@ -119,6 +62,11 @@
               GatewayEntry{c.name, c.peers}, c.seeds),
         sweeper(l, store, view, {BudgetTable(), TurnTable()}) {}
 
+  /// Handles a request from another gateway.
+  Task<HttpResponse> AnswerPeer(HttpRequest call);
+  /// Runs the components' periodic work until the loop stops.
+  Task<void> RunMaintenance();
+
   Clock clock = Clock::Steady();
   asio::io_context& loop;
   const GatewayConfig& config;
@@ -145,6 +93,47 @@
   bool shutting_down = false;
 };
 
+Task<HttpResponse> Gateway::Parts::AnswerPeer(HttpRequest call) {
+  HttpResponse answer;
+  if (call.target == kKnownRowsPath) {
+    answer.status = watch.ready() ? 200 : 503;
+    answer.body = EncodeKnownRows(watch.RowsForPeers());
+  } else if (call.target == kStartPath) {
+    answer = starts.AnswerPeer(call);
+  } else if (call.target == kGrantPath) {
+    answer = co_await send_limits.AnswerPeer(call);
+  } else if (call.target == kStreamBegunPath ||
+             call.target == kStreamOriginPath) {
+    answer = stream_versions.AnswerPeer(call);
+  } else if (call.target.starts_with(kBudgetPrefix)) {
+    answer = co_await budgets.AnswerPeer(call);
+  } else if (call.target.starts_with(kRelayPrefix)) {
+    call.target.erase(0, kRelayPrefix.size());
+    answer = co_await store.RunForPeer(call);
+    // 503 if the request was not sent and so did not run; 504 if it may have
+    // run.
+    if (answer.status == 0) answer.status = answer.not_sent ? 503 : 504;
+  } else {
+    answer.status = 404;
+  }
+  co_return answer;
+}
+
+Task<void> Gateway::Parts::RunMaintenance() {
+  constexpr int kRoundsPerReport = 40;
+  for (int round = 1;; ++round) {
+    co_await Sleep(loop, kMaintenanceInterval);
+    if (round % kRoundsPerReport == 0) {
+      kLog.Info("Counters.", {{"metrics", metrics.ToJson()}});
+    }
+    co_await budgets.Flush(false);
+    co_await turns.RemoveExpired();
+    pool.CloseIdle();
+    if (watch.ready()) stream_versions.Update();
+    FlushLog();
+  }
+}
+
 Gateway::Gateway(asio::io_context& loop, const GatewayConfig& config,
                  const Dialect& dialect)
     : parts_(std::make_unique<Parts>(loop, config, dialect)) {}
@@ -211,9 +200,7 @@
   const bool peers = ServeInternal(
       parts.loop, config.peers,
       [this](const HttpRequest& call) -> Task<HttpResponse> {
-        const HttpResponse answer = co_await AnswerPeer(
-            parts_->store, parts_->budgets, parts_->starts, parts_->send_limits,
-            parts_->stream_versions, parts_->watch, call);
+        const HttpResponse answer = co_await parts_->AnswerPeer(call);
         co_return answer;
       });
   const bool metrics = ServeInternal(
@@ -234,9 +221,7 @@
   parts.store.Start();
   parts.watch.Start();
   Spawn(parts.loop, parts.sweeper.Run());
-  Spawn(parts.loop,
-        RunMaintenance(parts.loop, parts.metrics, parts.budgets, parts.turns,
-                       parts.stream_versions, parts.watch, parts.pool));
+  Spawn(parts.loop, parts.RunMaintenance());
   return true;
 }
 
--- a/src/gateway/send_limits.cc
+++ b/src/gateway/send_limits.cc
@@ -15,7 +15,6 @@
 constexpr Ms kNoAnswerWait{100};
 /// Time for which a gateway that has stopped granting is taken to be stopping.
 constexpr Ms kStopTime{10000};
-
 /// Time after which a peer that does not answer at all is not merely slow;
 /// shorter than the time after which a home counts as dead.
 constexpr Ms kProbeTimeout{1500};
--- a/src/policy/send_limit.cc
+++ b/src/policy/send_limit.cc
@@ -22,7 +22,7 @@
 /// than a slow one takes to answer, and than the skip of a peer.
 constexpr Ms kHomeDeadAfter{2000};
 /// Fraction of the limit that a gateway grants before that.
-constexpr double kDeputyShare = 0.3;
+constexpr double kSubstituteShare = 0.3;
 
 /// Takes over `news` unless it is older. Returns whether the limit changed.
 bool MergeNewer(StatedLimit& known, const StatedLimit& news) {
@@ -78,7 +78,7 @@
 double GrantableShare(const HomeStatus& home) {
   const bool replaces_home =
       home.is_self || home.has_stopped || home.unreachable_for > kHomeDeadAfter;
-  return replaces_home ? 1 : kDeputyShare;
+  return replaces_home ? 1 : kSubstituteShare;
 }
 
 Ms MaxSendWait(const LimitedCall& call) {
