Serve what has just been accepted when a stopping gateway ends listening

What callers saw: around the third second of a planned stop, connections that had just been opened were reset, and requests on them were cut off; one was passed on to an upstream after its connection had been closed. Cause: three windows. Closing the listener resets what waits to be accepted; a connection accepted in the same moment was dropped; and closing idle connections closed those whose first request had arrived but was not yet handled, which then went on without a caller. Change: the listener accepts what waits before it closes; a new connection has 0.5 s for its first request; an idle connection is ended by cancelling its wait, which does not touch a request that has arrived.

--- a/include/knapweed/gateway/front.h
+++ b/include/knapweed/gateway/front.h
@@ -41,6 +41,7 @@
   using SessionPtr = std::shared_ptr<Session>;
 
   Task<void> Accept();
+  void StartSession(asio::ip::tcp::socket socket);
   CallerLimits Limits() const;
 
   asio::io_context& loop_;
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -24,6 +24,8 @@
 /// for this long.
 constexpr int kTcpUserTimeoutMs = 10000;
 constexpr int kListenBacklog = 1024;
+/// Time within which a new connection brings its first request.
+constexpr Ms kFirstRequestGrace{500};
 
 unsigned StatusOfParseError(const NetErrorCode& ec) {
   if (ec == http::error::header_limit) return 431;
@@ -60,12 +62,20 @@
                        public std::enable_shared_from_this<Session> {
  public:
   Session(Front& front, asio::ip::tcp::socket socket)
-      : front_(front), stream_(std::move(socket)) {}
+      : front_(front),
+        stream_(std::move(socket)),
+        opened_at_(front.clock_.Now()) {}
 
   Task<void> Run();
-  /// Closes the connection if no request is in progress or being read.
+  /// Closes the connection if no request is in progress or being read, unless
+  /// it was just opened for its first one.
   void CloseIfIdle() {
-    if (idle_) stream_.close();
+    const bool awaits_first =
+        !has_served_ && front_.clock_.Now() - opened_at_ < kFirstRequestGrace;
+    if (!idle_ || awaits_first) return;
+    // Ends the wait for a request, but not one that has arrived already.
+    NetErrorCode ec;
+    stream_.socket().cancel(ec);
   }
 
   Task<bool> WriteResponse(unsigned status, const http::fields& fields,
@@ -96,7 +106,9 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buf_;
   std::function<void()> on_disconnect_;
+  Ms opened_at_;
   bool idle_ = true;
+  bool has_served_ = false;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
   bool stream_aborted_ = false;
@@ -108,8 +120,14 @@
   NetErrorCode ec;
   if (buf_.size() == 0) {
     const auto space = buf_.prepare(4096);
-    const size_t n = co_await stream_.async_read_some(
+    size_t n = co_await stream_.async_read_some(
         space, asio::redirect_error(asio::use_awaitable, ec));
+    // `CloseIfIdle` has ended the wait; a request may have arrived just before.
+    NetErrorCode ignored;
+    if (ec == asio::error::operation_aborted &&
+        stream_.socket().available(ignored) > 0) {
+      n = stream_.socket().read_some(space, ec);
+    }
     buf_.commit(n);
   }
   idle_ = false;
@@ -207,6 +225,7 @@
     Spawn(front_.loop_, WatchForDisconnect(answered));
     co_await front_.runner_.Run(request, *this);
     *answered = true;
+    has_served_ = true;
     on_disconnect_ = nullptr;
     if (stream_aborted_) break;
     stream_.socket().cancel(ec);
@@ -302,7 +321,14 @@
 }
 
 void Front::StopAccepting() {
+  // Connections that wait to be accepted would be reset.
   NetErrorCode ec;
+  acceptor_->non_blocking(true, ec);
+  while (!ec) {
+    asio::ip::tcp::socket socket(loop_);
+    acceptor_->accept(socket, ec);
+    if (!ec) StartSession(std::move(socket));
+  }
   acceptor_->close(ec);
   if (ec) kLog.Warning("Can't stop listening.", {{"error", ec.message()}});
 }
@@ -314,22 +340,26 @@
     asio::ip::tcp::socket socket(loop_);
     co_await acceptor_->async_accept(
         socket, asio::redirect_error(asio::use_awaitable, ec));
-    if (!acceptor_->is_open()) break;
-    if (ec) {
+    if (!ec) {
+      // Also if listening has ended meanwhile.
+      StartSession(std::move(socket));
+    } else if (acceptor_->is_open()) {
       kLog.Warning("Can't accept a connection.", {{"error", ec.message()}});
       co_await Sleep(loop_, kRetryInterval);
-      continue;
     }
-    auto session = std::make_shared<Session>(*this, std::move(socket));
-    sessions_.insert(session);
-    asio::co_spawn(loop_, session->Run(),
-                   [this, session](const std::exception_ptr& failure) {
-                     sessions_.erase(session);
-                     if (failure) std::rethrow_exception(failure);
-                   });
   }
 }
 
+void Front::StartSession(asio::ip::tcp::socket socket) {
+  auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  asio::co_spawn(loop_, session->Run(),
+                 [this, session](const std::exception_ptr& failure) {
+                   sessions_.erase(session);
+                   if (failure) std::rethrow_exception(failure);
+                 });
+}
+
 void Front::CloseIdle() {
   const std::vector<SessionPtr> all(sessions_.begin(), sessions_.end());
   for (const SessionPtr& session : all) session->CloseIfIdle();
--- a/tests/platform/gateways_test.cc
+++ b/tests/platform/gateways_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <deque>
 
 #include "knapweed/gateway/row_sweeper.h"
 #include "tests/platform/world.h"
@@ -356,6 +357,82 @@
   CHECK(response.starts_with("HTTP/1.1 200"));
 }
 
+// A caller that connects and sends one request at a given time.
+struct TimedCaller {
+  bool connected = false;
+  unsigned status = 0;
+  bool done = false;
+};
+
+gateway::Task<void> ConnectAndSend(TestCluster& cluster, Ms connect_after,
+                                   Ms send_after, std::string id,
+                                   TimedCaller& caller) {
+  co_await gateway::Sleep(cluster.loop, connect_after);
+  gateway::beast::tcp_stream stream(cluster.loop);
+  const bool open =
+      co_await gateway::Connect(stream, cluster.configs[0].callers, Seconds(1));
+  caller.connected = open;
+  if (open) {
+    co_await gateway::Sleep(cluster.loop, send_after);
+    const std::string text =
+        "GET /safe/x HTTP/1.1\r\nHost: " + std::string(kHost) +
+        "\r\nRequest-Id: " + id + "\r\nKey: key1\r\n\r\n";
+    gateway::NetErrorCode ec;
+    stream.expires_after(std::chrono::seconds(5));
+    co_await gateway::asio::async_write(
+        stream, gateway::asio::buffer(text),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    gateway::beast::flat_buffer buf;
+    gateway::http::response<gateway::http::string_body> response;
+    co_await gateway::http::async_read(
+        stream, buf, response,
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    if (!ec) caller.status = response.result_int();
+  }
+  caller.done = true;
+}
+
+TEST_CASE("a stop answers requests on connections that were just opened") {
+  // Connections open and send at the moments at which a stopping gateway stops
+  // listening and closes idle connections.
+  constexpr Ms kStopsListening{3000};
+  constexpr int kCallers = 400;
+  TestCluster cluster(1);
+  std::deque<TimedCaller> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    const Ms connect_after = kStopsListening - Ms{60} + Ms{i / 6};
+    gateway::Spawn(
+        cluster.loop,
+        ConnectAndSend(cluster, connect_after, Ms{i % 3 * 2},
+                       "t" + std::to_string(i), callers.emplace_back()));
+  }
+  bool stopped = false;
+  const auto shut_down = [&]() -> gateway::Task<void> {
+    co_await cluster.gateways[0]->Shutdown();
+    stopped = true;
+  };
+  gateway::Spawn(cluster.loop, shut_down());
+  const auto all_done = [&] {
+    return std::all_of(callers.begin(), callers.end(),
+                       [](const TimedCaller& caller) { return caller.done; });
+  };
+  // Pauses let new connections, their requests and the end of a wait pile up.
+  cluster.RunFor(kStopsListening - Ms{100});
+  for (int i = 0; i < 20; ++i) {
+    SleepFor(Ms{7});
+    cluster.RunFor(Ms{1});
+  }
+  cluster.RunUntil([&] { return stopped && all_done(); }, Seconds(12));
+  int connected = 0;
+  int answered = 0;
+  for (const TimedCaller& caller : callers) {
+    if (caller.connected) ++connected;
+    if (caller.status != 0) ++answered;
+  }
+  CHECK(connected >= 50);
+  CHECK(answered == connected);
+}
+
 TEST_CASE("a sweep removes expired rows only") {
   TestCluster cluster;
   CHECK(cluster.Call(TurnCall("t1", "prog", 1000, 20)).status == 200);
