--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -184,7 +184,9 @@
 Task<StreamResume> StreamVersions::Resume(std::string begun_by,
                                           std::string service) {
   std::optional<StreamOrigin> origin;
-  if (!begun_by.empty()) origin = co_await Find(begun_by);
+  if (!begun_by.empty()) {
+    origin = co_await Find(begun_by);
+  }
   Update();
   const ResumeDecision decision = Decide(origin, !begun_by.empty(), service);
   kLog.Info("A caller resumes a stream.",
--- a/tests/platform/gateways_test.cc
+++ b/tests/platform/gateways_test.cc
@@ -403,7 +403,7 @@
     const Ms connect_after = kStopsListening - Ms{60} + Ms{i / 6};
     gateway::Spawn(
         cluster.loop,
-        ConnectAndSend(cluster, connect_after, Ms{i % 3 * 2},
+        ConnectAndSend(cluster, connect_after, Ms{int64_t{i} % 3 * 2},
                        "t" + std::to_string(i), callers.emplace_back()));
   }
   bool stopped = false;
--- a/tests/platform/send_limit_test.cc
+++ b/tests/platform/send_limit_test.cc
@@ -109,6 +109,7 @@
   }
   // These wait for grants of the next two seconds.
   std::vector<std::shared_ptr<CallerResponse>> waiting;
+  waiting.reserve(10);
   for (int i = 0; i < 10; ++i) {
     waiting.push_back(cluster.StartCall(
         PlainCall("/safe/x", "w" + std::to_string(i)), i % 2));
