--- /dev/null
+++ b/tests/platform/stop_test.cc
@@ -0,0 +1,182 @@
+// A planned stop of a gateway: what was accepted before it is answered.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+
+#include "tests/platform/world.h"
+
+namespace knapweed::testing {
+namespace {
+
+// A caller's connection for several requests in sequence.
+struct PersistentConnection {
+  explicit PersistentConnection(TestCluster& cluster) : stream(cluster.loop) {}
+  gateway::beast::tcp_stream stream;
+  gateway::beast::flat_buffer buf;
+};
+
+// Sends a GET request and sets `status` from the response, or to 0 without a
+// complete response.
+gateway::Task<void> SendGet(PersistentConnection& conn, unsigned* status,
+                            bool* done) {
+  namespace http = gateway::http;
+  http::request<http::empty_body> request(http::verb::get, "/safe/x", 11);
+  request.set(http::field::host, kHost);
+  request.set("Request-Id", "kept");
+  request.set("Key", "key1");
+  conn.stream.expires_never();
+  gateway::NetErrorCode ec;
+  co_await http::async_write(
+      conn.stream, request,
+      gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  http::response<http::string_body> response;
+  if (!ec) {
+    co_await http::async_read(
+        conn.stream, conn.buf, response,
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  }
+  *status = ec ? 0 : response.result_int();
+  *done = true;
+}
+
+unsigned SendGetAndWait(TestCluster& cluster, PersistentConnection& conn) {
+  unsigned status = 0;
+  bool done = false;
+  gateway::Spawn(cluster.loop, SendGet(conn, &status, &done));
+  cluster.RunUntil([&] { return done; });
+  return status;
+}
+
+TEST_CASE("a shutdown serves open connections until it completes") {
+  TestCluster cluster(2);
+  PersistentConnection conn(cluster);
+  const Address address = cluster.configs[0].callers;
+  bool open = false;
+  const auto connect = [&]() -> gateway::Task<void> {
+    open = co_await gateway::Connect(conn.stream, address, Seconds(1));
+  };
+  gateway::Spawn(cluster.loop, connect());
+  REQUIRE(cluster.RunUntil([&] { return open; }));
+  CHECK(SendGetAndWait(cluster, conn) == 200);
+  bool stopped = false;
+  const auto shut_down = [&]() -> gateway::Task<void> {
+    co_await cluster.gateways[0]->Shutdown();
+    stopped = true;
+  };
+  gateway::Spawn(cluster.loop, shut_down());
+  // The load balancer polls readiness periodically and may still send requests
+  // here.
+  cluster.RunFor(Ms{1000});
+  CHECK_FALSE(cluster.gateways[0]->IsReady());
+  CHECK(SendGetAndWait(cluster, conn) == 200);
+  // A request whose body is incomplete when the listener closes is served too.
+  PersistentConnection late(cluster);
+  const std::string text =
+      "POST /safe/x HTTP/1.1\r\nHost: " + std::string(kHost) +
+      "\r\nRequest-Id: late\r\nKey: key1\r\nContent-Length: 8\r\n\r\nhalf";
+  std::string response;
+  bool ended = false;
+  const auto send = [&]() -> gateway::Task<void> {
+    gateway::NetErrorCode ec;
+    co_await gateway::Connect(late.stream, address, Seconds(1));
+    late.stream.expires_never();
+    co_await gateway::asio::async_write(
+        late.stream, gateway::asio::buffer(text),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    co_await gateway::Sleep(cluster.loop, Ms{2500});
+    co_await gateway::asio::async_write(
+        late.stream, gateway::asio::buffer(text.substr(text.size() - 4)),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    co_await gateway::asio::async_read(
+        late.stream, gateway::asio::dynamic_buffer(response),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    ended = true;
+  };
+  gateway::Spawn(cluster.loop, send());
+  CHECK(cluster.RunUntil([&] { return stopped; }, Seconds(12)));
+  // The process exits after the shutdown, so every response must be complete.
+  CHECK(ended);
+  CHECK(response.starts_with("HTTP/1.1 200"));
+}
+
+// A caller that connects and sends one request at a given time.
+struct TimedCaller {
+  bool connected = false;
+  unsigned status = 0;
+  bool done = false;
+};
+
+gateway::Task<void> ConnectAndSend(TestCluster& cluster, Ms connect_after,
+                                   Ms send_after, std::string id,
+                                   TimedCaller& caller) {
+  co_await gateway::Sleep(cluster.loop, connect_after);
+  gateway::beast::tcp_stream stream(cluster.loop);
+  const bool open =
+      co_await gateway::Connect(stream, cluster.configs[0].callers, Seconds(1));
+  caller.connected = open;
+  if (open) {
+    co_await gateway::Sleep(cluster.loop, send_after);
+    const std::string text =
+        "GET /safe/x HTTP/1.1\r\nHost: " + std::string(kHost) +
+        "\r\nRequest-Id: " + id + "\r\nKey: key1\r\n\r\n";
+    gateway::NetErrorCode ec;
+    stream.expires_after(std::chrono::seconds(5));
+    co_await gateway::asio::async_write(
+        stream, gateway::asio::buffer(text),
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    gateway::beast::flat_buffer buf;
+    gateway::http::response<gateway::http::string_body> response;
+    co_await gateway::http::async_read(
+        stream, buf, response,
+        gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+    if (!ec) caller.status = response.result_int();
+  }
+  caller.done = true;
+}
+
+TEST_CASE("a stop answers requests on connections that were just opened") {
+  // Connections open and send at the moments at which a stopping gateway stops
+  // listening and closes idle connections.
+  constexpr Ms kStopsListening{3000};
+  constexpr int kCallers = 400;
+  TestCluster cluster(1);
+  std::deque<TimedCaller> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    const Ms connect_after = kStopsListening - Ms{60} + Ms{i / 6};
+    gateway::Spawn(
+        cluster.loop,
+        ConnectAndSend(cluster, connect_after, Ms{int64_t{i} % 3 * 2},
+                       "t" + std::to_string(i), callers.emplace_back()));
+  }
+  bool stopped = false;
+  const auto shut_down = [&]() -> gateway::Task<void> {
+    co_await cluster.gateways[0]->Shutdown();
+    stopped = true;
+  };
+  gateway::Spawn(cluster.loop, shut_down());
+  const auto all_done = [&] {
+    return std::all_of(callers.begin(), callers.end(),
+                       [](const TimedCaller& caller) { return caller.done; });
+  };
+  // Pauses let new connections, their requests and the end of a wait pile up.
+  cluster.RunFor(kStopsListening - Ms{100});
+  for (int i = 0; i < 20; ++i) {
+    SleepFor(Ms{7});
+    cluster.RunFor(Ms{1});
+  }
+  cluster.RunUntil([&] { return stopped && all_done(); }, Seconds(12));
+  int connected = 0;
+  int answered = 0;
+  for (const TimedCaller& caller : callers) {
+    if (caller.connected) ++connected;
+    if (caller.status != 0) ++answered;
+  }
+  CHECK(connected >= 50);
+  CHECK(answered == connected);
+}
+
+}  // namespace
+}  // namespace knapweed::testing
