Count the calls of a whole window, so that a burst is not forgotten early

Cause: a workspace's calls were counted in ten slots of 0.5 s. The newest has only begun, so the counts covered 4.5 to 5 s, and what came at once 4.5 s ago was admitted again while the platform still counted it (its window is 5 s). Ruled out, by larger reserves in gateway__rate_load_test: the age of the others' counts as the main cause. Change: slots of 0.25 s, one more than a window holds: 5 to 5.25 s are covered.

--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -72,11 +72,13 @@
   void SetOthers(std::span<const UseByWorkspace> others, Ms age = Ms{0});
 
  private:
-  /// Time slots of a window; each count is an array of slots, newest last.
-  static constexpr size_t kSlots = 10;
+  static constexpr size_t kSlotsPerWindow = 20;
+  /// Each count is an array of time slots, newest last. The newest slot has
+  /// only begun, so a full window needs one slot more.
+  static constexpr size_t kSlots = kSlotsPerWindow + 1;
   /// Slots over which demands are averaged: few, so that a change shows
   /// quickly.
-  static constexpr size_t kDemandSlots = 3;
+  static constexpr size_t kDemandSlots = 6;
   /// Estimate until enough programs have been counted.
   static constexpr double kInitialCallsPerProgram = 10;
   struct Counts {
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -36,7 +36,8 @@
 }  // namespace
 
 int64_t Quotas::SlotNow() const {
-  const int64_t span = tolerance_.window.count / static_cast<int64_t>(kSlots);
+  const int64_t span =
+      tolerance_.window.count / static_cast<int64_t>(kSlotsPerWindow);
   return clock_.Now().count / std::max(span, int64_t{1});
 }
 
@@ -56,7 +57,7 @@
 
 Ms Quotas::DemandSpan() const {
   return tolerance_.window * static_cast<int64_t>(kDemandSlots) /
-         static_cast<int64_t>(kSlots);
+         static_cast<int64_t>(kSlotsPerWindow);
 }
 
 WorkspaceUse Quotas::UseOf(const Counts& counts) const {
