Restore the demand of workspaces after a restart

Cause: a gateway that restarted restored the calls that it had admitted but not the demand, and published none. When all restarted in a surge, each took itself for nearly alone and admitted more at once than the window had left. Change: RestoreUse also restores the demand, which is forgotten after the averaging time if it does not go on.

--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -193,6 +193,12 @@
     const double calls = item.calls + item.demand_per_s * kUnreportedS;
     counts.allowed.back() += static_cast<uint32_t>(std::lround(calls));
     counts.begun.back() += static_cast<uint32_t>(std::lround(item.programs));
+    // Demand goes on after a restart: callers retry what was cut off.
+    const double arrived_per_slot =
+        item.demand_per_s * DemandSpan().Seconds() / kDemandSlots;
+    for (uint32_t& slot : std::span(counts.arrived).last(kDemandSlots)) {
+      slot += static_cast<uint32_t>(std::lround(arrived_per_slot));
+    }
   }
 }
 
--- a/tests/gateway__quotas_test.cc
+++ b/tests/gateway__quotas_test.cc
@@ -1,11 +1,11 @@
 // The counts by which a gateway limits the rate of a workspace, over time.
-#include "knapweed/gateway/quotas.h"
-
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <vector>
 
+#include "knapweed/gateway/quotas.h"
+
 namespace knapweed::gateway {
 namespace {
 
@@ -67,5 +67,18 @@
   }
 }
 
+TEST_CASE("a restarted gateway goes on publishing the demand it had") {
+  Clock clock = Clock::Manual(Seconds(100));
+  Quotas quotas(clock, QuotaTolerance{});
+  WorkspaceUse use;
+  use.calls = 60;
+  use.demand_per_s = 20;
+  quotas.RestoreUse({{"ws", use}}, Ms{400});
+  CHECK(quotas.OwnUse()["ws"].demand_per_s == doctest::Approx(20));
+  // Demand that does not go on is forgotten.
+  clock.Advance(Seconds(2));
+  CHECK(quotas.OwnUse()["ws"].demand_per_s == 0);
+}
+
 }  // namespace
 }  // namespace knapweed::gateway
