--- a/include/knapweed/gateway/known_rows.h
+++ b/include/knapweed/gateway/known_rows.h
@@ -26,6 +26,10 @@
   Ms gateways_age;
 };
 
+/// Snapshots that a gateway sends at once. When many gateways start together
+/// they ask few others, whose memory and links are small.
+inline constexpr int kMaxSnapshotsAtOnce = 4;
+
 std::string EncodeKnownRows(const KnownRows& known);
 /// Returns InvalidArgument when the bytes were not made by `EncodeKnownRows`.
 absl::StatusOr<KnownRows> DecodeKnownRows(std::string_view bytes);
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -81,6 +81,8 @@
   std::string body;
   /// No byte of the request was sent, so it can't have run.
   bool not_sent = false;
+  /// Released when the response has been sent, by a server.
+  std::shared_ptr<const void> held;
 };
 
 /// HTTP client with a pool of connections to one address, for small requests.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -62,6 +62,9 @@
               GatewayEntry{c.name, c.peers}, c.seeds),
         sweeper(l, store, view, {BudgetTable(), TurnTable()}) {}
 
+  /// Returns the rows for a gateway that starts; 503 if this one is not ready
+  /// or sends as many snapshots as it may.
+  HttpResponse SnapshotForPeer();
   /// Handles a request from another gateway.
   Task<HttpResponse> AnswerPeer(HttpRequest call);
   /// Runs the components' periodic work until the loop stops.
@@ -90,14 +93,28 @@
   Front front;
   FleetWatch watch;
   RowSweeper sweeper;
+  /// Shared by the snapshots that are being sent.
+  std::shared_ptr<const bool> snapshot_slot = std::make_shared<bool>();
   bool shutting_down = false;
 };
 
+HttpResponse Gateway::Parts::SnapshotForPeer() {
+  HttpResponse answer;
+  answer.status = 503;
+  if (!watch.ready() || snapshot_slot.use_count() > kMaxSnapshotsAtOnce) {
+    return answer;
+  }
+  answer.status = 200;
+  answer.body = EncodeKnownRows(watch.RowsForPeers());
+  answer.held = snapshot_slot;
+  metrics.GetCounter("snapshots_sent_total").Add();
+  return answer;
+}
+
 Task<HttpResponse> Gateway::Parts::AnswerPeer(HttpRequest call) {
   HttpResponse answer;
   if (call.target == kKnownRowsPath) {
-    answer.status = watch.ready() ? 200 : 503;
-    answer.body = EncodeKnownRows(watch.RowsForPeers());
+    answer = SnapshotForPeer();
   } else if (call.target == kStartPath) {
     answer = starts.AnswerPeer(call);
   } else if (call.target == kGrantPath) {
--- a/tests/platform/gateways_test.cc
+++ b/tests/platform/gateways_test.cc
@@ -4,7 +4,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <boost/asio/write.hpp>
+#include <deque>
 
+#include "knapweed/gateway/known_rows.h"
 #include "knapweed/gateway/row_sweeper.h"
 #include "tests/platform/world.h"
 
@@ -263,6 +266,54 @@
   CHECK(cluster.Call(call, late).status == 401);
 }
 
+// Asks for a snapshot, reads the start of the response, and leaves the rest
+// unread until `finish` is notified.
+gateway::Task<void> ReadStartOfSnapshot(TestCluster& cluster,
+                                        gateway::Event& finish,
+                                        std::string& start) {
+  gateway::beast::tcp_stream stream(cluster.loop);
+  co_await gateway::Connect(stream, cluster.configs[0].peers, Seconds(1));
+  stream.expires_never();
+  const std::string text = "GET /known-rows HTTP/1.1\r\nHost: a\r\n\r\n";
+  gateway::NetErrorCode ec;
+  co_await gateway::asio::async_write(
+      stream, gateway::asio::buffer(text),
+      gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  char buf[12];
+  const size_t n = co_await stream.async_read_some(
+      gateway::asio::buffer(buf),
+      gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  start.assign(buf, n);
+  co_await finish.Wait(Seconds(10));
+}
+
+TEST_CASE("a gateway sends few snapshots of its tables at once") {
+  TestCluster cluster;
+  // Larger than what the sockets buffer.
+  const std::string filler(5000, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    cluster.store.Put("servers", "filler-" + std::to_string(i), filler);
+  }
+  cluster.RunFor(Ms{1500});
+  gateway::Event finish(cluster.loop);
+  const auto count = [&](int requests, const char* status) {
+    std::deque<std::string> starts;
+    for (int i = 0; i < requests; ++i) {
+      gateway::Spawn(cluster.loop, ReadStartOfSnapshot(cluster, finish,
+                                                       starts.emplace_back()));
+    }
+    cluster.RunFor(Ms{500});
+    const auto n = std::count_if(starts.begin(), starts.end(), [&](auto& it) {
+      return it.starts_with(status);
+    });
+    finish.Notify();
+    cluster.RunFor(Ms{500});
+    return n;
+  };
+  CHECK(count(10, "HTTP/1.1 200") == gateway::kMaxSnapshotsAtOnce);
+  CHECK(count(10, "HTTP/1.1 503") == 10 - gateway::kMaxSnapshotsAtOnce);
+}
+
 TEST_CASE("a sweep removes expired rows only") {
   TestCluster cluster;
   CHECK(cluster.Call(TurnCall("t1", "prog", 1000, 20)).status == 200);
