Spread the starts of programs over a window that is not longer than the platform's

Cause: since calls are counted over 5 to 5.25 s, so were the programs begun, and an overloaded workspace got 95 to 98 % of its rate. Change: programs are counted over 4.75 to 5 s, calls over 5 to 5.25 s; the estimated calls of a program take the difference into account.

--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -74,21 +74,22 @@
  private:
   static constexpr size_t kSlotsPerWindow = 20;
   /// Each count is an array of time slots, newest last. The newest slot has
-  /// only begun, so a full window needs one slot more.
+  /// only begun, so counting all calls of a window takes one slot more.
   static constexpr size_t kSlots = kSlotsPerWindow + 1;
+  using Slots = std::array<uint32_t, kSlots>;
   /// Slots over which demands are averaged: few, so that a change shows
   /// quickly.
   static constexpr size_t kDemandSlots = 6;
   /// Estimate until enough programs have been counted.
   static constexpr double kInitialCallsPerProgram = 10;
   struct Counts {
-    std::array<uint32_t, kSlots> allowed{};
-    std::array<uint32_t, kSlots> arrived{};
+    Slots allowed{};
+    Slots arrived{};
     /// Programs started, and first turns that arrived.
-    std::array<uint32_t, kSlots> begun{};
-    std::array<uint32_t, kSlots> begin_requests{};
+    Slots begun{};
+    Slots begin_requests{};
     /// Starts granted as the workspace's home.
-    std::array<uint32_t, kSlots> granted{};
+    Slots granted{};
     uint32_t begun_since_update = 0;
     uint32_t admitted_since_update = 0;
     double demand_at_update_per_s = 0;
@@ -106,6 +107,10 @@
   Ms DemandSpan() const;
   int64_t SlotNow() const;
   void Advance(Counts& counts) const;
+  /// Returns the programs of a window. It must not be longer than the window,
+  /// or a workspace would get less than its rate: their starts are spread by
+  /// the rate, while calls are counted to bound them.
+  static double Programs(const Slots& slots);
   WorkspaceUse UseOf(const Counts& counts) const;
   /// Updates the estimated calls per program from the counts of all gateways.
   void UpdateCallsPerProgram();
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -60,6 +60,10 @@
          static_cast<int64_t>(kSlotsPerWindow);
 }
 
+double Quotas::Programs(const Slots& slots) {
+  return Sum(std::span(slots).last(kSlotsPerWindow));
+}
+
 WorkspaceUse Quotas::UseOf(const Counts& counts) const {
   const double span_s = std::max(DemandSpan().Seconds(), 1e-3);
   const auto per_s = [&](std::span<const uint32_t> slots) {
@@ -69,10 +73,9 @@
   // waiting: the larger of the short and the long average counts.
   const double program_demand =
       std::max(per_s(counts.begin_requests),
-               Sum(counts.begin_requests) / tolerance_.window.Seconds());
+               Programs(counts.begin_requests) / tolerance_.window.Seconds());
   return {static_cast<double>(Sum(counts.allowed)), per_s(counts.allowed),
-          per_s(counts.arrived), static_cast<double>(Sum(counts.begun)),
-          program_demand};
+          per_s(counts.arrived), Programs(counts.begun), program_demand};
 }
 
 Quotas::Counts& Quotas::CountsOf(const std::string& workspace) {
@@ -115,8 +118,7 @@
   verdict.input.waited = waited;
   verdict.input.decides_for_all = true;
   // Starts that gateways decided on while they could not ask are published.
-  verdict.input.begun =
-      std::max(verdict.input.begun, static_cast<double>(Sum(counts.granted)));
+  verdict.input.begun = std::max(verdict.input.begun, Programs(counts.granted));
   verdict.decided = verdict.input.others_age <= kOthersStaleAfter;
   verdict.allowed = verdict.decided && MayBegin(verdict.input);
   if (verdict.allowed) ++counts.granted.back();
@@ -231,8 +233,10 @@
       all.programs += others->second.programs;
     }
     if (all.programs < kMinProgramsToEstimate) continue;
-    const double observed = std::clamp(
-        all.calls / all.programs, kMinCallsPerProgram, kMaxCallsPerProgram);
+    const double calls_of_programs = all.calls * kSlotsPerWindow / kSlots;
+    const double observed =
+        std::clamp(calls_of_programs / all.programs, kMinCallsPerProgram,
+                   kMaxCallsPerProgram);
     counts.calls_per_program +=
         kEstimateWeight * (observed - counts.calls_per_program);
   }
--- a/tests/gateway__quotas_test.cc
+++ b/tests/gateway__quotas_test.cc
@@ -67,6 +67,34 @@
   }
 }
 
+TEST_CASE("a workspace that asks for several times its rate gets its rate") {
+  constexpr Ms kArrivalInterval{10};
+  constexpr int kMeasuredS = 60;
+  for (const double rate : {8.0, 20.0, 44.0}) {
+    CAPTURE(rate);
+    Clock clock = Clock::Manual(Seconds(100));
+    Quotas quotas(clock, QuotaTolerance{});
+    Workspace workspace;
+    workspace.name = "ws";
+    workspace.rate_per_s = rate;
+    workspace.burst = rate;
+    // The first two minutes let it learn that a program has one call.
+    const Ms measured_from = clock.Now() + Seconds(120);
+    const Ms end = measured_from + Seconds(kMeasuredS);
+    int admitted = 0;
+    for (int i = 0; clock.Now() < end; ++i) {
+      if (i % 60 == 0) quotas.SetOthers({});
+      const bool allowed =
+          quotas.GrantStart(workspace, Ms{0}).allowed &&
+          quotas.Take(workspace, ProgramStart::kGranted).allowed;
+      if (allowed && clock.Now() >= measured_from) ++admitted;
+      clock.Advance(kArrivalInterval);
+    }
+    CHECK(admitted >= 0.98 * rate * kMeasuredS);
+    CHECK(admitted <= 1.1 * rate * kMeasuredS);
+  }
+}
+
 TEST_CASE("a restarted gateway goes on publishing the demand it had") {
   Clock clock = Clock::Manual(Seconds(100));
   Quotas quotas(clock, QuotaTolerance{});
