Show the processor time and memory of a gateway among its metrics

Change: base/resource_use reads processor time, resident and peak memory of the process; gauges join counters and latencies in the registry; a gateway sets them when it serves /metrics and before it logs its counters. The two copies that read resident memory, in endless_test and wire_bench, use it.

--- a/benchmarks/wire_bench.cc
+++ b/benchmarks/wire_bench.cc
@@ -1,10 +1,10 @@
 #include <benchmark/benchmark.h>
 
-#include <cstdio>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "knapweed/base/resource_use.h"
 #include "knapweed/wire/rpc.h"
 #include "standins/free_port.h"
 #include "tests/allocation_count.h"
@@ -55,19 +55,6 @@
 }
 BENCHMARK(RoundTrips)->Arg(1000)->ThreadRange(1, 16)->UseRealTime();
 
-/// Returns the resident memory of this process in KiB, or zero if it can't be
-/// read. It includes both ends of each connection.
-double ResidentKib() {
-  FILE* file = std::fopen("/proc/self/statm", "r");
-  if (file == nullptr) return 0;
-  long total_pages = 0;     // NOLINT(google-runtime-int)
-  long resident_pages = 0;  // NOLINT(google-runtime-int)
-  const int n = std::fscanf(file, "%ld %ld", &total_pages, &resident_pages);
-  std::fclose(file);
-  constexpr double kPageKib = 4;
-  return n == 2 ? static_cast<double>(resident_pages) * kPageKib : 0;
-}
-
 /// Measures resident memory by the number of connections; its slope is the
 /// memory of one idle connection.
 void MemoryPerConnection(benchmark::State& state) {
@@ -78,7 +65,7 @@
       });
   const wire::BodyUnion body = MakeDispatch(1000);
   for (auto _ : state) {
-    const double before = ResidentKib();
+    const int64_t before_kb = ReadResourceUse().resident_kb;
     std::vector<std::unique_ptr<RpcClient>> clients;
     for (int64_t i = 0; i < state.range(0); ++i) {
       clients.push_back(std::make_unique<RpcClient>(listen));
@@ -86,7 +73,8 @@
         state.SkipWithError("no response");
       }
     }
-    state.counters["resident_kib"] = ResidentKib() - before;
+    state.counters["resident_kib"] =
+        static_cast<double>(ReadResourceUse().resident_kb - before_kb);
   }
 }
 BENCHMARK(MemoryPerConnection)
--- a/include/knapweed/base/metrics.h
+++ b/include/knapweed/base/metrics.h
@@ -24,6 +24,16 @@
   std::atomic<uint64_t> n_{0};
 };
 
+/// A value that goes up and down. Safe from any thread.
+class Gauge {
+ public:
+  void Set(int64_t value) { value_.store(value, std::memory_order_relaxed); }
+  int64_t Value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<int64_t> value_{0};
+};
+
 /// A latency histogram with logarithmic buckets from 0.1 ms to 1,000 s; values
 /// outside this range are counted in the first or the last bucket. Safe from
 /// any thread.
@@ -53,9 +63,10 @@
 class Metrics {
  public:
   Counter& GetCounter(std::string_view name);
+  Gauge& GetGauge(std::string_view name);
   LatencyHistogram& GetLatency(std::string_view name);
   /// Returns all metrics as JSON:
-  /// {"counters":{...},"latency_ms":{name:{"count":..,"p50":..,"p95":..,"p99":..}}}
+  /// {"counters":{...},"gauges":{...},"latency_ms":{name:{"count":..,"p50":..,"p95":..,"p99":..}}}
   std::string ToJson() const;
   /// Returns all metrics in the Prometheus text format, with `prefix` before
   /// each name. A counter's name may end with labels, as in
@@ -67,6 +78,7 @@
   std::map<std::string, std::unique_ptr<Counter>, std::less<>> counters_;
   std::map<std::string, std::unique_ptr<LatencyHistogram>, std::less<>>
       latencies_;
+  std::map<std::string, std::unique_ptr<Gauge>, std::less<>> gauges_;
 };
 
 }  // namespace knapweed
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -69,6 +69,13 @@
   return *slot;
 }
 
+Gauge& Metrics::GetGauge(std::string_view name) {
+  const std::lock_guard lock(mu_);
+  auto& slot = gauges_[std::string(name)];
+  if (slot == nullptr) slot = std::make_unique<Gauge>();
+  return *slot;
+}
+
 LatencyHistogram& Metrics::GetLatency(std::string_view name) {
   const std::lock_guard lock(mu_);
   auto& slot = latencies_[std::string(name)];
@@ -83,6 +90,10 @@
     out.append(prefix).append(name).append(" ");
     out.append(std::to_string(counter->Value())).append("\n");
   }
+  for (const auto& [name, gauge] : gauges_) {
+    out.append(prefix).append(name).append(" ");
+    out.append(std::to_string(gauge->Value())).append("\n");
+  }
   for (const auto& [name, latency] : latencies_) {
     const std::string full_name = std::string(prefix) + name;
     latency->VisitBuckets([&](double upper_ms, uint64_t cumulative_count) {
@@ -101,9 +112,12 @@
 std::string Metrics::ToJson() const {
   const std::lock_guard lock(mu_);
   nlohmann::json json = {{"counters", nlohmann::json::object()},
+                         {"gauges", nlohmann::json::object()},
                          {"latency_ms", nlohmann::json::object()}};
   for (const auto& [name, counter] : counters_)
     json["counters"][name] = counter->Value();
+  for (const auto& [name, gauge] : gauges_)
+    json["gauges"][name] = gauge->Value();
   for (const auto& [name, latency] : latencies_) {
     json["latency_ms"][name] = {{"count", latency->Count()},
                                 {"p50", latency->Quantile(0.5)},
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "knapweed/base/ids.h"
 #include "knapweed/base/log.h"
+#include "knapweed/base/resource_use.h"
 #include "knapweed/gateway/fleet_watch.h"
 #include "knapweed/gateway/front.h"
 #include "knapweed/gateway/row_sweeper.h"
@@ -67,6 +68,7 @@
   HttpResponse SnapshotForPeer();
   /// Handles a request from another gateway.
   Task<HttpResponse> AnswerPeer(HttpRequest call);
+  void UpdateResourceGauges();
   /// Runs the components' periodic work until the loop stops.
   Task<void> RunMaintenance();
 
@@ -136,11 +138,19 @@
   co_return answer;
 }
 
+void Gateway::Parts::UpdateResourceGauges() {
+  const ResourceUse use = ReadResourceUse();
+  metrics.GetGauge("process_processor_ms").Set(use.processor.count);
+  metrics.GetGauge("process_resident_kb").Set(use.resident_kb);
+  metrics.GetGauge("process_peak_resident_kb").Set(use.peak_resident_kb);
+}
+
 Task<void> Gateway::Parts::RunMaintenance() {
   constexpr int kRoundsPerReport = 40;
   for (int round = 1;; ++round) {
     co_await Sleep(loop, kMaintenanceInterval);
     if (round % kRoundsPerReport == 0) {
+      UpdateResourceGauges();
       kLog.Info("Counters.", {{"metrics", metrics.ToJson()}});
     }
     co_await budgets.Flush(false);
@@ -225,6 +235,7 @@
       [this](const HttpRequest& call) -> Task<HttpResponse> {
         HttpResponse answer;
         answer.status = 200;
+        parts_->UpdateResourceGauges();
         answer.body = call.target == kStatePath
                           ? StateJson()
                           : parts_->metrics.ToPrometheus("knapweed_");
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -7,6 +7,7 @@
 #include "knapweed/base/ids.h"
 #include "knapweed/base/metrics.h"
 #include "knapweed/base/outcome.h"
+#include "knapweed/base/resource_use.h"
 #include "knapweed/base/settings.h"
 
 namespace knapweed {
@@ -104,5 +105,28 @@
   CHECK(latency.Quantile(0.99) >= 99);
 }
 
+TEST_CASE("a gauge shows its last value in both formats") {
+  Metrics metrics;
+  metrics.GetGauge("resident_kb").Set(7);
+  metrics.GetGauge("resident_kb").Set(-5);
+  CHECK(metrics.ToPrometheus("kw_") == "kw_resident_kb -5\n");
+  CHECK(metrics.ToJson().find(R"("gauges":{"resident_kb":-5})") !=
+        std::string::npos);
+}
+
+TEST_CASE("the use of resources follows what the process does") {
+  const ResourceUse before = ReadResourceUse();
+  CHECK(before.resident_kb > 0);
+  CHECK(before.peak_resident_kb > 0);
+  constexpr int64_t kFilledKb = 20000;
+  const std::vector<char> filled(kFilledKb * 1024, 'x');
+  CHECK(filled.back() == 'x');
+  const ResourceUse filled_use = ReadResourceUse();
+  CHECK(filled_use.resident_kb >= before.resident_kb + kFilledKb * 9 / 10);
+  CHECK(filled_use.peak_resident_kb >= filled_use.resident_kb * 9 / 10);
+  while (ReadResourceUse().processor < before.processor + Ms{20}) {
+  }
+}
+
 }  // namespace
 }  // namespace knapweed
--- a/tests/platform/endless_test.cc
+++ b/tests/platform/endless_test.cc
@@ -3,8 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <fstream>
 
+#include "knapweed/base/resource_use.h"
 #include "tests/platform/world.h"
 
 namespace knapweed::testing {
@@ -12,21 +12,11 @@
 
 using Kind = Script::Kind;
 
-// Most memory of one connection to an upstream that sends without end.
+// Most memory of one connection to an upstream that sends without end. The
+// process holds the gateway and the fakes, which keep nothing of what they
+// send.
 constexpr int64_t kMaxKbPerConnection = 1024;
 
-// Returns the resident memory of this process, which holds the gateway and the
-// fakes, in KB. The fakes keep nothing of what they send.
-int64_t ResidentKb() {
-  std::ifstream in("/proc/self/status");
-  std::string word;
-  while (in >> word) {
-    int64_t kb = 0;
-    if (word == "VmRSS:" && in >> kb) return kb;
-  }
-  return 0;
-}
-
 int64_t FailuresOf(TestCluster& cluster, const FakeServer& server) {
   const nlohmann::json state = nlohmann::json::parse(
       cluster.Get(cluster.configs[0].metrics, "/state"), nullptr, false);
@@ -67,7 +57,7 @@
     FakeServer& server =
         row.path[1] == 't' ? *cluster.engines[0] : *cluster.plain[0];
     server.default_script.kind = row.kind;
-    const int64_t before_kb = ResidentKb();
+    const int64_t before_kb = ReadResourceUse().resident_kb;
     std::vector<std::shared_ptr<CallerResponse>> responses;
     for (int i = 0; i < kCalls; ++i) {
       CallerRequest call = PlainCall(row.path, "e" + std::to_string(i));
@@ -78,7 +68,7 @@
     }
     int64_t most_kb = 0;
     cluster.RunUntil([&] {
-      most_kb = std::max(most_kb, ResidentKb() - before_kb);
+      most_kb = std::max(most_kb, ReadResourceUse().resident_kb - before_kb);
       return std::all_of(responses.begin(), responses.end(),
                          [](const auto& response) { return response->done; });
     });
@@ -101,7 +91,7 @@
   TestCluster cluster(1, 1);
   FakeServer& server = *cluster.plain[0];
   server.default_script.kind = Kind::kEndlessIdle;
-  const int64_t before_kb = ResidentKb();
+  const int64_t before_kb = ReadResourceUse().resident_kb;
   for (int i = 0; i < 5; ++i) {
     const CallerResponse response =
         cluster.Call(PlainCall("/once/x", "i" + std::to_string(i)));
@@ -110,7 +100,7 @@
     cluster.RunFor(Ms{500});
     CHECK(server.open_connections == 0);
   }
-  CHECK(ResidentKb() - before_kb <= kMaxKbPerConnection);
+  CHECK(ReadResourceUse().resident_kb - before_kb <= kMaxKbPerConnection);
 }
 
 TEST_CASE("bytes without end from one upstream do not delay other calls") {
