Give all benchmarks one main function

Cause: the same main stood in three benchmarks, and five others had the macro, which logs at every level.

--- a/benchmarks/base__log_bench.cc
+++ b/benchmarks/base__log_bench.cc
@@ -87,5 +87,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-BENCHMARK_MAIN();
--- a/benchmarks/journal_bench.cc
+++ b/benchmarks/journal_bench.cc
@@ -4,7 +4,6 @@
 #include <vector>
 
 #include "knapweed/base/ids.h"
-#include "knapweed/base/log.h"
 #include "knapweed/journal/journal.h"
 #include "knapweed/membership/rows.h"
 #include "standins/memory_store.h"
@@ -119,10 +118,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-int main(int argc, char** argv) {
-  knapweed::StartLog(knapweed::LogLevel::kError);
-  benchmark::Initialize(&argc, argv);
-  benchmark::RunSpecifiedBenchmarks();
-  return 0;
-}
--- a/benchmarks/limits_bench.cc
+++ b/benchmarks/limits_bench.cc
@@ -134,5 +134,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-BENCHMARK_MAIN();
--- a/benchmarks/membership_bench.cc
+++ b/benchmarks/membership_bench.cc
@@ -2,7 +2,6 @@
 
 #include <string>
 
-#include "knapweed/base/log.h"
 #include "knapweed/membership/rows.h"
 #include "standins/memory_store.h"
 
@@ -93,10 +92,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-int main(int argc, char** argv) {
-  knapweed::StartLog(knapweed::LogLevel::kError);
-  benchmark::Initialize(&argc, argv);
-  benchmark::RunSpecifiedBenchmarks();
-  return 0;
-}
--- a/benchmarks/policy_bench.cc
+++ b/benchmarks/policy_bench.cc
@@ -93,5 +93,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-BENCHMARK_MAIN();
--- a/benchmarks/program_bench.cc
+++ b/benchmarks/program_bench.cc
@@ -8,7 +8,6 @@
 #include <thread>
 #include <vector>
 
-#include "knapweed/base/log.h"
 #include "knapweed/journal/log_rows.h"
 #include "knapweed/membership/rows.h"
 #include "knapweed/program/program_table.h"
@@ -234,10 +233,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-int main(int argc, char** argv) {
-  knapweed::StartLog(knapweed::LogLevel::kError);
-  benchmark::Initialize(&argc, argv);
-  benchmark::RunSpecifiedBenchmarks();
-  return 0;
-}
--- a/benchmarks/rules_bench.cc
+++ b/benchmarks/rules_bench.cc
@@ -189,5 +189,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-BENCHMARK_MAIN();
--- a/benchmarks/wire_bench.cc
+++ b/benchmarks/wire_bench.cc
@@ -86,5 +86,3 @@
 
 }  // namespace
 }  // namespace knapweed
-
-BENCHMARK_MAIN();
