Publish the calls of a part of the window, whose oldest leave it before they are read

Cause: other gateways use a published count for up to 1.2 s, in which its oldest calls leave the window; counted over the whole window they kept a workspace out for that long. Change: a gateway publishes the calls of the last 4.25 to 4.5 s and counts its own over 5 to 5.25 s. A response to a peer is moved, not copied.

--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -76,6 +76,9 @@
   /// Each count is an array of time slots, newest last. The newest slot has
   /// only begun, so counting all calls of a window takes one slot more.
   static constexpr size_t kSlots = kSlotsPerWindow + 1;
+  /// Slots whose calls are published: others use the sum for up to 1.2 s, and
+  /// meanwhile its oldest calls leave the window.
+  static constexpr size_t kPublishedSlots = 18;
   using Slots = std::array<uint32_t, kSlots>;
   /// Slots over which demands are averaged: few, so that a change shows
   /// quickly.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -224,12 +224,13 @@
                       }
                       co_return answer;
                     });
-  const bool peers = ServeInternal(
-      parts.loop, config.peers,
-      [this](const HttpRequest& call) -> Task<HttpResponse> {
-        const HttpResponse answer = co_await parts_->AnswerPeer(call);
-        co_return answer;
-      });
+  const bool peers =
+      ServeInternal(parts.loop, config.peers,
+                    [this](const HttpRequest& call) -> Task<HttpResponse> {
+                      // Moved, since a snapshot is large.
+                      HttpResponse answer = co_await parts_->AnswerPeer(call);
+                      co_return answer;
+                    });
   const bool metrics = ServeInternal(
       parts.loop, config.metrics,
       [this](const HttpRequest& call) -> Task<HttpResponse> {
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -181,7 +181,8 @@
   UseByWorkspace use;
   for (auto& [name, counts] : counts_) {
     Advance(counts);
-    const WorkspaceUse own = UseOf(counts);
+    WorkspaceUse own = UseOf(counts);
+    own.calls = Sum(std::span(counts.allowed).last(kPublishedSlots));
     if (own.calls > 0 || own.demand_per_s > 0) use[name] = own;
   }
   return use;
