--- a/src/policy/fleet_quota.cc
+++ b/src/policy/fleet_quota.cc
@@ -13,7 +13,7 @@
 /// admitted since may exceed their expected number, and calls kept back beside
 /// them for a workspace that has just begun to send.
 constexpr double kUnreportedDeviations = 2;
-constexpr double kReserveCalls = 5;
+constexpr double kReserveCalls = 8;
 /// Most that the other gateways are expected to admit, relative to the rate.
 constexpr double kMaxAdmittedFactor = 1.5;
 /// Calls that a gateway may admit between two reads of the others' counts
