--- a/src/base/resource_use.cc
+++ b/src/base/resource_use.cc
@@ -1,9 +1,9 @@
 #include "knapweed/base/resource_use.h"
 
 #include <sys/resource.h>
-#include <unistd.h>
 
 #include <fstream>
+#include <string>
 
 namespace knapweed {
 namespace {
@@ -12,23 +12,26 @@
   return Ms{int64_t{time.tv_sec} * 1000 + time.tv_usec / 1000};
 }
 
-int64_t ReadResidentKb() {
-  std::ifstream in("/proc/self/statm");
-  int64_t total_pages = 0;
-  int64_t resident_pages = 0;
-  if (!(in >> total_pages >> resident_pages)) return 0;
-  return resident_pages * sysconf(_SC_PAGESIZE) / 1024;
+/// Reads the sizes from the process's status, because `rusage` counts what the
+/// parent used before it started this program.
+void ReadMemory(ResourceUse& use) {
+  std::ifstream in("/proc/self/status");
+  std::string word;
+  while (in >> word) {
+    if (word == "VmRSS:") in >> use.resident_kb;
+    if (word == "VmHWM:") in >> use.peak_resident_kb;
+  }
 }
 
 }  // namespace
 
 ResourceUse ReadResourceUse() {
   ResourceUse use;
-  use.resident_kb = ReadResidentKb();
+  ReadMemory(use);
   rusage counts{};
-  if (getrusage(RUSAGE_SELF, &counts) != 0) return use;
-  use.processor = ToMs(counts.ru_utime) + ToMs(counts.ru_stime);
-  use.peak_resident_kb = counts.ru_maxrss;
+  if (getrusage(RUSAGE_SELF, &counts) == 0) {
+    use.processor = ToMs(counts.ru_utime) + ToMs(counts.ru_stime);
+  }
   return use;
 }
 
