--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -15,6 +15,7 @@
 #include "knapweed/gateway/call.h"
 #include "knapweed/policy/circuit_breaker.h"
 #include "knapweed/policy/send_limit.h"
+#include "knapweed/policy/upstream_load.h"
 
 /// The upstreams that the platform lists, and the state that this gateway keeps
 /// of each from its own calls.
@@ -84,9 +85,12 @@
   CircuitBreaker breaker;
   /// Other upstreams are preferred until then, after a refusal or a failure.
   Ms avoid_until;
-  uint32_t in_flight = 0;
-  /// Prompt tokens of the calls whose first event has not arrived yet.
-  uint64_t pending_prefill_tokens = 0;
+  /// Load by this gateway's calls.
+  CallLoad own;
+  /// Load by the calls of the other gateways, and when it was summed up; zero
+  /// if it was never told.
+  CallLoad others;
+  Ms others_at;
   PromptCacheModel cache;
 };
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -161,13 +161,15 @@
       head.prompt_tokens -
       std::min<uint64_t>(upstream->cache.CachedTokens(head.prompt),
                          head.prompt_tokens);
-  ++upstream->in_flight;
-  upstream->pending_prefill_tokens += uncached_tokens;
+  const uint64_t resident_tokens = head.prompt_tokens + head.max_output_tokens;
+  ++upstream->own.calls;
+  upstream->own.pending_prefill_tokens += uncached_tokens;
+  upstream->own.resident_tokens += resident_tokens;
   if (IsLimited(*upstream)) ++upstream->sent_under_limit;
   const Ms sent_at = deps_.clock.Now();
   const AttemptOutcome outcome =
       co_await attempt->Begin(std::move(conn), request, head.request_id);
-  upstream->pending_prefill_tokens -= uncached_tokens;
+  upstream->own.pending_prefill_tokens -= uncached_tokens;
   if (attempt->saw_draining()) MarkDraining(*state, upstream);
   if (outcome != AttemptOutcome::kBroken) {
     RecordLimit(*state, upstream, sent_at);
@@ -185,7 +187,8 @@
     upstream->cache.Record(head.prompt, deps_.clock.Now());
     step = co_await OnResponse(state, upstream);
   }
-  --upstream->in_flight;
+  --upstream->own.calls;
+  upstream->own.resident_tokens -= resident_tokens;
   deps_.pool.Put(upstream, attempt->TakeConnection());
   co_return step;
 }
@@ -212,7 +215,7 @@
             {{"request", state->request.head.request_id},
              {"upstream", upstream->entry.id},
              {"status", state->attempt->status()},
-             {"in_flight", upstream->in_flight}});
+             {"in_flight", upstream->own.calls}});
   if (++state->refusals <= kMaxRefusals) co_return Step::kNext;
   co_await Refuse(state, state->runs == 0 ? 503 : 502, kRetryFull,
                   "upstreams are full");
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -185,7 +185,7 @@
                                          ? nlohmann::json(*up->limit.per_s)
                                          : nlohmann::json()},
                      {"sent_under_limit", up->sent_under_limit},
-                     {"in_flight", up->in_flight},
+                     {"in_flight", up->own.calls},
                      {"failures", up->breaker.failures},
                      {"avoided", up->avoid_until > now}};
   }
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -32,12 +32,12 @@
   UpstreamView view;
   view.index = index;
   view.domain = up.entry.failure_domain == input.failure_domain ? 0 : 1;
-  view.running = std::min(up.in_flight, up.entry.slots);
-  view.queued = up.in_flight - view.running;
+  view.running = std::min(up.own.calls, up.entry.slots);
+  view.queued = up.own.calls - view.running;
   view.slots = up.entry.slots;
-  view.queued_prefill_tokens = up.pending_prefill_tokens;
+  view.queued_prefill_tokens = up.own.pending_prefill_tokens;
   view.queued_decode_tokens =
-      static_cast<uint64_t>(up.in_flight) * input.expected_output_tokens;
+      static_cast<uint64_t>(up.own.calls) * input.expected_output_tokens;
   view.prefill_tokens_per_s = kPrefillTokensPerS;
   view.decode_tokens_per_s = kDecodeTokensPerS;
   view.cached_tokens = up.cache.CachedTokens(input.prompt);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -325,7 +325,7 @@
       set.Put(entry, 100000);
     }
     Upstream& up = *set.all().at("candidate");
-    up.in_flight = row.in_flight;
+    up.own.calls = row.in_flight;
     up.entry.draining = row.draining;
     if (row.far) up.entry.failure_domain = "b";
     if (row.cached) up.cache.Record(prompt, Ms{1});
