Exchange the load of upstreams between gateways

Cause: placement and admission know the calls of their own gateway only, so 28 gateways can send to the same upstream at once.

Off unless [load] exchange = on.

With the setting off no message is sent.

--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -7,6 +7,7 @@
 
 #include "knapweed/gateway/call_runner.h"
 #include "knapweed/gateway/known_rows.h"
+#include "knapweed/gateway/load_exchange.h"
 #include "knapweed/gateway/store.h"
 
 /// Replication of the store's tables to the gateway: configuration, upstreams
@@ -30,6 +31,7 @@
   ProgramStarts& starts;
   Budgets& budgets;
   SendLimits& send_limits;
+  LoadExchange& load_exchange;
   StreamVersions& stream_versions;
   CrashWatch& crashes;
 };
@@ -103,6 +105,7 @@
   ProgramStarts& starts_;
   Budgets& budgets_;
   SendLimits& send_limits_;
+  LoadExchange& load_exchange_;
   StreamVersions& stream_versions_;
   CrashWatch& crashes_;
   GatewayEntry self_;
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -27,6 +27,8 @@
   Address store;
   size_t row_bytes = 65536;
   QuotaTolerance quota;
+  /// The gateways tell each other the load that their calls cause.
+  bool exchanges_load = false;
   /// Time from the stop signal to the forced end of the process.
   Ms grace{8000};
   LogLevel log_level = LogLevel::kInfo;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,6 +28,12 @@
 constexpr Ms kShutdownMargin{700};
 constexpr Ms kMaintenanceInterval{250};
 
+/// Returns the time since `at` in ms; null if that never was.
+nlohmann::json AgeOf(Ms at, Ms now) {
+  if (at == Ms{0}) return nullptr;
+  return (now - at).count;
+}
+
 }  // namespace
 
 /// The components of one gateway, each after those that it depends on.
@@ -51,6 +57,8 @@
         turns(clock, store, c.row_bytes),
         send_limits(l, clock, view.upstreams, metrics, c.peers,
                     clients.Sender()),
+        load_exchange(l, clock, view.upstreams, metrics, c.peers,
+                      clients.Sender()),
         stream_versions(l, clock, view.upstreams, c.peers, clients.Sender()),
         pool(l, clock, metrics),
         crashes(l),
@@ -59,7 +67,8 @@
                               crashes, metrics, c.failure_domain}),
         front(l, clock, d, view, runner),
         watch(FleetWatchDeps{l, clock, d, store, view, quotas, starts, budgets,
-                             send_limits, stream_versions, crashes},
+                             send_limits, load_exchange, stream_versions,
+                             crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
         sweeper(l, store, view, {BudgetTable(), TurnTable()}) {}
 
@@ -88,6 +97,7 @@
   Budgets budgets;
   Turns turns;
   SendLimits send_limits;
+  LoadExchange load_exchange;
   StreamVersions stream_versions;
   ConnectionPool pool;
   CrashWatch crashes;
@@ -121,6 +131,8 @@
     answer = starts.AnswerPeer(call);
   } else if (call.target == kGrantPath) {
     answer = co_await send_limits.AnswerPeer(call);
+  } else if (call.target == kLoadPath) {
+    answer = load_exchange.AnswerPeer(call);
   } else if (call.target == kStreamBegunPath ||
              call.target == kStreamOriginPath) {
     answer = stream_versions.AnswerPeer(call);
@@ -186,6 +198,8 @@
                                          : nlohmann::json()},
                      {"sent_under_limit", up->sent_under_limit},
                      {"in_flight", up->own.calls},
+                     {"others_in_flight", up->others.calls},
+                     {"others_age_ms", AgeOf(up->others_at, now)},
                      {"failures", up->breaker.failures},
                      {"avoided", up->avoid_until > now}};
   }
@@ -250,6 +264,7 @@
   parts.store.Start();
   parts.watch.Start();
   Spawn(parts.loop, parts.sweeper.Run());
+  if (config.exchanges_load) Spawn(parts.loop, parts.load_exchange.Run());
   Spawn(parts.loop, parts.RunMaintenance());
   return true;
 }
@@ -261,6 +276,7 @@
   parts.shutting_down = true;
   parts.front.BeginDraining();
   parts.send_limits.StopGranting();
+  parts.load_exchange.StopCollecting();
   kLog.Info("Stopping.", {{"under_way", parts.runner.under_way()}});
   constexpr Ms kPollInterval{50};
   while (parts.clock.Now() < started_at + kDrainNoticeTime) {
--- a/src/gateway/gateway_config.cc
+++ b/src/gateway/gateway_config.cc
@@ -28,6 +28,12 @@
     settings.AddFault("quota", "over_share", "expected a share from 0 to 1");
   }
   config.quota.over_share = share;
+  const std::string exchange = settings.GetString("load", "exchange", "off");
+  if (exchange != "on" && exchange != "off") {
+    settings.AddFault("load", "exchange",
+                      "is '" + exchange + "'; expected on or off");
+  }
+  config.exchanges_load = exchange == "on";
   config.grace = settings.GetMs("shutdown", "grace", config.grace);
   config.log_level = ReadLogLevel(settings);
   const absl::Status status = settings.Check();
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -166,6 +166,7 @@
   config.metrics = ReserveAddress();
   config.store = partitioned ? ReserveAddress() : store_address_;
   config.seeds.push_back(configs.front().peers);
+  if (edit_settings) edit_settings(config);
   gateways.push_back(std::make_unique<gateway::Gateway>(
       loop, config, users_platform::PlatformDialect()));
   gateways.back()->Start();
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -61,7 +61,8 @@
   void RunFor(Ms span);
   /// Sends a call on a new connection and runs the loop until it has ended.
   CallerResponse Call(const CallerRequest& call, int gateway = 0);
-  /// Starts another gateway named `name` and returns its index.
+  /// Starts another gateway named `name`, with settings edited by
+  /// `edit_settings`, and returns its index.
   int AddGateway(const std::string& name, bool partitioned = false);
   /// Starts a call; the response is filled in while the loop runs.
   std::shared_ptr<CallerResponse> StartCall(const CallerRequest& call,
@@ -87,6 +88,8 @@
   std::deque<gateway::GatewayConfig> configs;
   std::vector<std::unique_ptr<gateway::Gateway>> gateways;
   uint64_t config_version = 1;
+  /// Changes the settings of gateways that are added from now on.
+  std::function<void(gateway::GatewayConfig&)> edit_settings;
 
  private:
   /// Returns a loopback address on whose port nothing listens. The port stays
