--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -27,6 +27,9 @@
 /// at once. For that long there may be two homes that each have a part of the
 /// sums.
 constexpr Ms kTwoHomesTime{1500};
+/// Sums that lack no more than this part of the gateways replace the view at
+/// once: in a large fleet some gateway is always late or being restarted.
+constexpr uint32_t kMaxLackingPart = 16;
 /// A report with an unknown upstream makes the home look for new upstreams, but
 /// no more often than this.
 constexpr Ms kMinIndexAge{100};
@@ -197,10 +200,11 @@
   if (answer.gateways <= 1 && gateways_ > 1) return true;
   // A home that has just begun to collect lacks the reports of some gateways,
   // which then would seem to have no calls.
-  const bool covers_much_less = answer.gateways * 4 < covered_ * 3;
+  const uint32_t enough = covered_ - covered_ / kMaxLackingPart;
   const Ms all_report_within =
       std::max(kTwoHomesTime, Interval() + kAnswerTimeout * 2);
-  return covers_much_less && clock_.Now() - view_at_ < all_report_within;
+  return answer.gateways < enough &&
+         clock_.Now() - view_at_ < all_report_within;
 }
 
 void LoadExchange::TakeOver(const LoadReport& report, const LoadAnswer& answer,
@@ -232,7 +236,7 @@
 void LoadExchange::NoteHome(const Address& home) {
   if (home == last_home_) return;
   last_home_ = home;
-  kLog.Info("Another gateway collects the load.",
+  kLog.Info("The home that collects the load has changed.",
             {{"home", home.ToString()}, {"covered", covered_}});
 }
 
