Mend two findings of clang-tidy in the tests of the load exchange

Cause: an implicit widening of a product and a vector that grows in a loop, both errors in make lint. Change: the products are 64 bits wide, and the vector reserves its size.

--- a/tests/gateway__load_exchange_test.cc
+++ b/tests/gateway__load_exchange_test.cc
@@ -219,7 +219,7 @@
   net.Start();
   for (size_t i = 0; i < 4; ++i) {
     const auto n = static_cast<uint32_t>(i + 1);
-    net.node(i).upstream().own = {n, n * 10, n * 1000};
+    net.node(i).upstream().own = {n, 10ull * n, 1000ull * n};
   }
   CHECK_FALSE(net.node(0).exchange->HasFreshView());
   CHECK(net.RunUntil([&] { return net.AllKnow(); }, Seconds(1)));
--- a/tests/gateway__load_size_test.cc
+++ b/tests/gateway__load_size_test.cc
@@ -78,6 +78,7 @@
     std::mt19937 random(7);
     double report_bytes = 0;
     std::vector<LoadKey> list;
+    list.reserve(static_cast<size_t>(fleet.upstreams));
     for (int i = 0; i < fleet.upstreams; ++i) list.push_back(KeyOf(i));
     for (int gateway = 0; gateway < fleet.gateways; ++gateway) {
       LoadReport report = RandomReport(fleet, gateway, 1, random);
