Test the state of late programs apart from the order of lengths

Cause: with the state of late programs switched off, the overload test still passed, since its gain comes mostly from the order of lengths. Change: a load of short prompts only, in which nothing but that state makes a difference; the note says how small the difference is and why.

--- a/tests/policy__dispatch_order_test.cc
+++ b/tests/policy__dispatch_order_test.cc
@@ -404,8 +404,8 @@
   }
 }
 
-// Guards against late programs that keep those from ending in time which still
-// can, and against late ones that never end.
+// Guards against an order that lets fewer programs end in time than another
+// would, and against late ones that never end.
 TEST_CASE("an overload that stays leaves those in time that can make it") {
   for (const uint64_t seed : kSeeds) {
     CAPTURE(seed);
@@ -419,6 +419,25 @@
   }
 }
 
+// Without long prompts, only the state of late programs makes a difference. It
+// is a small one: a program is known to be late only by its present turn.
+TEST_CASE("in an overload of short prompts, late programs go last") {
+  double sum_today = 0;
+  double sum_played = 0;
+  for (const uint64_t seed : kSeeds) {
+    CAPTURE(seed);
+    Scenario scenario = Overload(7);
+    scenario.load.long_share = 0;
+    const Played today = Player(scenario, seed, Order::kOperator).Play();
+    const Played played = Player(scenario, seed, Order::kDispatch).Play();
+    CHECK(ShareInTime(played) >= ShareInTime(today));
+    CHECK(AllEnded(played));
+    sum_today += ShareInTime(today);
+    sum_played += ShareInTime(played);
+  }
+  CHECK(sum_played > sum_today);
+}
+
 // Guards against an order that makes an engine with little memory preempt more
 // than now and then.
 TEST_CASE("an engine with little memory rarely preempts and ends all") {
