Bound the bytes that a gateway holds for slow readers

Change: with [gateway] memory_mb, a ledger counts what is held, and a request that does not fit gets 503 with Retry-After before its body is read. A slow caller is closed only after 8 s without progress. A request's body is no longer copied, nor is a chunk before it is written.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -13,6 +13,7 @@
 #include "knapweed/gateway/channel.h"
 #include "knapweed/gateway/crash_watch.h"
 #include "knapweed/gateway/event_splitter.h"
+#include "knapweed/gateway/held_memory.h"
 #include "knapweed/gateway/program_starts.h"
 #include "knapweed/gateway/quotas.h"
 #include "knapweed/gateway/send_limits.h"
@@ -29,7 +30,7 @@
   http::verb method = http::verb::get;
   std::string target;
   http::fields fields;
-  std::string body;
+  std::shared_ptr<const std::string> body;
   CallHead head;
   Ms received;
 };
@@ -77,6 +78,7 @@
   StreamVersions& stream_versions;
   ConnectionPool& pool;
   CrashWatch& crashes;
+  HeldMemory& memory;
   Metrics& metrics;
   std::string failure_domain;
 };
--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -117,8 +117,14 @@
 /// Idle connections to upstreams, by incarnation. `Gateway` owns it.
 class ConnectionPool {
  public:
-  ConnectionPool(asio::io_context& loop, const Clock& clock, Metrics& metrics)
-      : loop_(loop), clock_(clock), metrics_(metrics) {}
+  /// `socket_buffer_bytes` is the size of each buffer of a connection; 0 leaves
+  /// it to the kernel.
+  ConnectionPool(asio::io_context& loop, const Clock& clock, Metrics& metrics,
+                 size_t socket_buffer_bytes)
+      : loop_(loop),
+        clock_(clock),
+        metrics_(metrics),
+        socket_buffer_bytes_(socket_buffer_bytes) {}
 
   /// Returns an idle connection or opens a new one; null if that fails or takes
   /// over `timeout`.
@@ -138,6 +144,7 @@
   asio::io_context& loop_;
   const Clock& clock_;
   Metrics& metrics_;
+  size_t socket_buffer_bytes_;
   std::map<std::weak_ptr<Upstream>,
            std::list<std::unique_ptr<UpstreamConnection>>,
            std::owner_less<std::weak_ptr<Upstream>>>
--- a/include/knapweed/gateway/event_splitter.h
+++ b/include/knapweed/gateway/event_splitter.h
@@ -30,6 +30,8 @@
   bool Next(StreamEvent* event);
   /// Returns whether bytes of an incomplete event are buffered.
   bool HasPartialEvent() const { return pos_ < buf_.size(); }
+  /// Returns the number of buffered bytes.
+  size_t size() const { return buf_.size(); }
 
  private:
   std::string buf_;
--- a/include/knapweed/gateway/front.h
+++ b/include/knapweed/gateway/front.h
@@ -1,15 +1,13 @@
 #ifndef KNAPWEED_GATEWAY_FRONT_H_
 #define KNAPWEED_GATEWAY_FRONT_H_
 
-#include <functional>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "knapweed/gateway/call_runner.h"
 
-/// HTTP servers of the gateway: one for callers, and a simpler one for the
-/// platform and other gateways.
+/// HTTP server of the gateway for callers.
 namespace knapweed::gateway {
 
 /// Accepts callers' connections, reads requests within the limits and passes
@@ -17,11 +15,12 @@
 class Front {
  public:
   Front(asio::io_context& loop, const Clock& clock, const Dialect& dialect,
-        FleetView& view, CallRunner& runner)
+        FleetView& view, HeldMemory& memory, CallRunner& runner)
       : loop_(loop),
         clock_(clock),
         dialect_(dialect),
         view_(view),
+        memory_(memory),
         runner_(runner) {}
 
   /// Starts to listen and serve; returns false if it can't listen on the
@@ -48,22 +47,13 @@
   const Clock& clock_;
   const Dialect& dialect_;
   FleetView& view_;
+  HeldMemory& memory_;
   CallRunner& runner_;
   std::shared_ptr<asio::ip::tcp::acceptor> acceptor_;
   bool draining_ = false;
   std::set<SessionPtr> sessions_;
 };
 
-/// Handles a request from the platform or another gateway. A status of 0 closes
-/// the connection without a response.
-using InternalHandler =
-    std::function<Task<HttpResponse>(const HttpRequest& call)>;
-
-/// Serves `handler` on `address` until the loop stops; returns false if it
-/// can't listen there.
-bool ServeInternal(asio::io_context& loop, const Address& address,
-                   InternalHandler handler);
-
 }  // namespace knapweed::gateway
 
 #endif  // KNAPWEED_GATEWAY_FRONT_H_
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -29,6 +29,8 @@
   QuotaTolerance quota;
   /// Time from the stop signal to the forced end of the process.
   Ms grace{8000};
+  /// Memory that the process may use, in MB; 0 if there is no bound.
+  uint64_t memory_mb = 0;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -110,8 +110,15 @@
 };
 
 /// Opens a connection; returns false if that fails or takes over `timeout`.
+/// `socket_buffer_bytes` is the size of each of its buffers; 0 leaves it to the
+/// kernel.
 Task<bool> Connect(beast::tcp_stream& stream, const Address& address,
-                   Ms timeout);
+                   Ms timeout, size_t socket_buffer_bytes = 0);
+
+/// Listens on `address`; returns false and logs if that fails. Accepted
+/// connections get buffers of `socket_buffer_bytes`; 0 leaves it to the kernel.
+bool OpenAcceptor(asio::ip::tcp::acceptor& acceptor, const Address& address,
+                  size_t socket_buffer_bytes);
 
 /// Returns whether an idle connection can carry another request: it is open and
 /// has no unexpected bytes to read.
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -138,7 +138,7 @@
   const bool continues =
       state->route->keeps_history && !request.head.previous_turn.empty();
   if (!continues) {
-    state->body = std::make_shared<const std::string>(request.body);
+    state->body = request.body;
     co_return Step::kNext;
   }
   const std::string workspace =
@@ -153,7 +153,14 @@
     co_await Refuse(state, 503, StoreRetryAfter(), "history out of reach");
     co_return Step::kDone;
   }
-  history.text += request.body;
+  const uint64_t bytes = history.text.size() + request.body->size();
+  if (!MayHold(deps_.memory.state(), bytes)) {
+    deps_.memory.ReportRefusal(request.head.request_id, bytes);
+    co_await Refuse(state, 503, kRetryMemory, "held memory is used up");
+    co_return Step::kDone;
+  }
+  state->held_history.Set(bytes);
+  history.text += *request.body;
   state->body = std::make_shared<const std::string>(std::move(history.text));
   co_return Step::kNext;
 }
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -1,8 +1,10 @@
 // Forwarding of an upstream's response to the caller.
+#include <algorithm>
 #include <utility>
 
 #include "call_state.h"
 #include "knapweed/base/log.h"
+#include "knapweed/base/parse.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -13,6 +15,12 @@
 constexpr size_t kMaxBufferedBodyBytes = 256 << 10;
 /// Output of a turn that can still be stored: a commit takes 1 MB in all.
 constexpr size_t kMaxKeptOutputBytes = 512 << 10;
+/// Start of a body that `kCallBufferBytes` has room for.
+constexpr uint64_t kMinBufferedBodyBytes = 16 << 10;
+/// Buffered events and their copies that `kCallBufferBytes` has room for.
+constexpr uint64_t kMinEventBytes = 48 << 10;
+/// Copies of a turn while it is stored: the turn, its encoding and the rows.
+constexpr uint64_t kCopiesOfStoredTurn = 3;
 
 /// Hop-by-hop fields: they apply to one connection only.
 constexpr http::field kHopFields[] = {
@@ -29,6 +37,21 @@
     http::field::expect,
 };
 
+/// Returns how many bytes of a body are set aside beside
+/// `kMinBufferedBodyBytes`, to read them before any is sent. Fewer if memory is
+/// short; a response that breaks off then ends the call.
+uint64_t BytesToReadFirst(const HeldState& memory,
+                          const http::response_header<>& header) {
+  uint64_t body_bytes = kMaxBufferedBodyBytes;
+  uint64_t declared = 0;
+  if (ParseNumber(std::string_view(header[http::field::content_length]),
+                  &declared)) {
+    body_bytes = std::min(body_bytes, declared);
+  }
+  return RoomFor(memory,
+                 body_bytes - std::min(body_bytes, kMinBufferedBodyBytes));
+}
+
 }  // namespace
 
 http::fields WithoutHopFields(const http::fields& fields) {
@@ -59,7 +82,10 @@
                                                    UpstreamPtr upstream) {
   Attempt& attempt = *state->attempt;
   std::string body;
-  const BodyRead read = co_await attempt.ReadAll(&body, kMaxBufferedBodyBytes);
+  state->held_answer.Set(
+      BytesToReadFirst(deps_.memory.state(), attempt.header()));
+  const BodyRead read = co_await attempt.ReadAll(
+      &body, kMinBufferedBodyBytes + state->held_answer.bytes());
   if (read == BodyRead::kBroken) {
     co_return co_await OnBroken(state, upstream, "answer broke off");
   }
@@ -105,6 +131,11 @@
     if (!piece.empty()) {
       sent = co_await state->link.WriteChunk(piece);
     }
+    if (state->held_answer.bytes() > 0) {
+      // The first piece is the large one.
+      piece = std::string();
+      state->held_answer.Set(0);
+    }
     if (!sent || attempt.is_complete()) break;
     const bool ok = co_await attempt.ReadSome(&piece);
     if (ok) continue;
@@ -182,6 +213,10 @@
     if (!ok || !splitter.Feed(piece)) {
       co_return co_await OnBroken(state, upstream, "stream broke off");
     }
+    // An event that is complete is copied once for the caller.
+    const uint64_t event_bytes = 2 * splitter.size();
+    state->held_answer.Set(state->output.size() + event_bytes -
+                           std::min(event_bytes, kMinEventBytes));
     std::string out;
     const bool within_limits = TakeEvents(*state, splitter, &out);
     if (!within_limits) {
@@ -216,8 +251,10 @@
     turn->id = head.request_id;
     if (state->workspace != nullptr) turn->workspace = state->workspace->name;
     turn->previous = head.previous_turn;
-    turn->input = state->request.body;
-    turn->output = state->output;
+    turn->input = *state->request.body;
+    turn->output = std::move(state->output);
+    state->held_answer.Set(kCopiesOfStoredTurn *
+                           (turn->input.size() + turn->output.size()));
     const bool kept = co_await deps_.turns.Save(turn, state->route->history_ttl,
                                                 state->deadline);
     if (!kept) {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -33,7 +33,7 @@
 
 Task<void> CallRunner::Run(CallerRequest& request, CallerLink& link) {
   ++under_way_;
-  auto state = std::make_shared<State>(deps_.loop, request, link);
+  auto state = std::make_shared<State>(deps_.loop, deps_.memory, request, link);
   state->link.OnDisconnect([weak = std::weak_ptr<State>(state)] {
     const StatePtr locked = weak.lock();
     if (locked == nullptr) return;
@@ -225,7 +225,7 @@
 uint64_t CallRunner::DigestOf(const State& state) {
   return RequestDigest(
       state.workspace != nullptr ? state.workspace->name : std::string_view(),
-      state.request.target, state.request.body);
+      state.request.target, *state.request.body);
 }
 
 bool CallRunner::MayRunAgain(const State& state) const {
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -22,8 +22,13 @@
 
 /// One call in progress.
 struct CallRunner::State {
-  State(asio::io_context& loop, CallerRequest& r, CallerLink& l)
-      : request(r), link(l), timer(loop) {}
+  State(asio::io_context& loop, const HeldMemory& memory, CallerRequest& r,
+        CallerLink& l)
+      : request(r),
+        link(l),
+        timer(loop),
+        held_history(memory),
+        held_answer(memory) {}
 
   CallerRequest& request;
   CallerLink& link;
@@ -34,6 +39,10 @@
   const Service* service = nullptr;
   Ms deadline;
   std::shared_ptr<const std::string> body;
+  /// The body with the history before it; the front counts the request's own.
+  HeldBytes held_history;
+  /// The part of the answer that is kept, beside `kCallBufferBytes`.
+  HeldBytes held_answer;
   std::shared_ptr<Attempt> attempt;
   std::vector<UpstreamPtr> tried;
   /// The permission to send the next attempt ends then.
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -133,6 +133,12 @@
   while (!parser_->is_done()) {
     const bool ok = co_await ReadSome(&piece);
     if (!ok) co_return BodyRead::kBroken;
+    // Grows as appending does, but not beyond what may be read.
+    const size_t needed = body->size() + piece.size();
+    if (needed > body->capacity()) {
+      const size_t grown = std::max(needed, 2 * body->capacity());
+      body->reserve(std::min(grown, max_bytes + kReadBytes));
+    }
     body->append(piece);
     if (body->size() > max_bytes) co_return BodyRead::kOverLimit;
   }
@@ -199,8 +205,8 @@
   name.append(reason).append("\"}");
   metrics_.GetCounter(name).Add();
   auto conn = std::make_unique<UpstreamConnection>(loop_);
-  const bool open =
-      co_await Connect(conn->stream, upstream->entry.address, timeout);
+  const bool open = co_await Connect(conn->stream, upstream->entry.address,
+                                     timeout, socket_buffer_bytes_);
   if (!open) co_return nullptr;
   co_return conn;
 }
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -3,30 +3,37 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "knapweed/base/log.h"
+#include "knapweed/gateway/send_progress.h"
 
 namespace knapweed::gateway {
 namespace {
 
 constexpr Logger kLog("front");
 
-/// A write that takes longer than this counts as a disconnect of the caller.
+/// A write that takes longer than this counts as a disconnect of the caller;
+/// with a bound of held bytes, one without progress for this long.
 constexpr Ms kWriteTimeout{8000};
 /// Maximum time for reading the body of a request.
 constexpr Ms kBodyTimeout{15000};
-constexpr Ms kInternalTimeout{30000};
-constexpr size_t kMaxInternalBodyBytes = 16 << 20;
+/// Maximum time for which the body of a refused request is dropped.
+constexpr Ms kDropTimeout{2000};
+/// How often a call's connection is checked for what its caller has read.
+constexpr Ms kSendCheckInterval{500};
 /// The kernel closes a caller's connection if sent data stays unacknowledged
 /// for this long.
 constexpr int kTcpUserTimeoutMs = 10000;
-constexpr int kListenBacklog = 1024;
 /// Time within which a new connection brings its first request.
 constexpr Ms kFirstRequestGrace{500};
 
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
 unsigned StatusOfParseError(const NetErrorCode& ec) {
   if (ec == http::error::header_limit) return 431;
   if (ec == http::error::body_limit) return 413;
@@ -40,23 +47,17 @@
          ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-bool OpenAcceptor(asio::ip::tcp::acceptor& acceptor, const Address& address) {
-  NetErrorCode ec;
-  const asio::ip::tcp::endpoint endpoint(
-      asio::ip::make_address_v4(address.host, ec), address.port);
-  if (!ec) acceptor.open(endpoint.protocol(), ec);
-  if (!ec) acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  if (!ec) acceptor.bind(endpoint, ec);
-  if (!ec) acceptor.listen(kListenBacklog, ec);
-  if (ec) {
-    kLog.Error("Can't listen.",
-               {{"address", address.ToString()}, {"error", ec.message()}});
-  }
-  return !ec;
-}
-
 }  // namespace
 
+/// How reading a request ended.
+enum class RequestRead : uint8_t {
+  kComplete,
+  /// The connection failed, or the request was malformed.
+  kFailed,
+  /// It was answered with 503 for lack of memory.
+  kRefused,
+};
+
 /// One caller's connection. The front and the running coroutine own it.
 class Front::Session : public CallerLink,
                        public std::enable_shared_from_this<Session> {
@@ -64,6 +65,7 @@
   Session(Front& front, asio::ip::tcp::socket socket)
       : front_(front),
         stream_(std::move(socket)),
+        send_timer_(front.loop_),
         opened_at_(front.clock_.Now()) {}
 
   Task<void> Run();
@@ -95,15 +97,36 @@
   using Parser = http::request_parser<http::string_body>;
 
   Task<bool> WaitForRequest(Ms timeout);
-  Task<bool> ReadRequest(Parser& parser);
+  Task<RequestRead> ReadRequest(Parser& parser, HeldBytes& held);
+  /// Reads a body; a chunked one only as long as it fits within the bound of
+  /// held bytes, else returns `kRefused`.
+  Task<RequestRead> ReadBody(Parser& parser, HeldBytes& held);
   Task<void> RejectMalformed(const NetErrorCode& ec);
+  /// Responds with 503 because `wanted_bytes` more did not fit.
+  Task<void> RefuseForMemory(Parser& parser, uint64_t wanted_bytes);
+  /// Reads and drops what the caller still sends.
+  Task<void> DropRest(int max_reads, Ms timeout);
   Task<void> WatchForDisconnect(std::shared_ptr<bool> answered);
   template <typename Message>
   void SetConnectionFields(Message& message);
-  Task<bool> Write(std::string_view bytes);
+  /// Writes all of `buffers`, which must outlive the write.
+  template <typename Buffers>
+  Task<bool> Write(Buffers buffers);
+  void StartWriteTimeout();
+  void StopWriteTimeout();
+  /// With a bound of held bytes, closes the connection when the caller has read
+  /// nothing for `kWriteTimeout`, in place of a bound on each whole write.
+  void StartSendWatch();
+  void StopSendWatch();
+  void CheckSending();
 
   Front& front_;
   beast::tcp_stream stream_;
+  asio::steady_timer send_timer_;
+  bool watches_sending_ = false;
+  bool writing_ = false;
+  uint64_t acknowledged_bytes_ = 0;
+  Ms progress_at_;
   beast::flat_buffer buf_;
   std::function<void()> on_disconnect_;
   Ms opened_at_;
@@ -141,14 +164,41 @@
   kLog.Info("Rejected a malformed request.",
             {{"status", status}, {"error", ec.message()}});
   co_await WriteResponse(status, fields, "{\"error\":\"unreadable request\"}");
+  constexpr int kMaxReads = 64;
+  constexpr Ms kTimeout{500};
+  co_await DropRest(kMaxReads, kTimeout);
+}
+
+Task<void> Front::Session::RefuseForMemory(Parser& parser,
+                                           uint64_t wanted_bytes) {
+  const CallHead head = front_.dialect_.decode_call(parser.get());
+  front_.memory_.ReportRefusal(head.request_id, wanted_bytes);
+  // A body that was not read ends the connection; the response tells so.
+  keep_alive_ = parser.is_done() && parser.keep_alive();
+  is_head_request_ = parser.get().method() == http::verb::head;
+  http::fields fields;
+  front_.dialect_.encode_gateway_response(head, fields);
+  fields.set(http::field::content_type, "application/json");
+  fields.set(http::field::retry_after, std::to_string(kRetryMemory.Seconds()));
+  const bool sent = co_await WriteResponse(
+      503, fields, "{\"error\":\"held memory is used up\"}");
+  if (!sent) keep_alive_ = false;
+  if (parser.is_done() || !sent) co_return;
+  // Many callers read the response only after they have sent the whole body.
+  constexpr size_t kReadBytes = 4096;
+  const size_t max_bytes = front_.Limits().max_body_bytes;
+  const int max_reads = static_cast<int>(2 * max_bytes / kReadBytes) + 1;
+  co_await DropRest(max_reads, kDropTimeout);
+}
+
+Task<void> Front::Session::DropRest(int max_reads, Ms timeout) {
   NetErrorCode ignored;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   // Closing with unread bytes would reset the connection, and the caller might
   // lose the response.
   std::array<char, 4096> rest{};
-  constexpr int kMaxReads = 64;
-  stream_.expires_after(std::chrono::milliseconds(500));
-  for (int i = 0; i < kMaxReads; ++i) {
+  stream_.expires_after(ToChrono(timeout));
+  for (int i = 0; i < max_reads; ++i) {
     NetErrorCode done;
     co_await stream_.async_read_some(
         asio::buffer(rest), asio::redirect_error(asio::use_awaitable, done));
@@ -156,7 +206,35 @@
   }
 }
 
-Task<bool> Front::Session::ReadRequest(Parser& parser) {
+Task<RequestRead> Front::Session::ReadBody(Parser& parser, HeldBytes& held) {
+  stream_.expires_after(ToChrono(kBodyTimeout));
+  NetErrorCode ec;
+  if (!front_.memory_.is_bounded() || !parser.chunked()) {
+    co_await http::async_read(stream_, buf_, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+  }
+  const uint64_t before_body = held.bytes();
+  while (!ec && !parser.is_done()) {
+    co_await http::async_read_some(
+        stream_, buf_, parser, asio::redirect_error(asio::use_awaitable, ec));
+    const uint64_t bytes = before_body + parser.get().body().capacity();
+    const uint64_t more = bytes - std::min(bytes, held.bytes());
+    if (!MayHold(front_.memory_.state(), more)) {
+      parser.get().body() = std::string();
+      held.Set(0);
+      co_await RefuseForMemory(parser, more);
+      co_return RequestRead::kRefused;
+    }
+    held.Set(bytes);
+  }
+  if (!ec) co_return RequestRead::kComplete;
+  if (IsParseError(ec)) {
+    co_await RejectMalformed(ec);
+  }
+  co_return RequestRead::kFailed;
+}
+
+Task<RequestRead> Front::Session::ReadRequest(Parser& parser, HeldBytes& held) {
   const CallerLimits limits = front_.Limits();
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
@@ -164,21 +242,26 @@
   NetErrorCode ec;
   co_await http::async_read_header(
       stream_, buf_, parser, asio::redirect_error(asio::use_awaitable, ec));
-  if (!ec &&
-      beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-    const bool sent = co_await Write("HTTP/1.1 100 Continue\r\n\r\n");
-    if (!sent) co_return false;
+  if (ec) {
+    if (IsParseError(ec)) {
+      co_await RejectMalformed(ec);
+    }
+    co_return RequestRead::kFailed;
   }
-  if (!ec) {
-    stream_.expires_after(ToChrono(kBodyTimeout));
-    co_await http::async_read(stream_, buf_, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+  const auto length = parser.content_length();
+  const auto declared =
+      length ? std::optional<uint64_t>(*length) : std::nullopt;
+  if (!MayTakeRequest(front_.memory_.state(), declared)) {
+    co_await RefuseForMemory(parser, BytesToSetAside(declared));
+    co_return RequestRead::kRefused;
   }
-  if (!ec) co_return true;
-  if (IsParseError(ec)) {
-    co_await RejectMalformed(ec);
+  held.Set(BytesToSetAside(declared));
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    const bool sent =
+        co_await Write(asio::buffer(kContinue.data(), kContinue.size()));
+    if (!sent) co_return RequestRead::kFailed;
   }
-  co_return false;
+  co_return co_await ReadBody(parser, held);
 }
 
 Task<void> Front::Session::WatchForDisconnect(std::shared_ptr<bool> answered) {
@@ -202,20 +285,27 @@
   const auto self = shared_from_this();
   NetErrorCode ec;
   stream_.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-  setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-             &kTcpUserTimeoutMs, sizeof(kTcpUserTimeoutMs));
+  // The kernel counts this time also while a slow caller's window stays smaller
+  // than the next segment, so with a bound the send watch stands in for it.
+  if (!front_.memory_.is_bounded()) {
+    setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &kTcpUserTimeoutMs, sizeof(kTcpUserTimeoutMs));
+  }
   while (keep_alive_ && !stream_aborted_) {
     const bool arrived = co_await WaitForRequest(front_.Limits().idle_timeout);
     if (!arrived) break;
     Parser parser;
-    const bool read = co_await ReadRequest(parser);
-    if (!read) break;
+    HeldBytes held(front_.memory_);
+    const RequestRead read = co_await ReadRequest(parser, held);
+    if (read == RequestRead::kRefused) continue;
+    if (read == RequestRead::kFailed) break;
     CallerRequest request;
     auto& message = parser.get();
     request.received = front_.clock_.Now();
     request.method = message.method();
     request.target = std::string(message.target());
-    request.body = std::move(message.body());
+    request.body =
+        std::make_shared<const std::string>(std::move(message.body()));
     request.fields = message;
     request.head = front_.dialect_.decode_call(request.fields);
     keep_alive_ = message.keep_alive();
@@ -223,7 +313,9 @@
     stream_.expires_never();
     auto answered = std::make_shared<bool>(false);
     Spawn(front_.loop_, WatchForDisconnect(answered));
+    StartSendWatch();
     co_await front_.runner_.Run(request, *this);
+    StopSendWatch();
     *answered = true;
     has_served_ = true;
     on_disconnect_ = nullptr;
@@ -260,11 +352,11 @@
   }
   if (!has_body || is_head_request_) message.body() = {};
   SetConnectionFields(message);
-  stream_.expires_after(ToChrono(kWriteTimeout));
+  StartWriteTimeout();
   NetErrorCode ec;
   co_await http::async_write(stream_, message,
                              asio::redirect_error(asio::use_awaitable, ec));
-  stream_.expires_never();
+  StopWriteTimeout();
   co_return !ec;
 }
 
@@ -277,45 +369,90 @@
   message.chunked(true);
   SetConnectionFields(message);
   http::response_serializer<http::empty_body> serializer(message);
-  stream_.expires_after(ToChrono(kWriteTimeout));
+  StartWriteTimeout();
   NetErrorCode ec;
   co_await http::async_write_header(
       stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
-  stream_.expires_never();
+  StopWriteTimeout();
   co_return !ec;
 }
 
-Task<bool> Front::Session::Write(std::string_view bytes) {
-  stream_.expires_after(ToChrono(kWriteTimeout));
+template <typename Buffers>
+Task<bool> Front::Session::Write(Buffers buffers) {
+  StartWriteTimeout();
   NetErrorCode ec;
-  co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()),
+  co_await asio::async_write(stream_, buffers,
                              asio::redirect_error(asio::use_awaitable, ec));
-  stream_.expires_never();
+  StopWriteTimeout();
   co_return !ec;
 }
 
 Task<bool> Front::Session::WriteChunk(std::string_view bytes) {
   char head[24];
   const int n = snprintf(head, sizeof(head), "%zx\r\n", bytes.size());
-  std::string chunk;
-  chunk.reserve(bytes.size() + sizeof(head) + 2);
-  chunk.append(head, static_cast<size_t>(n)).append(bytes).append("\r\n");
+  const std::array<asio::const_buffer, 3> chunk = {
+      asio::buffer(head, static_cast<size_t>(n)),
+      asio::buffer(bytes.data(), bytes.size()), asio::buffer("\r\n", 2)};
   const bool ok = co_await Write(chunk);
   co_return ok;
 }
 
 Task<bool> Front::Session::EndStream() {
-  const bool ok = co_await Write("0\r\n\r\n");
+  const bool ok = co_await Write(asio::buffer("0\r\n\r\n", 5));
   co_return ok;
 }
 
+void Front::Session::StartWriteTimeout() {
+  writing_ = true;
+  if (!watches_sending_) stream_.expires_after(ToChrono(kWriteTimeout));
+}
+
+void Front::Session::StopWriteTimeout() {
+  writing_ = false;
+  stream_.expires_never();
+}
+
+void Front::Session::StartSendWatch() {
+  if (!front_.memory_.is_bounded()) return;
+  watches_sending_ = true;
+  progress_at_ = front_.clock_.Now();
+  CheckSending();
+}
+
+void Front::Session::StopSendWatch() {
+  watches_sending_ = false;
+  send_timer_.cancel();
+}
+
+void Front::Session::CheckSending() {
+  send_timer_.expires_after(ToChrono(kSendCheckInterval));
+  send_timer_.async_wait([weak = weak_from_this()](const NetErrorCode& ec) {
+    const SessionPtr self = weak.lock();
+    if (ec || self == nullptr || !self->watches_sending_) return;
+    const SendProgress progress =
+        ReadSendProgress(self->stream_.socket().native_handle());
+    const Ms now = self->front_.clock_.Now();
+    const bool waits = self->writing_ || progress.has_unacknowledged;
+    if (!waits || progress.acknowledged_bytes != self->acknowledged_bytes_) {
+      self->progress_at_ = now;
+    }
+    self->acknowledged_bytes_ = progress.acknowledged_bytes;
+    if (now - self->progress_at_ >= kWriteTimeout) {
+      self->stream_.close();
+    } else {
+      self->CheckSending();
+    }
+  });
+}
+
 CallerLimits Front::Limits() const {
   return view_.config != nullptr ? view_.config->limits : CallerLimits{};
 }
 
 bool Front::Listen(const Address& address) {
   acceptor_ = std::make_shared<asio::ip::tcp::acceptor>(loop_);
-  if (!OpenAcceptor(*acceptor_, address)) return false;
+  if (!OpenAcceptor(*acceptor_, address, memory_.socket_buffer_bytes()))
+    return false;
   Spawn(loop_, Accept());
   return true;
 }
@@ -365,67 +502,4 @@
   for (const SessionPtr& session : all) session->CloseIfIdle();
 }
 
-namespace {
-
-Task<void> ServeInternalConnection(beast::tcp_stream stream,
-                                   const InternalHandler& handler) {
-  beast::flat_buffer buf;
-  while (true) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(kMaxInternalBodyBytes);
-    stream.expires_after(ToChrono(kInternalTimeout));
-    NetErrorCode ec;
-    co_await http::async_read(stream, buf, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) break;
-    HttpRequest call;
-    call.method = parser.get().method();
-    call.target = std::string(parser.get().target());
-    call.body = std::move(parser.get().body());
-    HttpResponse answer = co_await handler(call);
-    if (answer.status == 0) break;
-    http::response<http::string_body> message;
-    message.version(11);
-    message.result(answer.status);
-    message.keep_alive(parser.get().keep_alive());
-    message.body() = std::move(answer.body);
-    message.prepare_payload();
-    stream.expires_after(ToChrono(kInternalTimeout));
-    co_await http::async_write(stream, message,
-                               asio::redirect_error(asio::use_awaitable, ec));
-    if (ec || !message.keep_alive()) break;
-  }
-}
-
-Task<void> AcceptInternal(asio::io_context& loop,
-                          std::shared_ptr<asio::ip::tcp::acceptor> acceptor,
-                          std::shared_ptr<const InternalHandler> handler) {
-  constexpr Ms kRetryInterval{20};
-  while (true) {
-    NetErrorCode ec;
-    asio::ip::tcp::socket socket(loop);
-    co_await acceptor->async_accept(
-        socket, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-      co_await Sleep(loop, kRetryInterval);
-      continue;
-    }
-    socket.set_option(asio::ip::tcp::no_delay(true), ec);
-    Spawn(loop, ServeInternalConnection(beast::tcp_stream(std::move(socket)),
-                                        *handler));
-  }
-}
-
-}  // namespace
-
-bool ServeInternal(asio::io_context& loop, const Address& address,
-                   InternalHandler handler) {
-  auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(loop);
-  if (!OpenAcceptor(*acceptor, address)) return false;
-  Spawn(loop, AcceptInternal(
-                  loop, std::move(acceptor),
-                  std::make_shared<const InternalHandler>(std::move(handler))));
-  return true;
-}
-
 }  // namespace knapweed::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,6 +11,7 @@
 #include "knapweed/base/resource_use.h"
 #include "knapweed/gateway/fleet_watch.h"
 #include "knapweed/gateway/front.h"
+#include "knapweed/gateway/internal_server.h"
 #include "knapweed/gateway/row_sweeper.h"
 
 namespace knapweed::gateway {
@@ -52,12 +53,13 @@
         send_limits(l, clock, view.upstreams, metrics, c.peers,
                     clients.Sender()),
         stream_versions(l, clock, view.upstreams, c.peers, clients.Sender()),
-        pool(l, clock, metrics),
+        memory(HeldBytesLimit(c.memory_mb), metrics),
+        pool(l, clock, metrics, memory.socket_buffer_bytes()),
         crashes(l),
         runner(CallRunnerDeps{l, clock, d, view, store, quotas, starts, budgets,
                               turns, send_limits, stream_versions, pool,
-                              crashes, metrics, c.failure_domain}),
-        front(l, clock, d, view, runner),
+                              crashes, memory, metrics, c.failure_domain}),
+        front(l, clock, d, view, memory, runner),
         watch(FleetWatchDeps{l, clock, d, store, view, quotas, starts, budgets,
                              send_limits, stream_versions, crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
@@ -89,6 +91,7 @@
   Turns turns;
   SendLimits send_limits;
   StreamVersions stream_versions;
+  HeldMemory memory;
   ConnectionPool pool;
   CrashWatch crashes;
   CallRunner runner;
@@ -143,6 +146,7 @@
   metrics.GetGauge("process_processor_ms").Set(use.processor.count);
   metrics.GetGauge("process_resident_kb").Set(use.resident_kb);
   metrics.GetGauge("process_peak_resident_kb").Set(use.peak_resident_kb);
+  memory.UpdateGauges();
 }
 
 Task<void> Gateway::Parts::RunMaintenance() {
--- a/src/gateway/gateway_config.cc
+++ b/src/gateway/gateway_config.cc
@@ -1,8 +1,15 @@
 #include "knapweed/base/parse.h"
 #include "knapweed/base/settings.h"
 #include "knapweed/gateway/gateway.h"
+#include "knapweed/policy/memory_guard.h"
 
 namespace knapweed::gateway {
+namespace {
+
+/// 1 TB; a larger number is most likely meant in another unit.
+constexpr int64_t kMaxMemoryMb = 1 << 20;
+
+}  // namespace
 
 absl::StatusOr<GatewayConfig> ReadGatewayConfig(const std::string& path) {
   Settings settings = Settings::Load(path);
@@ -29,6 +36,14 @@
   }
   config.quota.over_share = share;
   config.grace = settings.GetMs("shutdown", "grace", config.grace);
+  const int64_t memory_mb =
+      settings.GetInt("gateway", "memory_mb", 0, 0, kMaxMemoryMb);
+  if (memory_mb > 0 && memory_mb < kMinMemoryMb) {
+    settings.AddFault(
+        "gateway", "memory_mb",
+        "expected 0 (no bound) or at least " + std::to_string(kMinMemoryMb));
+  }
+  config.memory_mb = static_cast<uint64_t>(memory_mb);
   config.log_level = ReadLogLevel(settings);
   const absl::Status status = settings.Check();
   if (!status.ok()) return status;
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -5,14 +5,36 @@
 
 #include <exception>
 
+#include "knapweed/base/log.h"
+
 namespace knapweed::gateway {
 namespace {
 
+constexpr Logger kLog("front");
+
 /// Maximum number of idle connections to one address, and their maximum idle
 /// time: a peer may have dropped an older one without closing it.
 constexpr size_t kMaxIdleConnections = 4;
 constexpr Ms kMaxIdleTime{5000};
 constexpr size_t kMaxResponseBytes = 16 << 20;
+constexpr int kListenBacklog = 1024;
+
+/// Segment size of connections whose buffers are bounded. Segments of 64 KB, as
+/// loopback has them, fill such a buffer at once, and each then waits 40 ms for
+/// a delayed acknowledgement; networks have smaller ones anyway.
+constexpr int kMaxSegmentBytes = 8 << 10;
+
+/// Sets the size of both buffers of a socket that is not yet connected, so that
+/// the window that it offers fits the size.
+template <typename Socket>
+void SetBufferBytes(Socket& socket, size_t bytes, NetErrorCode& ec) {
+  if (ec || bytes == 0) return;
+  const int size = static_cast<int>(bytes);
+  socket.set_option(asio::socket_base::receive_buffer_size(size), ec);
+  if (!ec) socket.set_option(asio::socket_base::send_buffer_size(size), ec);
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &kMaxSegmentBytes,
+             sizeof(kMaxSegmentBytes));
+}
 
 }  // namespace
 
@@ -55,10 +77,14 @@
 HttpClient::~HttpClient() = default;
 
 Task<bool> Connect(beast::tcp_stream& stream, const Address& address,
-                   Ms timeout) {
+                   Ms timeout, size_t socket_buffer_bytes) {
   NetErrorCode ec;
   const asio::ip::tcp::endpoint endpoint(
       asio::ip::make_address_v4(address.host, ec), address.port);
+  if (!ec && socket_buffer_bytes > 0) {
+    stream.socket().open(endpoint.protocol(), ec);
+    SetBufferBytes(stream.socket(), socket_buffer_bytes, ec);
+  }
   if (ec) co_return false;
   stream.expires_after(ToChrono(timeout));
   co_await stream.async_connect(endpoint,
@@ -68,6 +94,23 @@
   co_return true;
 }
 
+bool OpenAcceptor(asio::ip::tcp::acceptor& acceptor, const Address& address,
+                  size_t socket_buffer_bytes) {
+  NetErrorCode ec;
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address_v4(address.host, ec), address.port);
+  if (!ec) acceptor.open(endpoint.protocol(), ec);
+  if (!ec) acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  SetBufferBytes(acceptor, socket_buffer_bytes, ec);
+  if (!ec) acceptor.bind(endpoint, ec);
+  if (!ec) acceptor.listen(kListenBacklog, ec);
+  if (ec) {
+    kLog.Error("Can't listen.",
+               {{"address", address.ToString()}, {"error", ec.message()}});
+  }
+  return !ec;
+}
+
 bool IsReusable(beast::tcp_stream& stream) {
   char byte = 0;
   const ssize_t n =
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -84,14 +84,41 @@
   --open_connections;
 }
 
+void FakeServer::SetSocketBuffers(int bytes) {
+  acceptor_->set_option(asio::socket_base::receive_buffer_size(bytes));
+  acceptor_->set_option(asio::socket_base::send_buffer_size(bytes));
+}
+
+Task<void> FakeServer::RunHeaderOnly(beast::tcp_stream& stream,
+                                     const ReceivedRequest& request) {
+  ++headers_only;
+  if (refuses_early) {
+    co_await WriteText(stream, Head(request, 503,
+                                    "Not-Executed: 1\r\nConnection: close\r\n"
+                                    "Content-Length: 0\r\n\r\n"));
+    co_return;
+  }
+  co_await gateway::Sleep(loop_, Seconds(20));
+}
+
 Task<void> FakeServer::ServeRequests(beast::tcp_stream& stream) {
   beast::flat_buffer buf;
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(64 << 20);
     gateway::NetErrorCode ec;
-    co_await http::async_read(stream, buf, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_read_header(
+        stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && (ignores_bodies || refuses_early)) {
+      ReceivedRequest request;
+      request.fields = parser.get();
+      co_await RunHeaderOnly(stream, request);
+      co_return;
+    }
+    if (!ec) {
+      co_await http::async_read(stream, buf, parser,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (ec) co_return;
     ReceivedRequest request;
     request.method = std::string(parser.get().method_string());
@@ -196,6 +223,10 @@
       for (int i = 1; i <= 400; ++i) unit += Chunk(EventText(i));
       break;
     }
+    case Script::Kind::kEndlessLongEvents:
+      first = events;
+      unit = Chunk("data: " + std::string(16000, 'e') + "\n\n");
+      break;
     case Script::Kind::kDrippingRefusal: {
       bool open = co_await WriteText(
           stream, Head(request, 503,
@@ -237,6 +268,12 @@
                       "\r\n\r\n" + body);
       break;
     }
+    case Script::Kind::kMedium:
+      text =
+          Head(request, 200,
+               signature + "Content-Length: " + std::to_string(kMediumBytes) +
+                   "\r\n\r\n" + std::string(kMediumBytes, 'm'));
+      break;
     case Script::Kind::kError:
       text = Head(request, 500, signature + plain);
       break;
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -42,6 +42,8 @@
     kNoResponse,
     /// 200 with `LargeBody` and its length.
     kLarge,
+    /// 200 with `kMediumBytes` and their number.
+    kMedium,
     // The next ones send bytes until the peer closes the connection.
     /// One header line without end.
     kEndlessHead,
@@ -61,8 +63,10 @@
     kEndlessIdle,
     /// A stream with one event that does not end.
     kEndlessEvent,
-    /// A stream of complete events.
+    /// A stream of complete events, whose numbers start again after 400.
     kEndlessEvents,
+    /// A stream of complete events of 16 KB without a number.
+    kEndlessLongEvents,
     /// A refusal whose body arrives one byte each 100 ms.
     kDrippingRefusal,
   };
@@ -97,12 +101,15 @@
 
   /// Returns false if the address can't be bound.
   bool Listen();
+  /// Sets the size of the buffers of connections that are accepted from now on.
+  void SetSocketBuffers(int bytes);
   /// Returns the JSON entry that the server would write about itself to the
   /// store.
   std::string Entry(const std::string& service, bool draining = false,
                     uint64_t started_at_ms = kStartedAtMs) const;
   /// Returns the body of `kLarge`, 3 MB.
   static std::string LargeBody();
+  static constexpr size_t kMediumBytes = 200 << 10;
   static constexpr uint64_t kStartedAtMs = 1700000000000;
 
   const std::string& id() const { return id_; }
@@ -114,6 +121,14 @@
   /// `restart_delay`, as a crash would. Empty for none.
   std::string crash_on;
   Ms restart_delay{400};
+  /// Reads only the header of a request and neither reads its body nor
+  /// responds.
+  bool ignores_bodies = false;
+  /// Reads only the header of a request, refuses it (503, not run) and closes
+  /// the connection.
+  bool refuses_early = false;
+  /// Requests whose header was read in one of these two ways.
+  int headers_only = 0;
   /// Every response states that the server is leaving.
   bool leaving = false;
   /// Limit in requests per second that every response states; empty for none.
@@ -131,6 +146,9 @@
  private:
   gateway::Task<void> Accept();
   gateway::Task<void> Crash();
+  /// Handles a request whose body is not read.
+  gateway::Task<void> RunHeaderOnly(gateway::beast::tcp_stream& stream,
+                                    const ReceivedRequest& request);
   gateway::Task<void> Serve(gateway::beast::tcp_stream stream);
   gateway::Task<void> ServeRequests(gateway::beast::tcp_stream& stream);
   /// Returns whether the connection stays open.
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <tuple>
 
-#include "knapweed/gateway/front.h"
+#include "knapweed/gateway/internal_server.h"
 
 /// An in-memory fake of the platform's store that serves its published HTTP
 /// protocol and injects faults.
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -117,8 +117,9 @@
 
 }  // namespace
 
-TestCluster::TestCluster(int gateway_count, int servers, int partitioned)
-    : store(loop, 7) {
+TestCluster::TestCluster(int gateway_count, int servers, int partitioned,
+                         uint64_t memory_mb)
+    : store(loop, 7), memory_mb_(memory_mb) {
   const Address store_address = ReserveAddress();
   store.Listen(store_address);
   for (int i = 0; i < servers; ++i) {
@@ -160,6 +161,7 @@
   gateway::GatewayConfig& config = configs.emplace_back();
   config.name = name;
   config.failure_domain = "a";
+  config.memory_mb = memory_mb_;
   config.callers = ReserveAddress();
   config.readiness = ReserveAddress();
   config.peers = ReserveAddress();
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -50,7 +50,9 @@
  public:
   /// The last `partitioned` gateways can't connect to the store themselves.
   /// Returns once all gateways are ready, or after 10 s.
-  explicit TestCluster(int gateways = 1, int servers = 2, int partitioned = 0);
+  /// `memory_mb` is the memory setting of all gateways.
+  explicit TestCluster(int gateways = 1, int servers = 2, int partitioned = 0,
+                       uint64_t memory_mb = 0);
   ~TestCluster();
 
   /// Writes the default configuration, edited by `change`, as a new version.
@@ -93,6 +95,7 @@
   /// bound, so that no connection gets it meanwhile.
   Address ReserveAddress();
 
+  uint64_t memory_mb_;
   std::deque<gateway::asio::ip::tcp::socket> reserved_;
   Address store_address_;
 };
