Tighten the test of unread answers; state the figures without the bound

With the bound switched off in a trial, the test of unread answers still passed: 524,288 and 512,512 bytes per call against a limit of 540,672.

--- a/include/knapweed/policy/memory_guard.h
+++ b/include/knapweed/policy/memory_guard.h
@@ -22,7 +22,7 @@
 /// the upstream; 64 KB each as the kernel counts them) and 64 KB in the process
 /// for the pieces of the answer.
 inline constexpr size_t kCallBufferBytes =
-    3 * 2 * kSocketBufferBytes + (64 << 10);
+    6 * kSocketBufferBytes + (size_t{64} << 10);
 /// Least `memory_mb` that works: half of it holds two calls with a body of
 /// 4 MB, the usual limit, beside 30 without one.
 inline constexpr int64_t kMinMemoryMb = 32;
--- a/tests/platform/slow_reader_test.cc
+++ b/tests/platform/slow_reader_test.cc
@@ -124,8 +124,9 @@
     cluster.RunFor(Ms{1500});
     MESSAGE("bytes per call: ", BytesPerCall(cluster, kCalls));
     CHECK(BytesPerCall(cluster, kCalls) > 0);
-    // A response that is read completely first may take 256 KB more.
-    CHECK(BytesPerCall(cluster, kCalls) <= kCallBufferBytes + (272 << 10));
+    // A body of which much is read before any is sent may take more.
+    const uint64_t more = kind == Kind::kEndlessBody ? 128 << 10 : 0;
+    CHECK(BytesPerCall(cluster, kCalls) <= kCallBufferBytes + more);
     // Others are served meanwhile.
     const CallerResponse other = cluster.Call(
         PlainCall(kind == Kind::kEndlessBody ? "/turn/x" : "/safe/x"));
