Keep calls out of evacuated failure domains

Cause: gateways ignored the operator's rows op/evacuate/ZONE, so calls went on to servers that were about to go away. Change: FleetWatch reads them from the table that it polls for the configuration, with the same whole-table read after a gap in the feed;

AcceptsCalls keeps new calls, retries and waiting calls away.

--- a/include/knapweed/gateway/dialect.h
+++ b/include/knapweed/gateway/dialect.h
@@ -1,6 +1,7 @@
 #ifndef KNAPWEED_GATEWAY_DIALECT_H_
 #define KNAPWEED_GATEWAY_DIALECT_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,13 +38,17 @@
   StoreAnswer (*decode_store_answer)(unsigned status, std::string_view body);
 
   // Location and format of the platform's data in the store.
-  /// Row that holds the configuration.
+  /// Row that holds the configuration. The rows of evacuations stand in its
+  /// table and part.
   RowKey config_row;
   /// Table that lists the upstreams, one row for each, keyed by its id.
   std::string_view upstream_table;
   absl::StatusOr<FleetConfig> (*decode_config)(std::string_view bytes);
   absl::StatusOr<UpstreamEntry> (*decode_upstream)(std::string_view id,
                                                    std::string_view bytes);
+  /// Returns the failure domain that the row with this key evacuates, whatever
+  /// its value; unset if it is not the row of an evacuation.
+  std::optional<std::string> (*decode_evacuation)(std::string_view key);
 };
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/fleet_config.h
+++ b/include/knapweed/gateway/fleet_config.h
@@ -55,6 +55,11 @@
   /// Connections that one upstream accepts from all of its clients together;
   /// 0 if unlimited.
   uint32_t max_connections = 0;
+  /// Requests per second that one cold upstream tolerates from all of its
+  /// clients together; 0 if there is no bound.
+  double cold_per_s = 0;
+  /// Length of a cold start.
+  Ms cold_start;
   /// The upstreams are engines that run a language model.
   bool is_engine = false;
   /// Tokens in one event of an engine's stream.
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -2,6 +2,7 @@
 #define KNAPWEED_GATEWAY_FLEET_WATCH_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,7 +78,12 @@
   Task<void> FollowGateways();
   Task<bool> ReadTable(std::string_view table, std::vector<Row>* rows,
                        uint64_t* version);
+  /// Applies the rows of evacuations among `rows`; without `is_whole_table`
+  /// those that are not mentioned stay in force.
+  void ApplyEvacuations(const std::vector<Row>& rows, bool is_whole_table);
   void ApplyConfig(const Row& row);
+  /// Returns the failure domain that the row evacuates or ceases to evacuate.
+  std::optional<std::string> EvacuatedBy(const Row& row) const;
   void ApplyUpstream(const Row& row);
   void RemoveUpstream(const std::string& id);
   void RemoveUnlisted(const std::vector<Row>& rows);
@@ -111,6 +117,10 @@
   bool gateways_read_ = false;
   // Rows as last read, for `RowsForPeers`.
   Row config_row_;
+  /// Rows of the evacuations in force, by failure domain.
+  std::map<std::string, Row, std::less<>> evacuation_rows_;
+  /// The operator's table was read from the store, not only from a peer.
+  bool operator_table_read_ = false;
   std::map<std::string, Row> upstream_rows_;
   std::vector<Row> gateway_rows_;
   Ms gateways_read_at_;
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -76,6 +77,8 @@
   /// It stated in a response that it is draining. Final for this incarnation,
   /// whatever the platform lists.
   bool said_draining = false;
+  /// Its failure domain is evacuated.
+  bool evacuated = false;
   /// The limit on requests that it stated last.
   StatedLimit limit;
   /// Requests that this gateway sent to it since it states a limit.
@@ -97,7 +100,8 @@
 using UpstreamPtr = std::shared_ptr<Upstream>;
 
 /// Returns whether new calls may be sent to the upstream: it is listed and
-/// neither the platform nor the upstream itself says that it is draining.
+/// neither the platform nor the upstream itself says that it is draining, and
+/// its failure domain is not evacuated.
 bool AcceptsCalls(const Upstream& up);
 
 /// Returns whether a request to the upstream needs a grant.
@@ -120,6 +124,9 @@
   Ms now;
 };
 
+/// Failure domains by name.
+using DomainSet = std::set<std::string, std::less<>>;
+
 /// The upstreams that the platform currently lists.
 class UpstreamSet {
  public:
@@ -135,6 +142,10 @@
   /// calls go to this incarnation again, also if it is listed anew after it was
   /// removed. `wall_time` is the current time since 1970.
   void MarkDraining(const UpstreamPtr& upstream, Ms wall_time);
+  /// Replaces the evacuated failure domains. From then on no new calls go to
+  /// their upstreams, those that are listed later included.
+  void SetEvacuated(DomainSet domains);
+  const DomainSet& evacuated() const { return evacuated_; }
   const std::map<std::string, UpstreamPtr>& all() const { return by_id_; }
 
   /// Returns the upstream with the earliest expected finish, none of `excluded`
@@ -160,6 +171,7 @@
 
   std::map<std::string, UpstreamPtr> by_id_;
   std::map<std::string, DrainNotice> drain_notices_;
+  DomainSet evacuated_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -68,6 +68,7 @@
   if (!ready()) return known;
   const Ms now = clock_.Now();
   known.rows.push_back(config_row_);
+  for (const auto& [domain, row] : evacuation_rows_) known.rows.push_back(row);
   for (const auto& [id, row] : upstream_rows_) known.rows.push_back(row);
   known.rows.insert(known.rows.end(), gateway_rows_.begin(),
                     gateway_rows_.end());
@@ -115,8 +116,9 @@
   std::vector<Row> upstreams;
   std::vector<Row> gateways;
   const bool needs_config = view_.config == nullptr;
+  if (!operator_table_read_) ApplyEvacuations(known.rows, true);
   for (const Row& row : known.rows) {
-    if (row.key == dialect_.config_row) ApplyConfig(row);
+    ApplyConfig(row);
     if (row.key.table == dialect_.upstream_table) upstreams.push_back(row);
     if (row.key.table == kGatewayTable) gateways.push_back(row);
   }
@@ -155,6 +157,43 @@
   co_return true;
 }
 
+std::optional<std::string> FleetWatch::EvacuatedBy(const Row& row) const {
+  const RowKey& config = dialect_.config_row;
+  if (row.key.table != config.table || row.key.part != config.part) return {};
+  return dialect_.decode_evacuation(row.key.key);
+}
+
+void FleetWatch::ApplyEvacuations(const std::vector<Row>& rows,
+                                  bool is_whole_table) {
+  std::map<std::string, Row, std::less<>> next;
+  if (!is_whole_table) next = evacuation_rows_;
+  for (const Row& row : rows) {
+    const std::optional<std::string> domain = EvacuatedBy(row);
+    if (!domain.has_value()) continue;
+    if (row.deleted) {
+      next.erase(*domain);
+    } else {
+      next[*domain] = row;
+    }
+  }
+  DomainSet domains;
+  for (const auto& [domain, row] : next) {
+    domains.insert(domain);
+    if (evacuation_rows_.contains(domain)) continue;
+    kLog.Info("Evacuation in force.",
+              {{"failure_domain", domain}, {"row", row.version}});
+  }
+  for (const auto& [domain, row] : evacuation_rows_) {
+    if (next.contains(domain)) continue;
+    kLog.Info("Evacuation ended.",
+              {{"failure_domain", domain}, {"row", row.version}});
+  }
+  evacuation_rows_ = std::move(next);
+  if (domains != view_.upstreams.evacuated()) {
+    view_.upstreams.SetEvacuated(std::move(domains));
+  }
+}
+
 void FleetWatch::ApplyConfig(const Row& row) {
   if (row.key != dialect_.config_row || row.deleted) return;
   if (row.version <= config_row_.version) return;
@@ -206,8 +245,11 @@
   while (true) {
     const TableChanges changes =
         co_await ReadChanges(dialect_.config_row.table, position);
-    for (const Row& row : changes.rows) ApplyConfig(row);
+    // Evacuations first: a gateway serves as soon as it has a configuration.
     if (changes.ok) {
+      operator_table_read_ = true;
+      ApplyEvacuations(changes.rows, changes.is_whole_table);
+      for (const Row& row : changes.rows) ApplyConfig(row);
       view_.config_confirmed_at = clock_.Now();
     } else {
       co_await PauseAfterFailure();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -181,6 +181,7 @@
                      {"version", up->entry.version},
                      {"address", up->entry.address.ToString()},
                      {"draining", up->entry.draining || up->said_draining},
+                     {"evacuated", up->evacuated},
                      {"limit_per_s", up->limit.per_s.has_value()
                                          ? nlohmann::json(*up->limit.per_s)
                                          : nlohmann::json()},
@@ -198,6 +199,7 @@
       {"config_version",
        parts.view.config != nullptr ? parts.view.config->version : 0},
       {"config_age_ms", (now - parts.view.config_confirmed_at).count},
+      {"evacuated", parts.view.upstreams.evacuated()},
       {"store_reachable", parts.store.reachable()},
       {"store_direct", parts.store.direct_ok()},
       {"upstreams", std::move(upstreams)}};
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -57,7 +57,7 @@
 }  // namespace
 
 bool AcceptsCalls(const Upstream& up) {
-  return up.listed && !up.entry.draining && !up.said_draining;
+  return up.listed && !up.entry.draining && !up.said_draining && !up.evacuated;
 }
 
 uint64_t PromptCacheModel::CachedTokens(
@@ -95,6 +95,7 @@
 }
 
 bool UpstreamSet::Put(UpstreamEntry entry, uint64_t cache_tokens) {
+  const bool evacuated = evacuated_.contains(entry.failure_domain);
   UpstreamPtr& slot = by_id_[entry.id];
   const bool same = slot != nullptr &&
                     slot->entry.started_at_ms == entry.started_at_ms &&
@@ -106,14 +107,23 @@
     const bool said_draining = HasDrainNotice(entry);
     slot = std::make_shared<Upstream>(std::move(entry), cache_tokens);
     slot->said_draining = said_draining;
+    slot->evacuated = evacuated;
     return true;
   }
   const bool changed = slot->entry.draining != entry.draining || !slot->listed;
   slot->entry = std::move(entry);
   slot->listed = true;
+  slot->evacuated = evacuated;
   return changed;
 }
 
+void UpstreamSet::SetEvacuated(DomainSet domains) {
+  evacuated_ = std::move(domains);
+  for (const auto& [id, up] : by_id_) {
+    up->evacuated = evacuated_.contains(up->entry.failure_domain);
+  }
+}
+
 bool UpstreamSet::Remove(const std::string& id) {
   const auto it = by_id_.find(id);
   if (it == by_id_.end()) return false;
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -50,11 +50,11 @@
                               uint64_t started_at_ms) const {
   return nlohmann::json{{"service", service},
                         {"address", address_.ToString()},
-                        {"zone", "a"},
+                        {"zone", failure_domain},
                         {"version", version},
                         {"slots", 4},
                         {"state", draining ? "draining" : "ready"},
-                        {"cold_remaining_ms", 0},
+                        {"cold_remaining_ms", cold_remaining.count},
                         {"born", started_at_ms},
                         {"seq", 4}}
       .dump();
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -118,6 +118,10 @@
   bool leaving = false;
   /// Limit in requests per second that every response states; empty for none.
   std::string limit_per_s;
+  /// Failure domain that its entry states.
+  std::string failure_domain = "a";
+  /// How much longer it is cold, as its entry states it.
+  Ms cold_remaining;
   /// Version of its software, as its entry states it.
   std::string version = "v1";
   std::vector<ReceivedRequest> received;
