--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -65,6 +66,20 @@
   absl::flat_hash_map<uint64_t, Part> parts_;
 };
 
+/// What this gateway knows of the cold time of one incarnation.
+struct ColdState {
+  /// Requests per second that it tolerates while it is cold, from all gateways
+  /// together, and the length of a cold start, by its service. 0 if there is no
+  /// bound.
+  double per_s = 0;
+  Ms start;
+  Ms until;
+  /// Version of the row that was read last.
+  uint64_t row_version = 0;
+  /// When a sign of a restart was seen that no row has confirmed or denied.
+  Ms suspected_at;
+};
+
 /// An upstream and the state of this gateway's calls to it.
 struct Upstream {
   explicit Upstream(UpstreamEntry e, uint64_t cache_tokens)
@@ -76,10 +91,13 @@
   /// It stated in a response that it is draining. Final for this incarnation,
   /// whatever the platform lists.
   bool said_draining = false;
+  /// Its failure domain is evacuated.
+  bool evacuated = false;
   /// The limit on requests that it stated last.
   StatedLimit limit;
   /// Requests that this gateway sent to it since it states a limit.
   uint64_t sent_under_limit = 0;
+  ColdState cold;
   /// Its limit is used up until then, as far as this gateway knows.
   Ms closed_until;
   CircuitBreaker breaker;
@@ -97,12 +115,30 @@
 using UpstreamPtr = std::shared_ptr<Upstream>;
 
 /// Returns whether new calls may be sent to the upstream: it is listed and
-/// neither the platform nor the upstream itself says that it is draining.
+/// neither the platform nor the upstream itself says that it is draining, and
+/// its failure domain is not evacuated.
 bool AcceptsCalls(const Upstream& up);
 
-/// Returns whether a request to the upstream needs a grant.
+/// Returns whether the upstream states a limit.
 inline bool IsLimited(const Upstream& up) { return up.limit.per_s.has_value(); }
 
+/// Returns whether the upstream is cold and its service has a bound for that.
+inline bool IsCold(const Upstream& up, Ms now) {
+  return up.cold.per_s > 0 && now < up.cold.until;
+}
+
+/// Returns whether a request to the upstream needs a grant.
+inline bool NeedsGrant(const Upstream& up, Ms now) {
+  return IsLimited(up) || IsCold(up, now);
+}
+
+/// Takes over the cold time that the upstream's entry states as of `now`, when
+/// its row was read. A row that was read before changes nothing.
+void ReadColdTime(Upstream& up, uint64_t row_version, Ms now);
+/// Takes the upstream for cold for `span`, because it has probably restarted.
+/// Ends with the next row that was written since then.
+void SuspectCold(Upstream& up, Ms span, Ms now);
+
 /// The inputs for choosing the upstream of a call.
 struct ChoiceInput {
   std::string_view service;
@@ -115,11 +151,16 @@
   uint64_t random = 0;
   /// Only upstreams of this software version, if set.
   std::optional<std::string_view> version;
-  /// Only upstreams that state no limit.
+  /// Only upstreams that need no grant.
   bool without_limit = false;
+  /// Only upstreams that are not cold.
+  bool without_cold = false;
   Ms now;
 };
 
+/// Failure domains by name.
+using DomainSet = std::set<std::string, std::less<>>;
+
 /// The upstreams that the platform currently lists.
 class UpstreamSet {
  public:
@@ -135,6 +176,10 @@
   /// calls go to this incarnation again, also if it is listed anew after it was
   /// removed. `wall_time` is the current time since 1970.
   void MarkDraining(const UpstreamPtr& upstream, Ms wall_time);
+  /// Replaces the evacuated failure domains. From then on no new calls go to
+  /// their upstreams, those that are listed later included.
+  void SetEvacuated(DomainSet domains);
+  const DomainSet& evacuated() const { return evacuated_; }
   const std::map<std::string, UpstreamPtr>& all() const { return by_id_; }
 
   /// Returns the upstream with the earliest expected finish, none of `excluded`
@@ -142,8 +187,8 @@
   /// failed recently are chosen only when no other is left.
   UpstreamPtr Choose(const ChoiceInput& input,
                      std::span<const UpstreamPtr> excluded) const;
-  /// Returns the upstream whose limit first allows a request again, none of
-  /// `excluded`; null when there is none whose limit is used up.
+  /// Returns the upstream whose limit first allows a request, none of
+  /// `excluded`; null when there is none that needs a grant.
   UpstreamPtr FirstToOpen(const ChoiceInput& input,
                           std::span<const UpstreamPtr> excluded) const;
 
@@ -160,6 +205,7 @@
 
   std::map<std::string, UpstreamPtr> by_id_;
   std::map<std::string, DrainNotice> drain_notices_;
+  DomainSet evacuated_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "knapweed/gateway/gateway.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
@@ -197,6 +198,9 @@
                      {"version", up->entry.version},
                      {"address", up->entry.address.ToString()},
                      {"draining", up->entry.draining || up->said_draining},
+                     {"evacuated", up->evacuated},
+                     {"cold_ms", std::max(up->cold.until - now, Ms{0}).count},
+                     {"cold_per_s", up->cold.per_s},
                      {"limit_per_s", up->limit.per_s.has_value()
                                          ? nlohmann::json(*up->limit.per_s)
                                          : nlohmann::json()},
@@ -216,6 +220,7 @@
       {"config_version",
        parts.view.config != nullptr ? parts.view.config->version : 0},
       {"config_age_ms", (now - parts.view.config_confirmed_at).count},
+      {"evacuated", parts.view.upstreams.evacuated()},
       {"store_reachable", parts.store.reachable()},
       {"store_direct", parts.store.direct_ok()},
       {"upstreams", std::move(upstreams)}};
