--- a/tests/engine_model.h
+++ b/tests/engine_model.h
@@ -69,6 +69,10 @@
   /// Removes and returns the calls that have ended.
   std::vector<EngineModelResult> TakeEnded();
 
+  /// Removes and returns the calls whose first token is there, with
+  /// `ended_ms` unset.
+  std::vector<EngineModelResult> TakeFirst();
+
   bool idle() const { return running_.empty() && waiting_.empty(); }
   double now_ms() const { return now_ms_; }
   int preemptions() const { return preemptions_; }
@@ -109,6 +113,7 @@
   /// By priority and arrival.
   std::vector<Sequence> waiting_;
   std::vector<EngineModelResult> ended_;
+  std::vector<EngineModelResult> first_;
   uint64_t next_order_ = 0;
   int preemptions_ = 0;
 };
