Measure upstreams by the calls of a gateway, place and order calls by it

Cause: upstreams that differ in speed got equal shares, shared prompt parts were read again at all engines, and the priority sent was the route's alone.

The new source call_load.cc counts the load of attempts, measures spans between events (without those in which the caller was slow) and holds the admission of programs and the priority by slack. Settings: `[placement] learn_speeds`, `prefix_homes`, `order`, `[overload] admission`; all off by default. `[load] exchange` takes true or false, as the other switches do.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -19,6 +20,7 @@
 #include "knapweed/gateway/send_limits.h"
 #include "knapweed/gateway/stream_versions.h"
 #include "knapweed/gateway/turns.h"
+#include "knapweed/policy/program_admission.h"
 
 /// Processing of one call: checks its route, key, history, budget and rate,
 /// then sends it to an upstream and retries at others where the route allows
@@ -81,6 +83,11 @@
   HeldMemory& memory;
   Metrics& metrics;
   std::string failure_domain;
+  /// First turns of programs are refused while the service is overloaded.
+  bool admit_programs = false;
+  /// Engines start calls by the time left to their programs and the length of
+  /// their prompts, not by the operator's priority alone.
+  bool order_by_slack = false;
 };
 
 /// Runs callers' requests to their end. `Gateway` owns it. All calls run on one
@@ -104,6 +111,8 @@
   /// Finds the version at which a stream that the caller resumes may go on.
   Task<Step> FindStreamVersion(StatePtr state);
   Task<Step> ReserveBudget(StatePtr state);
+  /// Refuses the first turn of a program while the service is overloaded.
+  Task<Step> AdmitProgram(StatePtr state);
   Task<Step> TakeRateToken(StatePtr state);
   Task<Step> PrependHistory(StatePtr state);
   Task<void> RunAttempts(StatePtr state);
@@ -127,6 +136,25 @@
   Task<Step> FinishStream(StatePtr state);
   Task<void> Refuse(StatePtr state, unsigned status, Ms retry_after,
                     std::string_view reason);
+  /// Counts an attempt in the load of its upstream.
+  void BeginLoad(State& state, Upstream& upstream);
+  void RecordPromptMix(const State& state);
+  /// Takes the attempt's prompt out of the prefill that is pending.
+  static void EndPrefill(const State& state, Upstream& upstream);
+  /// Measures the upstream by events that have arrived just now.
+  void RecordEvents(State& state, Upstream& upstream, uint64_t events);
+  /// Leaves out the present span if a write to the caller delayed it.
+  void SkipCallerWait(State& state, Ms write_began);
+  /// Measures the upstream by a complete answer that is not a stream.
+  void RecordAnswer(const State& state, Upstream& upstream);
+  /// Takes an attempt that has ended out of the load of its upstream.
+  void EndLoad(State& state, Upstream& upstream);
+  /// Ends the time for which the call waits for its first event.
+  void StopWaiting(State& state);
+  /// Returns the priority of the present attempt at an engine.
+  int PriorityFor(const State& state) const;
+  /// Returns the calls at a service that wait for their first event.
+  WaitingCalls WaitingAt(const std::string& service) const;
   /// Takes an upstream for cold that did not answer: it may have crashed, and
   /// its next incarnation can have the same id and address.
   void SuspectRestart(Upstream& upstream) const;
@@ -153,7 +181,16 @@
   void Report(const State& state);
   static void LogOverRate(const State& state, const QuotaVerdict& verdict);
 
+  /// Calls that wait for their first event at one service.
+  struct Waiting {
+    uint32_t count = 0;
+    /// Sum of the times at which they were sent.
+    Ms sent_at_sum;
+  };
+
   CallRunnerDeps deps_;
+  std::map<std::string, Waiting, std::less<>> waiting_;
+  std::map<std::string, ProgramPace, std::less<>> paces_;
   std::mt19937_64 random_;
   uint32_t under_way_ = 0;
 };
--- a/include/knapweed/gateway/fleet_config.h
+++ b/include/knapweed/gateway/fleet_config.h
@@ -66,6 +66,8 @@
   uint32_t tokens_per_event = 1;
   /// Capacity of one engine's prompt cache, in tokens.
   uint64_t cache_tokens = 0;
+  /// Calls that one engine runs at once.
+  uint32_t engine_slots = 1;
 };
 
 /// A customer with its rate limit and priority.
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "knapweed/base/metrics.h"
 #include "knapweed/gateway/dialect.h"
 #include "knapweed/gateway/quotas.h"
+#include "knapweed/policy/program_admission.h"
 
 /// The gateway daemon: a stateless proxy from callers to upstreams. Persistent
 /// state is in the platform's store, so that any gateway can serve any call.
@@ -27,6 +28,12 @@
   Address store;
   size_t row_bytes = 65536;
   QuotaTolerance quota;
+  PlacementSettings placement;
+  /// Engines start calls by the time left to their programs and the length of
+  /// their prompts.
+  bool order_by_slack = false;
+  /// Refuses first turns of programs while the service is overloaded.
+  bool admit_programs = false;
   /// The gateways tell each other the load that their calls cause.
   bool exchanges_load = false;
   /// Time from the stop signal to the forced end of the process.
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -15,7 +15,10 @@
 #include "knapweed/base/settings.h"
 #include "knapweed/gateway/call.h"
 #include "knapweed/policy/circuit_breaker.h"
+#include "knapweed/policy/placement.h"
+#include "knapweed/policy/prefix_homes.h"
 #include "knapweed/policy/send_limit.h"
+#include "knapweed/policy/service_speed.h"
 #include "knapweed/policy/upstream_load.h"
 
 /// The upstreams that the platform lists, and the state that this gateway keeps
@@ -109,6 +112,8 @@
   /// if it was never told.
   CallLoad others;
   Ms others_at;
+  /// Speed relative to the other upstreams of its service.
+  RelativeSpeed speed;
   PromptCacheModel cache;
 };
 
@@ -151,6 +156,12 @@
   uint64_t random = 0;
   /// Only upstreams of this software version, if set.
   std::optional<std::string_view> version;
+  /// The calls of all slots leave an engine too little memory to keep
+  /// histories.
+  bool memory_binds = false;
+  /// Share of the engines that keep the call's shared prompt part, above 0 to
+  /// 1.
+  double home_share = 1;
   /// Only upstreams that need no grant.
   bool without_limit = false;
   /// Only upstreams that are not cold.
@@ -158,12 +169,30 @@
   Ms now;
 };
 
+/// Which of the figures that a gateway knows placement uses.
+struct PlacementSettings {
+  /// Speeds that were measured, rather than one speed assumed of all.
+  bool learn_speeds = false;
+  /// Only some engines keep a prompt part that many programs share, where the
+  /// memory of engines binds.
+  bool prefix_homes = false;
+};
+
 /// Failure domains by name.
 using DomainSet = std::set<std::string, std::less<>>;
 
 /// The upstreams that the platform currently lists.
 class UpstreamSet {
  public:
+  void SetPlacement(const PlacementSettings& settings) { settings_ = settings; }
+  /// Returns what is measured of a service's upstreams together; adds it if it
+  /// is new.
+  ServiceSpeed& SpeedOf(const std::string& service) { return speeds_[service]; }
+  /// Returns the mix of prompts of a service's calls; adds it if it is new.
+  PromptMix& MixOf(const std::string& service) { return mixes_[service]; }
+  /// Records the time that an upstream took for a token, or for a whole answer
+  /// where nothing is streamed.
+  void RecordUnit(Upstream& upstream, double ms, Ms now);
   /// Adds or updates an upstream; an upstream that has restarted, moved to
   /// another address or changed its service or version gets a new object.
   /// Returns true when an upstream was added or replaced, or started or stopped
@@ -185,7 +214,7 @@
   /// Returns the upstream with the earliest expected finish, none of `excluded`
   /// and none whose limit is used up; null when there is none. Upstreams that
   /// failed recently are chosen only when no other is left.
-  UpstreamPtr Choose(const ChoiceInput& input,
+  UpstreamPtr Choose(ChoiceInput input,
                      std::span<const UpstreamPtr> excluded) const;
   /// Returns the upstream whose limit first allows a request, none of
   /// `excluded`; null when there is none that needs a grant.
@@ -202,9 +231,19 @@
   };
 
   bool HasDrainNotice(const UpstreamEntry& entry) const;
+  /// Returns whether an upstream that may get the call keeps its shared part.
+  bool HasHome(const ChoiceInput& input) const;
+  /// Returns how many leading tokens of the prompt the upstream has cached or
+  /// should keep for others.
+  uint64_t CachedTokens(const Upstream& up, const ChoiceInput& input) const;
+  UpstreamView ViewOf(const Upstream& up, uint32_t index,
+                      const ChoiceInput& input) const;
 
   std::map<std::string, UpstreamPtr> by_id_;
   std::map<std::string, DrainNotice> drain_notices_;
+  PlacementSettings settings_;
+  std::map<std::string, ServiceSpeed, std::less<>> speeds_;
+  std::map<std::string, PromptMix, std::less<>> mixes_;
   DomainSet evacuated_;
 };
 
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -89,7 +89,10 @@
   if (read == BodyRead::kBroken) {
     co_return co_await OnBroken(state, upstream, "answer broke off");
   }
-  if (read == BodyRead::kComplete) RecordSuccess(upstream->breaker);
+  if (read == BodyRead::kComplete) {
+    RecordSuccess(upstream->breaker);
+    RecordAnswer(*state, *upstream);
+  }
   const unsigned status = attempt.status();
   if (state->stream_begun) {
     co_return co_await OnBroken(state, upstream, "resume was refused");
@@ -218,7 +221,9 @@
     state->held_answer.Set(state->output.size() + event_bytes -
                            std::min(event_bytes, kMinEventBytes));
     std::string out;
+    const uint64_t events_before = state->events_sent;
     const bool within_limits = TakeEvents(*state, splitter, &out);
+    RecordEvents(*state, *upstream, state->events_sent - events_before);
     if (!within_limits) {
       // A run that goes on elsewhere would send as much again.
       state->body_begun = true;
@@ -228,7 +233,9 @@
       if (state->first_event_at == Ms{0}) {
         state->first_event_at = deps_.clock.Now();
       }
+      const Ms write_began = deps_.clock.Now();
       const bool sent = co_await state->link.WriteChunk(out);
+      SkipCallerWait(*state, write_began);
       if (!sent) state->caller_disconnected = true;
     }
     if (piece.empty()) break;
--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -32,6 +32,11 @@
       state.route->streaming ? kExpectedEvents * state.service->tokens_per_event
                              : 0;
   if (!head.affinity.empty()) input.affinity_hash = HashBytes(head.affinity);
+  const PromptMix& mix = deps_.view.upstreams.MixOf(state.service->name);
+  const EngineMemory memory =
+      mix.MemoryOf(state.service->cache_tokens, state.service->engine_slots);
+  input.memory_binds = state.service->is_engine && MemoryBinds(memory);
+  input.home_share = HomeShare(memory);
   input.random = random_();
   input.now = deps_.clock.Now();
   return input;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -25,8 +25,6 @@
 constexpr Ms kAvoidSlowConnect{200};
 /// With less time than this an upstream can't respond before the deadline.
 constexpr Ms kMinAttemptTime{5};
-constexpr int kMostUrgent = 0;
-constexpr int kLeastUrgent = 9;
 
 }  // namespace
 
@@ -71,6 +69,8 @@
   if (step == Step::kDone) co_return;
   step = co_await ReserveBudget(state);
   if (step == Step::kDone) co_return;
+  step = co_await AdmitProgram(state);
+  if (step == Step::kDone) co_return;
   step = co_await TakeRateToken(state);
   if (step == Step::kDone) co_return;
   StartDeadlineTimer(state);
@@ -117,8 +117,7 @@
   dispatch.upstream_id = upstream.entry.id;
   if (state.workspace != nullptr) dispatch.workspace = state.workspace->name;
   if (state.service->is_engine) {
-    dispatch.priority = std::clamp(PriorityOf(*state.route, state.workspace),
-                                   kMostUrgent, kLeastUrgent);
+    dispatch.priority = PriorityFor(state);
   }
   dispatch.resume_after =
       state.has_event ? std::optional(state.last_event) : head.resume_after;
@@ -161,6 +160,7 @@
   }
   // The upstream may have been removed or drained during the connect.
   if (!AcceptsCalls(*upstream)) co_return Step::kNext;
+  BeginLoad(*state, *upstream);
   const UpstreamRequest request = MakeRequest(*state, *upstream);
   state->attempt =
       std::make_shared<Attempt>(deps_.loop, deps_.clock, deps_.dialect);
@@ -169,22 +169,13 @@
   LogResume(*state, *upstream);
   state->holds_rate_token = false;
   const CallHead& head = state->request.head;
-  const uint64_t uncached_tokens =
-      head.prompt_tokens -
-      std::min<uint64_t>(upstream->cache.CachedTokens(head.prompt),
-                         head.prompt_tokens);
-  const uint64_t resident_tokens = head.prompt_tokens + head.max_output_tokens;
-  ++upstream->own.calls;
-  upstream->own.pending_prefill_tokens += uncached_tokens;
-  upstream->own.resident_tokens += resident_tokens;
   if (IsLimited(*upstream)) ++upstream->sent_under_limit;
-  const Ms sent_at = deps_.clock.Now();
   const AttemptOutcome outcome =
       co_await attempt->Begin(std::move(conn), request, head.request_id);
-  upstream->own.pending_prefill_tokens -= uncached_tokens;
+  EndPrefill(*state, *upstream);
   if (attempt->saw_draining()) MarkDraining(*state, upstream);
   if (outcome != AttemptOutcome::kBroken) {
-    RecordLimit(*state, upstream, sent_at);
+    RecordLimit(*state, upstream, state->sent_at);
   }
   Step step = Step::kNext;
   if (state->caller_disconnected) {
@@ -200,8 +191,7 @@
     upstream->cache.Record(head.prompt, deps_.clock.Now());
     step = co_await OnResponse(state, upstream);
   }
-  --upstream->own.calls;
-  upstream->own.resident_tokens -= resident_tokens;
+  EndLoad(*state, *upstream);
   deps_.pool.Put(upstream, attempt->TakeConnection());
   co_return step;
 }
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -50,6 +50,14 @@
   /// The next attempt has a grant.
   bool has_grant = false;
   UpstreamPtr last_upstream;
+  /// What the present attempt adds to the load of its upstream.
+  CallLoad load;
+  Ms sent_at;
+  /// Time of the attempt's last event; zero before the first.
+  Ms event_at;
+  bool awaits_event = false;
+  /// Tokens that arrived since `event_at`.
+  uint64_t unsampled_tokens = 0;
   /// Number of attempts that may have run the call.
   uint32_t runs = 0;
   uint32_t refusals = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,13 +67,16 @@
         crashes(l),
         runner(CallRunnerDeps{l, clock, d, view, store, quotas, starts, budgets,
                               turns, send_limits, stream_versions, pool,
-                              crashes, memory, metrics, c.failure_domain}),
+                              crashes, memory, metrics, c.failure_domain,
+                              c.admit_programs, c.order_by_slack}),
         front(l, clock, d, view, memory, runner),
         watch(FleetWatchDeps{l, clock, d, store, view, quotas, starts, budgets,
                              send_limits, load_exchange, stream_versions,
                              crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
-        sweeper(l, store, view, {BudgetTable(), TurnTable()}) {}
+        sweeper(l, store, view, {BudgetTable(), TurnTable()}) {
+    view.upstreams.SetPlacement(c.placement);
+  }
 
   /// Returns the rows for a gateway that starts; 503 if this one is not ready
   /// or sends as many snapshots as it may.
--- a/src/gateway/gateway_config.cc
+++ b/src/gateway/gateway_config.cc
@@ -6,6 +6,15 @@
 namespace knapweed::gateway {
 namespace {
 
+/// Returns whether engines start calls by slack.
+bool ReadOrder(Settings& settings) {
+  const std::string order =
+      settings.GetString("placement", "order", "priority");
+  if (order != "priority" && order != "slack") {
+    settings.AddFault("placement", "order", "expected priority or slack");
+  }
+  return order == "slack";
+}
 /// 1 TB; a larger number is most likely meant in another unit.
 constexpr int64_t kMaxMemoryMb = 1 << 20;
 
@@ -35,12 +44,13 @@
     settings.AddFault("quota", "over_share", "expected a share from 0 to 1");
   }
   config.quota.over_share = share;
-  const std::string exchange = settings.GetString("load", "exchange", "off");
-  if (exchange != "on" && exchange != "off") {
-    settings.AddFault("load", "exchange",
-                      "is '" + exchange + "'; expected on or off");
-  }
-  config.exchanges_load = exchange == "on";
+  config.placement.learn_speeds =
+      settings.GetBool("placement", "learn_speeds", false);
+  config.placement.prefix_homes =
+      settings.GetBool("placement", "prefix_homes", false);
+  config.order_by_slack = ReadOrder(settings);
+  config.admit_programs = settings.GetBool("overload", "admission", false);
+  config.exchanges_load = settings.GetBool("load", "exchange", false);
   config.grace = settings.GetMs("shutdown", "grace", config.grace);
   const int64_t memory_mb =
       settings.GetInt("gateway", "memory_mb", 0, 0, kMaxMemoryMb);
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "knapweed/base/ids.h"
-#include "knapweed/policy/placement.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -30,22 +29,24 @@
 /// Output tokens assumed for a call on a plain service, so that one rule places
 /// both kinds of calls.
 constexpr uint32_t kPlainCallTokens = 10;
+/// The load by other gateways is not used once it is older than this.
+constexpr Ms kMaxLoadAge{2000};
+/// Relative increase of the decode time per sequence where the calls of all
+/// gateways are known. Lower than the default, which a gateway that sees few of
+/// the calls needs to spread its own.
+constexpr double kFleetBatchSlowdown = 0.004;
 
-UpstreamView ViewOf(const Upstream& up, uint32_t index,
-                    const ChoiceInput& input) {
-  UpstreamView view;
-  view.index = index;
-  view.domain = up.entry.failure_domain == input.failure_domain ? 0 : 1;
-  view.running = std::min(up.own.calls, up.entry.slots);
-  view.queued = up.own.calls - view.running;
-  view.slots = up.entry.slots;
-  view.queued_prefill_tokens = up.own.pending_prefill_tokens;
-  view.queued_decode_tokens =
-      static_cast<uint64_t>(up.own.calls) * input.expected_output_tokens;
-  view.prefill_tokens_per_s = kPrefillTokensPerS;
-  view.decode_tokens_per_s = kDecodeTokensPerS;
-  view.cached_tokens = up.cache.CachedTokens(input.prompt);
-  return view;
+/// Returns the load by all gateways. Subtracts what the upstream can have
+/// prefilled of the others' prompts since their load was summed up.
+CallLoad FleetLoad(const Upstream& up, double prefill_tokens_per_s, Ms now) {
+  const Ms age = now - up.others_at;
+  if (up.others_at == Ms{0} || age > kMaxLoadAge) return up.own;
+  CallLoad others = up.others;
+  const auto done = static_cast<uint64_t>(prefill_tokens_per_s *
+                                          std::max(age, Ms{0}).Seconds());
+  others.pending_prefill_tokens -=
+      std::min(others.pending_prefill_tokens, done);
+  return up.own + others;
 }
 
 bool Contains(std::span<const UpstreamPtr> all, const UpstreamPtr& up) {
@@ -64,6 +65,51 @@
 
 }  // namespace
 
+uint64_t UpstreamSet::CachedTokens(const Upstream& up,
+                                   const ChoiceInput& input) const {
+  const uint64_t cached = up.cache.CachedTokens(input.prompt);
+  if (!settings_.prefix_homes || input.prompt.size() < 2) return cached;
+  const PromptPart& shared = input.prompt.front();
+  if (cached > shared.tokens) return cached;
+  if (input.home_share >= 1) return cached;
+  const bool is_home =
+      IsHome(HashBytes(up.entry.id, shared.id), input.home_share);
+  return is_home ? shared.tokens : 0;
+}
+
+UpstreamView UpstreamSet::ViewOf(const Upstream& up, uint32_t index,
+                                 const ChoiceInput& input) const {
+  UpstreamView view;
+  view.prefill_tokens_per_s = kPrefillTokensPerS;
+  view.decode_tokens_per_s = kDecodeTokensPerS;
+  // Where the memory binds, a program that moves to a faster engine costs more
+  // than it gains: its history is prefilled again and evicts others.
+  if (settings_.learn_speeds && !input.memory_binds) {
+    const double factor = FactorAt(up.speed, input.now);
+    view.prefill_tokens_per_s /= factor;
+    view.decode_tokens_per_s /= factor;
+  }
+  const CallLoad load = FleetLoad(up, view.prefill_tokens_per_s, input.now);
+  if (load.calls != up.own.calls) view.batch_slowdown = kFleetBatchSlowdown;
+  view.index = index;
+  view.domain = up.entry.failure_domain == input.failure_domain ? 0 : 1;
+  view.running = std::min(load.calls, up.entry.slots);
+  view.queued = load.calls - view.running;
+  view.slots = up.entry.slots;
+  view.queued_prefill_tokens = load.pending_prefill_tokens;
+  view.queued_decode_tokens =
+      static_cast<uint64_t>(load.calls) * input.expected_output_tokens;
+  view.cached_tokens = CachedTokens(up, input);
+  return view;
+}
+
+void UpstreamSet::RecordUnit(Upstream& upstream, double ms, Ms now) {
+  LoadedFigure& figure = SpeedOf(upstream.entry.service).unit_ms;
+  const double typical = figure.recent;
+  AddSample(figure, ms, now);
+  if (typical > 0) AddRatio(upstream.speed, ms / typical, now);
+}
+
 void ReadColdTime(Upstream& up, uint64_t row_version, Ms now) {
   ColdState& cold = up.cold;
   if (row_version <= cold.row_version) return;
@@ -200,8 +246,19 @@
   return first;
 }
 
-UpstreamPtr UpstreamSet::Choose(const ChoiceInput& input,
+bool UpstreamSet::HasHome(const ChoiceInput& input) const {
+  if (input.home_share >= 1 || input.prompt.empty()) return true;
+  return std::any_of(by_id_.begin(), by_id_.end(), [&](const auto& item) {
+    const Upstream& up = *item.second;
+    const uint64_t part = input.prompt.front().id;
+    return MayGetCall(up, input) &&
+           IsHome(HashBytes(up.entry.id, part), input.home_share);
+  });
+}
+
+UpstreamPtr UpstreamSet::Choose(ChoiceInput input,
                                 std::span<const UpstreamPtr> excluded) const {
+  if (!HasHome(input)) input.home_share = 1;
   std::vector<UpstreamView> views;
   std::vector<UpstreamPtr> candidates;
   views.reserve(by_id_.size());
