--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -155,7 +155,7 @@
   int PriorityFor(const State& state) const;
   /// Returns the calls at a service that wait for their first event.
   WaitingCalls WaitingAt(const std::string& service) const;
-  /// Takes an upstream for cold that did not answer: it may have crashed, and
+  /// Treats an upstream that did not answer as cold: it may have crashed, and
   /// its next incarnation can have the same id and address.
   void SuspectRestart(Upstream& upstream) const;
   void MarkDraining(const State& state, const UpstreamPtr& upstream);
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -124,6 +124,12 @@
 /// has no unexpected bytes to read.
 bool IsReusable(beast::tcp_stream& stream);
 
+/// Returns whether reading a request failed because of what was sent, not
+/// because of the connection.
+bool IsParseError(const NetErrorCode& ec);
+/// Returns the HTTP status that tells a caller why its request was not read.
+unsigned StatusOfParseError(const NetErrorCode& ec);
+
 }  // namespace knapweed::gateway
 
 #endif  // KNAPWEED_GATEWAY_NET_H_
--- a/include/knapweed/policy/upstream_load.h
+++ b/include/knapweed/policy/upstream_load.h
@@ -10,7 +10,7 @@
 struct CallLoad {
   /// Calls in flight.
   uint32_t calls = 0;
-  /// Prompt tokens of the calls whose first event has not arrived yet, without
+  /// Prompt tokens of the calls whose response has not begun yet, without
   /// those that are expected to be cached.
   uint64_t pending_prefill_tokens = 0;
   /// Tokens that the calls occupy in the engine's memory: prompts and output.
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -198,6 +198,10 @@
 
 void CallRunner::SuspectRestart(Upstream& upstream) const {
   if (upstream.cold.per_s <= 0) return;
+  kLog.Info("An upstream may have restarted and is treated as cold.",
+            {{"upstream", upstream.entry.id},
+             {"cold_ms", upstream.cold.start.count},
+             {"per_s", std::to_string(upstream.cold.per_s)}});
   SuspectCold(upstream, upstream.cold.start, deps_.clock.Now());
 }
 
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -34,21 +34,6 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-unsigned StatusOfParseError(const NetErrorCode& ec) {
-  if (ec == http::error::header_limit) return 431;
-  if (ec == http::error::body_limit) return 413;
-  if (ec == beast::error::timeout) return 408;
-  return 400;
-}
-
-bool IsParseError(const NetErrorCode& ec) {
-  return ec.category() ==
-             http::make_error_code(http::error::bad_version).category() &&
-         ec != http::error::end_of_stream && ec != http::error::partial_message;
-}
-
-}  // namespace
-
 /// How reading a request ended.
 enum class RequestRead : uint8_t {
   kComplete,
@@ -58,6 +43,8 @@
   kRefused,
 };
 
+}  // namespace
+
 /// One caller's connection. The front and the running coroutine own it.
 class Front::Session : public CallerLink,
                        public std::enable_shared_from_this<Session> {
@@ -118,7 +105,7 @@
   /// nothing for `kWriteTimeout`, in place of a bound on each whole write.
   void StartSendWatch();
   void StopSendWatch();
-  void CheckSending();
+  void ScheduleProgressCheck();
 
   Front& front_;
   beast::tcp_stream stream_;
@@ -416,7 +403,7 @@
   if (!front_.memory_.is_bounded()) return;
   watches_sending_ = true;
   progress_at_ = front_.clock_.Now();
-  CheckSending();
+  ScheduleProgressCheck();
 }
 
 void Front::Session::StopSendWatch() {
@@ -424,7 +411,7 @@
   send_timer_.cancel();
 }
 
-void Front::Session::CheckSending() {
+void Front::Session::ScheduleProgressCheck() {
   send_timer_.expires_after(ToChrono(kSendCheckInterval));
   send_timer_.async_wait([weak = weak_from_this()](const NetErrorCode& ec) {
     const SessionPtr self = weak.lock();
@@ -437,10 +424,13 @@
       self->progress_at_ = now;
     }
     self->acknowledged_bytes_ = progress.acknowledged_bytes;
-    if (now - self->progress_at_ >= kWriteTimeout) {
+    const Ms idle = now - self->progress_at_;
+    if (idle >= kWriteTimeout) {
+      kLog.Info("Closed a connection whose caller reads nothing.",
+                {{"idle_ms", idle.count}});
       self->stream_.close();
     } else {
-      self->CheckSending();
+      self->ScheduleProgressCheck();
     }
   });
 }
--- a/src/gateway/load_messages.cc
+++ b/src/gateway/load_messages.cc
@@ -341,6 +341,10 @@
   report.incarnation = static_cast<uint32_t>(reader.Integer("i", UINT32_MAX));
   report.sequence = static_cast<uint64_t>(reader.Integer("n", INT64_MAX));
   report.interval = Ms{reader.Integer("t", kMaxInterval.count)};
+  // Without an interval the report would be dropped at once.
+  if (report.interval <= Ms{0}) {
+    return absl::InvalidArgumentError("a load report without an interval");
+  }
   report.list_digest = static_cast<uint32_t>(reader.Integer("l", UINT32_MAX));
   report.entries = reader.Entries("u", kReportLimits);
   report.starts_per_s = reader.Starts("s", kReportLimits);
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -176,4 +176,17 @@
   co_return answer;
 }
 
+unsigned StatusOfParseError(const NetErrorCode& ec) {
+  if (ec == http::error::header_limit) return 431;
+  if (ec == http::error::body_limit) return 413;
+  if (ec == beast::error::timeout) return 408;
+  return 400;
+}
+
+bool IsParseError(const NetErrorCode& ec) {
+  return ec.category() ==
+             http::make_error_code(http::error::bad_version).category() &&
+         ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
 }  // namespace knapweed::gateway
--- a/tests/policy__dispatch_order_test.cc
+++ b/tests/policy__dispatch_order_test.cc
@@ -340,7 +340,7 @@
 
 constexpr uint64_t kSeeds[] = {1, 2, 3, 4, 5, 6};
 
-/// An engine of the first customer with long prompts beside short ones. A
+/// An engine with many slots and long prompts beside short ones. A
 /// program may take 31 ms for each token.
 Scenario LongBesideShort(double programs_per_s, int operators) {
   Scenario scenario;
@@ -351,7 +351,7 @@
   return scenario;
 }
 
-/// An engine of the second customer, short of slots.
+/// An engine that is short of slots.
 Scenario Overload(double programs_per_s) {
   Scenario scenario;
   scenario.engine = {12, 154238, 5.85, 61.2, 1024};
--- a/tests/policy__service_speed_test.cc
+++ b/tests/policy__service_speed_test.cc
@@ -416,7 +416,7 @@
   struct Row {
     const char* what;
     Uneven uneven;
-    // The factors of customers' objectives.
+    // Time objectives of programs, relative to their time alone.
     double objective;
   };
   const Row rows[] = {
