--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -44,7 +44,7 @@
                           const http::response_header<>& header) {
   uint64_t body_bytes = kMaxBufferedBodyBytes;
   uint64_t declared = 0;
-  if (ParseNumber(std::string_view(header[http::field::content_length]),
+  if (ParseNumber(std::string_view{header[http::field::content_length]},
                   &declared)) {
     body_bytes = std::min(body_bytes, declared);
   }
--- a/tests/policy__prefix_homes_test.cc
+++ b/tests/policy__prefix_homes_test.cc
@@ -202,7 +202,7 @@
   std::map<uint64_t, Part> parts_;
 };
 
-/// Engines of the first customer, and programs that begin with one of 16 shared
+/// Engines with little memory, and programs that begin with one of 16 shared
 /// parts and pause between their turns.
 struct BoundMemory {
   size_t engines = 20;
