--- a/tests/platform/slow_reader_test.cc
+++ b/tests/platform/slow_reader_test.cc
@@ -117,6 +117,7 @@
     constexpr int kCalls = 20;
     const std::string path = kind == Kind::kEndlessBody ? "/once/x" : "/turn/x";
     std::vector<SlowCallerPtr> callers;
+    callers.reserve(kCalls);
     for (int i = 0; i < kCalls; ++i) {
       callers.push_back(
           StartSlowCaller(cluster, path, "n" + std::to_string(i), 0));
@@ -141,6 +142,7 @@
   cluster.plain[0]->default_script.kind = Kind::kEndlessBody;
   constexpr int kCalls = 100;
   std::vector<SlowCallerPtr> callers;
+  callers.reserve(kCalls);
   for (int i = 0; i < kCalls; ++i) {
     callers.push_back(
         StartSlowCaller(cluster, "/once/x", "n" + std::to_string(i), 0));
@@ -243,8 +245,10 @@
   UseSmallPeerBuffers(cluster);
   // Leaves room for the buffers of one more call and about 1 MB of its body.
   const std::string body(kLargeBodyBytes + (400 << 10), 'x');
+  constexpr int kCalls = 4;
   std::vector<SlowCallerPtr> callers;
-  for (int i = 0; i < 4; ++i) {
+  callers.reserve(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
     callers.push_back(StartSlowCaller(cluster, "/once/x",
                                       "b" + std::to_string(i), 1000, body));
   }
