Begin no stream where only its gateway would know its version

Cause: a stream of unknown origin goes on at the only place that the gateways' rows name, but streams also began at places that no row named: at once while the store was unreachable, after 0.4 s otherwise. A place was recorded only when the first stream was about to begin there, so a version that was listed just before an outage was used unrecorded all through it.

Change: places are recorded as soon as they are listed, so nothing is missing while the store is away. A stream that may be resumed begins only at a place that a row names: placement takes upstreams of recorded versions, and a call for which there are none waits up to 1 s for the record and is then refused (503, not run). A gateway relies on its row for less time than the others count it, and one that starts without the store relies on a peer's row, which the peer keeps longer for it. The same decision serves a gateway out of step: it reads the rows after the request came, or refuses.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -171,6 +171,8 @@
   Task<UpstreamPtr> WaitForGrant(StatePtr state, UpstreamPtr upstream);
   /// Logs an attempt that goes on with a stream after its first event.
   static void LogResume(const State& state, const Upstream& upstream);
+  /// Returns whether the next attempt begins a stream that may be resumed.
+  static bool BeginsStream(const State& state);
   /// Returns the place where a stream of the call begins at `upstream`.
   static RouteOrigin PlaceOf(const State& state, const Upstream& upstream);
   UpstreamRequest MakeRequest(const State& state, const Upstream& upstream);
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -47,7 +47,7 @@
   void Start();
   /// Returns the rows for a peer that can't read the store; empty until this
   /// gateway is ready.
-  KnownRows RowsForPeers() const;
+  KnownRows RowsForPeers();
   /// Returns whether configuration, upstreams and other gateways have been
   /// read.
   bool ready() const {
@@ -102,7 +102,10 @@
   void RestoreOwnUseFrom(const std::vector<Row>& rows, Ms now);
   /// Requests the rows from peers until this gateway is ready.
   Task<void> BootstrapFromPeers();
-  void ApplyPeerRows(const KnownRows& known);
+  /// `asked_at` is when the peer was asked for the rows.
+  void ApplyPeerRows(const KnownRows& known, Ms asked_at);
+  /// Records at which places streams may begin, as the tables tell now.
+  void RecordStreamPlaces();
 
   asio::io_context& loop_;
   const Clock& clock_;
--- a/include/knapweed/gateway/stream_records.h
+++ b/include/knapweed/gateway/stream_records.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -15,10 +16,12 @@
 
 /// The store's record of where streams begin, which survives the death of all
 /// gateways. Each gateway has one row. It names every service and version at
-/// which the gateway begins streams of a route, and is written before the first
-/// of them begins; so whoever reads all rows knows every place where a stream
-/// can have begun. While upstreams of several versions serve, the row also
-/// names the latest streams, late by the interval between two writes.
+/// which the gateway may begin streams of a route: a place is recorded as soon
+/// as it is listed, and no stream begins at a place that no row names. So
+/// whoever reads all rows knows every place where a stream can have begun, also
+/// without the store in the meantime. While the row names several versions of a
+/// service, it also names the latest streams, late by the interval between two
+/// writes.
 namespace knapweed::gateway {
 
 /// Where a stream began.
@@ -36,6 +39,14 @@
   auto operator<=>(const RouteOrigin&) const = default;
 };
 
+/// A place at which streams may begin, as the configuration and the list of
+/// upstreams tell.
+struct ListedPlace {
+  RouteOrigin at;
+  /// Longest time from the begin of a stream until its caller resumes it.
+  Ms longest_span;
+};
+
 /// The calls to the store that `StreamRecords` needs.
 struct RecordStore {
   /// Reads all rows of a range; false if the store can't be read.
@@ -57,14 +68,30 @@
   StreamRecords(asio::io_context& loop, const Clock& clock, RecordStore store,
                 std::string name);
 
+  /// Sets the places at which streams may begin now; they are recorded with the
+  /// next write. Those that are not among them any more are withdrawn once no
+  /// caller can resume a stream that began there.
+  void SetListed(std::span<const ListedPlace> places);
   /// Notes that a stream begins at `place` now, and that its caller resumes it
-  /// within `longest_span`. Returns whether the store's record names the place;
-  /// otherwise the stream must wait for `WaitUntilRecorded`.
-  bool NoteBegin(const RouteOrigin& place, Ms longest_span);
-  /// Waits until the store's record names the place, but not while the store is
-  /// unreachable, and not for longer than 0.4 s. After that a stream begins
-  /// unrecorded, since refusing it would cost its caller more.
-  Task<void> WaitUntilRecorded(RouteOrigin place);
+  /// within `longest_span`.
+  void NoteBegin(const RouteOrigin& place, Ms longest_span);
+  /// Returns whether a row of the store names the place: this gateway's own, or
+  /// lately that of a peer. Only then may a stream begin there.
+  bool IsRecorded(const RouteOrigin& place) const;
+  /// Returns whether a place at which streams may begin is not recorded.
+  bool HasUnrecorded() const;
+  /// Waits until the place is recorded, but not while the store is unreachable,
+  /// and not for longer than 1 s. Returns whether it is recorded.
+  Task<bool> WaitUntilRecorded(RouteOrigin place);
+  /// Returns whether several versions of the service are recorded or will be.
+  bool HasSeveralVersions(const std::string& service) const;
+  /// Returns the row of this gateway for one that starts without the store, and
+  /// keeps what it names until that one has a row of its own. Nothing if the
+  /// store may not hold all that the row names.
+  std::optional<Row> RowForPeer();
+  /// Takes over a peer's row, which was asked for at `asked_at`: its places
+  /// count as recorded for a while. Ignores a row that can't be decoded.
+  void ApplyPeerRow(const Row& row, Ms asked_at);
   /// Records where one stream began. Takes effect with the next write.
   void RecordStream(const std::string& request_id, const RouteOrigin& place);
   /// Reads the records of all gateways, by a read that begins after the call.
@@ -82,8 +109,11 @@
 
  private:
   struct OwnPlace {
-    Ms last_begun_at;
+    /// When it was last listed, a stream last began there, or a peer that was
+    /// told of it may last begin one.
+    Ms needed_until;
     Ms longest_span;
+    bool is_listed = false;
     bool is_recorded = false;
   };
   struct BegunStream {
@@ -105,8 +135,12 @@
   /// Returns nothing if any place of the row can't be decoded.
   static std::optional<Record> Decode(const std::string& value);
   std::string Encode() const;
-  bool IsRecorded(const RouteOrigin& place) const;
-  bool HasUnrecorded() const;
+  /// Adds the place if it is new.
+  OwnPlace& Own(const RouteOrigin& place, Ms longest_span);
+  /// Returns whether the other gateways still count this gateway's row.
+  bool RowCounts() const;
+  /// Returns whether the row in the store lacks a place.
+  bool LacksPlace() const;
   /// Returns whether the row must be written now.
   bool IsDue() const;
   Ms WriteInterval() const;
@@ -124,6 +158,8 @@
   RecordStore store_;
   std::string name_;
   std::map<RouteOrigin, OwnPlace> own_;
+  /// Places that a peer's row names, and until when a stream may begin there.
+  std::map<RouteOrigin, Ms> vouched_;
   std::deque<BegunStream> begun_;
   /// The row differs from what it should be.
   bool is_changed_ = false;
--- a/include/knapweed/gateway/stream_versions.h
+++ b/include/knapweed/gateway/stream_versions.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "knapweed/gateway/fleet_config.h"
 #include "knapweed/gateway/peers.h"
 #include "knapweed/gateway/stream_records.h"
 #include "knapweed/gateway/upstreams.h"
@@ -27,6 +28,9 @@
 inline constexpr std::string_view kStreamBegunPath = "/streams/begun";
 inline constexpr std::string_view kStreamOriginPath = "/streams/origin";
 
+/// Returns the name of a route in records of origins: its host and path prefix.
+std::string RouteKeyOf(const Route& route);
+
 /// Whether a stream may go on, and at which version.
 struct StreamResume {
   bool may_go_on = false;
@@ -54,9 +58,22 @@
                  const UpstreamSet& upstreams, StreamRecords& records,
                  const Address& self, SendToPeer send);
 
+  /// Records the places at which streams may begin by the routes and the list
+  /// of upstreams. Must be called when one of these has changed.
+  void RecordPlaces(std::span<const Route> routes);
+  /// Returns the versions at which a stream may begin now; nothing if these are
+  /// all that are listed, or if none is recorded yet.
+  std::vector<std::string> VersionsToBegin(const std::string& route,
+                                           const std::string& service) const;
   /// Must be called before a stream begins at an upstream. Waits until the
-  /// store's record names the place.
-  Task<void> WillBegin(RouteOrigin place, Ms timeout);
+  /// store's record names the place; if it returns false, the stream must not
+  /// begin, since after the death of this gateway it might go on elsewhere.
+  Task<bool> WillBegin(RouteOrigin place, Ms timeout);
+  /// Exchange of records with a gateway that starts; see `StreamRecords`.
+  std::optional<Row> RowForPeer() { return records_.RowForPeer(); }
+  void ApplyPeerRow(const Row& row, Ms asked_at) {
+    records_.ApplyPeerRow(row, asked_at);
+  }
   /// Records where the stream of a request began and tells other gateways, in
   /// the background.
   void Record(const std::string& request_id, const RouteOrigin& place);
@@ -65,8 +82,7 @@
   Task<StreamResume> Resume(StreamToResume stream);
   /// Handles a report or a request of another gateway.
   HttpResponse AnswerPeer(const HttpRequest& call);
-  /// Notes which versions are listed and forgets old streams. Must be called
-  /// periodically once the list of upstreams has been read.
+  /// Forgets old streams. Must be called periodically.
   void Update();
   /// Sets the peer addresses of the other serving gateways.
   void SetOthers(std::span<const Address> others);
@@ -90,10 +106,6 @@
   Task<void> Tell(Address peer, std::string request_id, StreamOrigin origin);
   Task<void> Ask(Address peer, std::string request_id,
                  std::shared_ptr<Search> search);
-  /// Returns whether upstreams of several versions of a service were listed
-  /// lately.
-  bool ServesSeveralVersions(const std::string& service) const;
-
   asio::io_context& loop_;
   const Clock& clock_;
   const UpstreamSet& upstreams_;
@@ -103,8 +115,6 @@
   absl::flat_hash_map<std::string, Known> known_;
   /// Ids of the known streams, oldest first.
   std::deque<std::string> by_age_;
-  /// Service, version, and when an upstream of it was last listed.
-  std::map<std::string, std::map<std::string, Ms>> last_listed_;
 };
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/upstreams.h
+++ b/include/knapweed/gateway/upstreams.h
@@ -153,8 +153,10 @@
   /// Calls with the same nonzero hash prefer the same upstream.
   uint64_t home_hash = 0;
   uint64_t random = 0;
-  /// Only upstreams of this software version, if set.
-  std::optional<std::string_view> version;
+  /// Only upstreams of these software versions; of any if empty.
+  std::vector<std::string> versions;
+  /// The call goes on with a stream, so the version must be sure.
+  bool continues_stream = false;
   /// The calls of all slots leave an engine too little memory to keep
   /// histories.
   bool memory_binds = false;
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -92,7 +92,7 @@
   if (!resumes) co_return Step::kNext;
   StreamToResume resumed;
   resumed.begun_by = head.begun_by;
-  resumed.route = state->route->host + state->route->prefix;
+  resumed.route = RouteKeyOf(*state->route);
   resumed.service = state->service->name;
   resumed.timeout = state->route->timeout;
   const StreamResume resume =
--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -24,7 +24,13 @@
   const CallHead& head = state.request.head;
   ChoiceInput input;
   input.service = state.service->name;
-  input.version = state.stream_version;
+  if (state.stream_version.has_value()) {
+    input.versions = {*state.stream_version};
+  } else if (BeginsStream(state)) {
+    input.versions = deps_.stream_versions.VersionsToBegin(
+        RouteKeyOf(*state.route), state.service->name);
+  }
+  input.continues_stream = state.stream_version.has_value();
   input.failure_domain = deps_.failure_domain;
   input.prompt = head.prompt;
   input.prompt_tokens = head.prompt_tokens;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -102,20 +102,28 @@
     }
     UpstreamPtr upstream = co_await ChooseWithGrant(state);
     if (upstream == nullptr) co_return;
-    const bool begins_stream = state->route->streaming &&
-                               state->route->resumable &&
-                               !state->stream_version.has_value();
-    if (begins_stream) {
+    if (BeginsStream(*state)) {
       const RouteOrigin place = PlaceOf(*state, *upstream);
-      co_await deps_.stream_versions.WillBegin(place, state->route->timeout);
+      const bool may_begin = co_await deps_.stream_versions.WillBegin(
+          place, state->route->timeout);
+      if (!may_begin) {
+        co_await Refuse(state, state->runs == 0 ? 503 : 502, StoreRetryAfter(),
+                        "origin of the stream can't be recorded");
+        co_return;
+      }
     }
     const Step step = co_await RunAttempt(state, upstream);
     if (step == Step::kDone) co_return;
   }
 }
 
+bool CallRunner::BeginsStream(const State& state) {
+  return state.route->streaming && state.route->resumable &&
+         !state.stream_version.has_value();
+}
+
 RouteOrigin CallRunner::PlaceOf(const State& state, const Upstream& upstream) {
-  return {state.route->host + state.route->prefix,
+  return {RouteKeyOf(*state.route),
           {state.service->name, upstream.entry.version}};
 }
 
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -63,7 +63,7 @@
   Spawn(loop_, BootstrapFromPeers());
 }
 
-KnownRows FleetWatch::RowsForPeers() const {
+KnownRows FleetWatch::RowsForPeers() {
   KnownRows known;
   if (!ready()) return known;
   const Ms now = clock_.Now();
@@ -72,6 +72,8 @@
   for (const auto& [id, row] : upstream_rows_) known.rows.push_back(row);
   known.rows.insert(known.rows.end(), gateway_rows_.begin(),
                     gateway_rows_.end());
+  std::optional<Row> origins = stream_versions_.RowForPeer();
+  if (origins.has_value()) known.rows.push_back(*std::move(origins));
   known.store_now = store_.StoreNow();
   known.config_age = now - view_.config_confirmed_at;
   known.gateways_age = now - gateways_read_at_;
@@ -89,11 +91,12 @@
   call.target = std::string(kKnownRowsPath);
   for (size_t next = 0; !ready() && !peers.empty(); ++next) {
     HttpClient& peer = *peers[next % peers.size()];
+    const Ms asked_at = clock_.Now();
     const HttpResponse answer = co_await peer.Send(call, kBootstrapTimeout);
     if (answer.status == 200 && !ready()) {
       const absl::StatusOr<KnownRows> known = DecodeKnownRows(answer.body);
       if (known.ok()) {
-        ApplyPeerRows(*known);
+        ApplyPeerRows(*known, asked_at);
         kLog.Info("Read the tables from a peer.",
                   {{"peer", peer.address().ToString()},
                    {"rows", known->rows.size()},
@@ -112,7 +115,7 @@
 }
 
 // Tables that were read from the store in the meantime are newer and are kept.
-void FleetWatch::ApplyPeerRows(const KnownRows& known) {
+void FleetWatch::ApplyPeerRows(const KnownRows& known, Ms asked_at) {
   std::vector<Row> upstreams;
   std::vector<Row> gateways;
   const bool needs_config = view_.config == nullptr;
@@ -121,6 +124,9 @@
     ApplyConfig(row);
     if (row.key.table == dialect_.upstream_table) upstreams.push_back(row);
     if (row.key.table == kGatewayTable) gateways.push_back(row);
+    if (row.key.table == StreamTable().table) {
+      stream_versions_.ApplyPeerRow(row, asked_at);
+    }
   }
   const Ms now = clock_.Now();
   if (needs_config) view_.config_confirmed_at = now - known.config_age;
@@ -129,6 +135,7 @@
     for (const Row& row : upstreams) ApplyUpstream(row);
     upstreams_read_ = true;
   }
+  RecordStreamPlaces();
   if (gateways_read_) return;
   store_.SeedClock(known.store_now);
   const Ms read_at = known.store_now - known.gateways_age;
@@ -240,6 +247,7 @@
       ApplyEvacuations(changes.rows, changes.is_whole_table);
       for (const Row& row : changes.rows) ApplyConfig(row);
       view_.config_confirmed_at = clock_.Now();
+      RecordStreamPlaces();
     } else {
       co_await PauseAfterFailure();
     }
@@ -358,12 +366,18 @@
       upstreams_read_ = true;
     }
     RunPendingRemovals();
+    RecordStreamPlaces();
     if (!changes.ok) {
       co_await PauseAfterFailure();
     }
   }
 }
 
+void FleetWatch::RecordStreamPlaces() {
+  if (!upstreams_read_ || view_.config == nullptr) return;
+  stream_versions_.RecordPlaces(view_.config->routes);
+}
+
 std::vector<LimitRecord> FleetWatch::LimitsToTell() {
   std::vector<LimitRecord> records = send_limits_.Records();
   const Ms to_store_clock = store_.StoreNow() - clock_.Now();
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -20,8 +20,15 @@
 constexpr Ms kRecordTtl = Seconds(600);
 constexpr Ms kRewriteInterval = Seconds(200);
 constexpr Ms kSweepAfter = Seconds(3600);
-/// A new place delays the first stream there by no more than this.
-constexpr Ms kMaxRecordWait{400};
+/// A gateway's row counts for others for `kRecordTtl`, so the gateway itself
+/// relies on it for less: its clock may have stood still for a while.
+constexpr Ms kRelyOnRow = Seconds(400);
+/// A stream waits no longer for its place to be recorded.
+constexpr Ms kMaxRecordWait{1000};
+/// A gateway that was told of a peer's row begins streams at its places for so
+/// long; the peer keeps them for `kPeerReliesOnRow`, the longer of both.
+constexpr Ms kRelyOnPeerRow = Seconds(50);
+constexpr Ms kPeerReliesOnRow = Seconds(60);
 constexpr Ms kRetryInterval{150};
 constexpr Ms kIdleInterval{250};
 constexpr Ms kReadTimeout{600};
@@ -120,29 +127,90 @@
       .dump();
 }
 
-bool StreamRecords::NoteBegin(const RouteOrigin& place, Ms longest_span) {
-  OwnPlace& own = own_[place];
-  own.last_begun_at = clock_.Now();
-  if (own.longest_span < longest_span) {
-    own.longest_span = longest_span;
+StreamRecords::OwnPlace& StreamRecords::Own(const RouteOrigin& place,
+                                            Ms longest_span) {
+  const auto [it, is_new] = own_.try_emplace(place);
+  OwnPlace& own = it->second;
+  if (is_new || own.longest_span < longest_span) {
+    own.longest_span = std::max(own.longest_span, longest_span);
     is_changed_ = true;
+    write_wanted_.Notify();
   }
-  return own.is_recorded;
+  return own;
+}
+
+void StreamRecords::SetListed(std::span<const ListedPlace> places) {
+  const Ms now = clock_.Now();
+  for (auto& [place, own] : own_) {
+    if (own.is_listed) own.needed_until = std::max(own.needed_until, now);
+    own.is_listed = false;
+  }
+  for (const ListedPlace& place : places) {
+    Own(place.at, place.longest_span).is_listed = true;
+  }
+}
+
+void StreamRecords::NoteBegin(const RouteOrigin& place, Ms longest_span) {
+  OwnPlace& own = Own(place, longest_span);
+  own.needed_until = std::max(own.needed_until, clock_.Now());
+}
+
+bool StreamRecords::RowCounts() const {
+  return row_version_ != 0 && clock_.Now() - written_at_ < kRelyOnRow;
 }
 
 bool StreamRecords::IsRecorded(const RouteOrigin& place) const {
   const auto it = own_.find(place);
-  return it != own_.end() && it->second.is_recorded;
+  const bool in_own_row = it != own_.end() && it->second.is_recorded;
+  if (in_own_row && RowCounts()) return true;
+  const auto vouched = vouched_.find(place);
+  return vouched != vouched_.end() && clock_.Now() < vouched->second;
+}
+
+bool StreamRecords::HasUnrecorded() const {
+  return std::any_of(own_.begin(), own_.end(), [this](const auto& item) {
+    return item.second.is_listed && !IsRecorded(item.first);
+  });
+}
+
+bool StreamRecords::HasSeveralVersions(const std::string& service) const {
+  const std::string* first = nullptr;
+  for (const auto& [place, own] : own_) {
+    if (place.origin.service != service) continue;
+    if (first != nullptr && *first != place.origin.version) return true;
+    first = &place.origin.version;
+  }
+  return false;
 }
 
-Task<void> StreamRecords::WaitUntilRecorded(RouteOrigin place) {
+Task<bool> StreamRecords::WaitUntilRecorded(RouteOrigin place) {
   const Ms until = clock_.Now() + kMaxRecordWait;
   write_wanted_.Notify();
   while (!IsRecorded(place) && store_.reachable()) {
     const Ms left = until - clock_.Now();
-    if (left <= Ms{0}) co_return;
+    if (left <= Ms{0}) break;
     co_await written_.Wait(left);
   }
+  co_return IsRecorded(place);
+}
+
+std::optional<Row> StreamRecords::RowForPeer() {
+  const bool all_recorded =
+      RowCounts() &&
+      std::all_of(own_.begin(), own_.end(),
+                  [](const auto& item) { return item.second.is_recorded; });
+  if (own_.empty() || !all_recorded) return std::nullopt;
+  const Ms until = clock_.Now() + kPeerReliesOnRow;
+  for (auto& [place, own] : own_) own.needed_until = until;
+  return Row{KeyOf(name_), Encode(), row_version_, false};
+}
+
+void StreamRecords::ApplyPeerRow(const Row& row, Ms asked_at) {
+  const std::optional<Record> record = Decode(row.value);
+  if (!record.has_value()) return;
+  for (const Place& place : record->places) {
+    vouched_[place.at] = asked_at + kRelyOnPeerRow;
+  }
 }
 
 void StreamRecords::RecordStream(const std::string& request_id,
@@ -200,15 +268,15 @@
 std::vector<PossibleOrigin> StreamRecords::PossibleOrigins(
     std::string_view route) const {
   std::vector<PossibleOrigin> possible;
+  // Any of them may be in use until it is withdrawn.
+  const Ms now = clock_.Now();
   for (const auto& [place, own] : own_) {
     if (place.route != route) continue;
-    possible.push_back(
-        {place.origin.service, place.origin.version, own.last_begun_at});
+    possible.push_back({place.origin.service, place.origin.version, now});
   }
   for (const Record& record : records_) {
     for (const Place& place : record.places) {
       if (place.at.route != route) continue;
-      // It may be in use until it is removed from the record.
       possible.push_back(
           {place.at.origin.service, place.at.origin.version, read_at_});
     }
@@ -230,7 +298,7 @@
   const Ms now = clock_.Now();
   const auto dropped = std::erase_if(own_, [&](const auto& item) {
     const OwnPlace& own = item.second;
-    return now - own.last_begun_at > own.longest_span;
+    return !own.is_listed && now - own.needed_until > own.longest_span;
   });
   if (dropped > 0) is_changed_ = true;
   while (!begun_.empty() && now - begun_.front().at > kKeepStreams) {
@@ -238,19 +306,19 @@
   }
 }
 
-bool StreamRecords::HasUnrecorded() const {
-  return std::any_of(own_.begin(), own_.end(),
-                     [](const auto& item) { return !item.second.is_recorded; });
-}
-
 Ms StreamRecords::WriteInterval() const {
   const double ms = kWriteIntervalMsPerGateway * static_cast<double>(gateways_);
   return std::max(kMinWriteInterval, Ms{static_cast<int64_t>(ms)});
 }
 
+bool StreamRecords::LacksPlace() const {
+  return std::any_of(own_.begin(), own_.end(),
+                     [](const auto& item) { return !item.second.is_recorded; });
+}
+
 bool StreamRecords::IsDue() const {
   const Ms age = clock_.Now() - written_at_;
-  if (HasUnrecorded()) return true;
+  if (LacksPlace()) return true;
   if (is_changed_) return age >= WriteInterval();
   return !own_.empty() && age >= kRewriteInterval;
 }
@@ -261,10 +329,13 @@
   if (row.deleted || !record.has_value()) return;
   const Ms now = clock_.Now();
   for (const Place& place : record->places) {
-    const OwnPlace earlier{now, place.longest_span, true};
-    const auto [it, is_new] = own_.try_emplace(place.at, earlier);
-    if (!is_new) it->second.is_recorded = true;
+    OwnPlace& own = own_[place.at];
+    own.needed_until = std::max(own.needed_until, now);
+    own.longest_span = std::max(own.longest_span, place.longest_span);
+    own.is_recorded = true;
   }
+  const Ms age = std::max(store_.now() - record->written_at, Ms{0});
+  written_at_ = std::max(written_at_, now - age);
   for (const auto& [id, index] : record->streams) {
     begun_.push_back({id, record->places[index].at, now});
   }
@@ -312,7 +383,7 @@
     if (!ok) {
       co_await Sleep(loop_, kRetryInterval);
     }
-    if (HasUnrecorded() && store_.reachable()) continue;
+    if (LacksPlace() && store_.reachable()) continue;
     const Ms until_write = written_at_ + WriteInterval() - clock_.Now();
     if (is_changed_ && store_.reachable()) {
       co_await Sleep(loop_, std::max(until_write, Ms{1}));
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "knapweed/base/log.h"
@@ -76,22 +77,45 @@
   records_.SetGateways(others.size() + 1);
 }
 
-Task<void> StreamVersions::WillBegin(RouteOrigin place, Ms timeout) {
-  const bool is_recorded =
-      records_.NoteBegin(place, timeout + kLongestInterruption);
-  if (!is_recorded) {
-    co_await records_.WaitUntilRecorded(std::move(place));
+std::string RouteKeyOf(const Route& route) { return route.host + route.prefix; }
+
+void StreamVersions::RecordPlaces(std::span<const Route> routes) {
+  std::set<StreamOrigin> listed;
+  for (const auto& [id, up] : upstreams_.all()) {
+    listed.insert({up->entry.service, up->entry.version});
+  }
+  std::vector<ListedPlace> places;
+  for (const Route& route : routes) {
+    if (!route.streaming || !route.resumable) continue;
+    for (const WeightedService& item : route.services) {
+      const auto first = listed.lower_bound({item.service, ""});
+      for (auto it = first; it != listed.end(); ++it) {
+        if (it->service != item.service) break;
+        places.push_back(
+            {{RouteKeyOf(route), *it}, route.timeout + kLongestInterruption});
+      }
+    }
   }
+  records_.SetListed(places);
 }
 
-bool StreamVersions::ServesSeveralVersions(const std::string& service) const {
-  const auto seen = last_listed_.find(service);
-  if (seen == last_listed_.end()) return false;
-  const Ms now = clock_.Now();
-  const auto is_recent = [&](const auto& item) {
-    return now - item.second <= kLongestInterruption;
-  };
-  return std::count_if(seen->second.begin(), seen->second.end(), is_recent) > 1;
+std::vector<std::string> StreamVersions::VersionsToBegin(
+    const std::string& route, const std::string& service) const {
+  if (!records_.HasUnrecorded()) return {};
+  std::set<std::string> versions;
+  for (const auto& [id, up] : upstreams_.all()) {
+    if (up->entry.service != service || !AcceptsCalls(*up)) continue;
+    if (versions.contains(up->entry.version)) continue;
+    const RouteOrigin place{route, {service, up->entry.version}};
+    if (records_.IsRecorded(place)) versions.insert(up->entry.version);
+  }
+  return {versions.begin(), versions.end()};
+}
+
+Task<bool> StreamVersions::WillBegin(RouteOrigin place, Ms timeout) {
+  records_.NoteBegin(place, timeout + kLongestInterruption);
+  if (records_.IsRecorded(place)) co_return true;
+  co_return co_await records_.WaitUntilRecorded(std::move(place));
 }
 
 void StreamVersions::Record(const std::string& request_id,
@@ -100,7 +124,7 @@
   for (const Address& peer : peers_.FirstReachable(request_id, kTold)) {
     Spawn(loop_, Tell(peer, request_id, place.origin));
   }
-  if (ServesSeveralVersions(place.origin.service)) {
+  if (records_.HasSeveralVersions(place.origin.service)) {
     records_.RecordStream(request_id, place);
   }
 }
@@ -175,9 +199,6 @@
 
 void StreamVersions::Update() {
   const Ms now = clock_.Now();
-  for (const auto& [id, up] : upstreams_.all()) {
-    last_listed_[up->entry.service][up->entry.version] = now;
-  }
   while (!by_age_.empty()) {
     const auto it = known_.find(by_age_.front());
     if (it != known_.end() && now - it->second.recorded_at < kRememberFor) {
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -35,9 +35,13 @@
 }
 
 bool MayGetCall(const Upstream& up, const ChoiceInput& input) {
+  const std::vector<std::string>& versions = input.versions;
+  const bool is_listed_version =
+      versions.empty() || std::find(versions.begin(), versions.end(),
+                                    up.entry.version) != versions.end();
   const bool fits_version =
-      !input.version.has_value() || (up.entry.version == *input.version &&
-                                     up.version_unsure_until <= input.now);
+      is_listed_version &&
+      (!input.continues_stream || up.version_unsure_until <= input.now);
   return AcceptsCalls(up) && up.entry.service == input.service && fits_version;
 }
 
