Take no request in a planned stop that can't end before the process

Cause: the process ends 0.7 s before the end of its grace whatever is under way, and nothing that takes a request compared its deadline with that.

Change: from the signal on, a request is taken if its deadline is before the end of the process. An idempotent call that is not a stream is taken with a shortened deadline as long as its objective is left; it ends with a whole answer, and its caller may repeat it. Any other is refused at once: 503, not run, Connection: close.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -98,6 +98,10 @@
 
   /// Runs one call. Returns when the response is written or aborted.
   Task<void> Run(CallerRequest& request, CallerLink& link);
+  /// From now on takes only calls that end before `at`, when the process ends:
+  /// refuses those with a later deadline as not run, and shortens the deadline
+  /// of idempotent ones.
+  void EndAt(Ms at) { ends_at_ = at; }
   /// Returns the number of calls that are in progress.
   uint32_t under_way() const { return under_way_; }
 
@@ -108,6 +112,8 @@
 
   Task<void> RunChecked(StatePtr state);
   Task<Step> ResolveRoute(StatePtr state);
+  /// Refuses or shortens a call that may last longer than this process.
+  Task<Step> RefuseIfStopping(StatePtr state);
   /// Finds the version at which a stream that the caller resumes may go on.
   Task<Step> FindStreamVersion(StatePtr state);
   Task<Step> ReserveBudget(StatePtr state);
@@ -197,6 +203,8 @@
   std::map<std::string, ProgramPace, std::less<>> paces_;
   std::mt19937_64 random_;
   uint32_t under_way_ = 0;
+  /// When the process ends, if it is stopping.
+  std::optional<Ms> ends_at_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -11,6 +11,7 @@
 namespace knapweed::gateway {
 namespace {
 
+constexpr Logger kLog("call");
 constexpr Logger kQuotaLog("quota");
 
 /// A configuration that was not confirmed for this long may be outdated: a
@@ -28,6 +29,9 @@
 /// soon after its turn of the program ends.
 constexpr Ms kRetryBudgetHeld{300};
 
+/// Time that the last answer of a process needs before its end.
+constexpr Ms kLastAnswerTime{100};
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -86,6 +90,27 @@
   co_return Step::kNext;
 }
 
+Task<CallRunner::Step> CallRunner::RefuseIfStopping(StatePtr state) {
+  if (!ends_at_.has_value()) co_return Step::kNext;
+  const Ms last_answer_at = *ends_at_ - kLastAnswerTime;
+  if (state->deadline <= last_answer_at) co_return Step::kNext;
+  const Ms left = last_answer_at - deps_.clock.Now();
+  const Route& route = *state->route;
+  // Cutting an idempotent call short harms nobody: it gets its answer before
+  // the end, and its caller may send it again.
+  if (route.idempotent && !route.streaming && left >= route.objective) {
+    state->deadline = last_answer_at;
+    co_return Step::kNext;
+  }
+  kLog.Info("Refused a call that may outlast this process.",
+            {{"request", state->request.head.request_id},
+             {"time_left_ms", (state->deadline - deps_.clock.Now()).count},
+             {"process_left_ms", left.count}});
+  // Another gateway may take it at once.
+  co_await Refuse(state, 503, Ms{0}, "gateway is stopping");
+  co_return Step::kDone;
+}
+
 Task<CallRunner::Step> CallRunner::FindStreamVersion(StatePtr state) {
   const CallHead& head = state->request.head;
   const bool resumes = state->route->streaming && head.resume_after.has_value();
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -66,6 +66,8 @@
 Task<void> CallRunner::RunChecked(StatePtr state) {
   Step step = co_await ResolveRoute(state);
   if (step == Step::kDone) co_return;
+  step = co_await RefuseIfStopping(state);
+  if (step == Step::kDone) co_return;
   step = co_await FindStreamVersion(state);
   if (step == Step::kDone) co_return;
   step = co_await PrependHistory(state);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -301,6 +301,7 @@
   const Ms stop_at = started_at + parts.config.grace - kShutdownMargin;
   parts.shutting_down = true;
   parts.front.BeginDraining();
+  parts.runner.EndAt(stop_at);
   parts.send_limits.StopGranting();
   kLog.Info("Stopping.", {{"under_way", parts.runner.under_way()}});
   constexpr Ms kPollInterval{50};
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -178,5 +178,155 @@
   CHECK(answered == connected);
 }
 
+// A caller that sends one request, on a connection that it used before or on a
+// new one.
+struct StoppingCaller {
+  bool closes = false;
+  unsigned status = 0;
+  bool complete = false;
+  Ms took;
+  bool done = false;
+};
+
+gateway::Task<void> SendOne(gateway::beast::tcp_stream& stream,
+                            std::string text, StoppingCaller& caller) {
+  namespace http = gateway::http;
+  const Clock clock = Clock::Steady();
+  const Ms began = clock.Now();
+  gateway::NetErrorCode ec;
+  stream.expires_after(std::chrono::seconds(9));
+  co_await gateway::asio::async_write(
+      stream, gateway::asio::buffer(text),
+      gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  gateway::beast::flat_buffer buf;
+  http::response<http::string_body> response;
+  co_await http::async_read(
+      stream, buf, response,
+      gateway::asio::redirect_error(gateway::asio::use_awaitable, ec));
+  caller.complete = !ec;
+  caller.status = ec ? 0 : response.result_int();
+  caller.closes = !response.keep_alive();
+  caller.took = clock.Now() - began;
+}
+
+std::string TextOf(const std::string& path, const std::string& id,
+                   Ms deadline) {
+  return "POST " + path + " HTTP/1.1\r\nHost: " + std::string(kHost) +
+         "\r\nRequest-Id: " + id +
+         "\r\nKey: key1\r\nDeadline-Ms: " + std::to_string(deadline.count) +
+         "\r\nContent-Length: 2\r\n\r\nin";
+}
+
+gateway::Task<void> UseAndSend(TestCluster& cluster, bool is_kept, Ms after,
+                               std::string text, StoppingCaller& caller) {
+  gateway::beast::tcp_stream stream(cluster.loop);
+  const Address address = cluster.configs[0].callers;
+  if (is_kept) {
+    co_await gateway::Connect(stream, address, Seconds(1));
+    StoppingCaller before;
+    const std::string first = TextOf("/safe/x", "before", Ms{1000});
+    co_await SendOne(stream, first, before);
+    CHECK(before.status == 200);
+    CHECK_FALSE(before.closes);
+  }
+  co_await gateway::Sleep(cluster.loop, after);
+  if (!is_kept) co_await gateway::Connect(stream, address, Seconds(1));
+  co_await SendOne(stream, text, caller);
+  caller.done = true;
+}
+
+// Guards against requests that a stopping gateway takes, passes on and cuts
+// when its process ends.
+TEST_CASE("a stopping gateway takes only what can end before its process") {
+  constexpr Ms kGrace{3500};
+  constexpr Ms kStopsAfter{200};
+  // The process keeps 0.7 s of the grace for itself.
+  constexpr Ms kEndsAfter = kStopsAfter + kGrace - Ms{700};
+  struct Row {
+    const char* what;
+    Ms deadline;
+    Ms sent_after;
+    bool is_taken;
+    // An idempotent call is cut short in place of that.
+    unsigned idempotent_status;
+  };
+  const Row rows[] = {
+      {"short, at once", Ms{1500}, Ms{300}, true, 200},
+      {"just fits", Ms{1500}, kEndsAfter - Ms{1800}, true, 200},
+      {"just does not fit", Ms{1500}, kEndsAfter - Ms{1500}, false, 200},
+      {"longer than the grace", Ms{4000}, Ms{300}, false, 200},
+      {"late", Ms{1500}, kEndsAfter - Ms{700}, false, 504},
+      {"too late", Ms{1500}, kEndsAfter - Ms{330}, false, 503},
+  };
+  const char* paths[] = {"/turn/x", "/kept/x", "/resume/x", "/safe/x",
+                         "/once/x"};
+  for (const bool is_kept : {true, false}) {
+    CAPTURE(is_kept);
+    TestCluster cluster(1, 8);
+    cluster.edit_settings = [&](gateway::GatewayConfig& config) {
+      config.grace = kGrace;
+    };
+    cluster.configs[0].grace = kGrace;
+    for (auto& engine : cluster.engines) {
+      engine->default_script = {Script::Kind::kEvents, 3, -1, Ms{900}};
+    }
+    std::deque<StoppingCaller> callers;
+    for (const Row& row : rows) {
+      for (const char* path : paths) {
+        const std::string id = std::string(row.what) + path;
+        const std::string text = TextOf(path, id, row.deadline);
+        gateway::Spawn(cluster.loop,
+                       UseAndSend(cluster, is_kept, row.sent_after, text,
+                                  callers.emplace_back()));
+      }
+    }
+    // The connections are used before.
+    cluster.RunFor(kStopsAfter / 2);
+    for (auto& server : cluster.plain) server->default_script.pause = Ms{900};
+    bool stopped = false;
+    const auto shut_down = [&]() -> gateway::Task<void> {
+      co_await gateway::Sleep(cluster.loop, kStopsAfter / 2);
+      co_await cluster.gateways[0]->Shutdown();
+      stopped = true;
+    };
+    gateway::Spawn(cluster.loop, shut_down());
+    CHECK(cluster.RunUntil([&] { return stopped; }, Seconds(12)));
+    size_t next = 0;
+    for (const Row& row : rows) {
+      const std::string what = row.what;
+      CAPTURE(what);
+      for (const char* path : paths) {
+        const std::string where = path;
+        CAPTURE(where);
+        const StoppingCaller& caller = callers[next++];
+        const std::string id = what + path;
+        bool ran = false;
+        for (const auto* servers : {&cluster.engines, &cluster.plain}) {
+          for (const auto& server : *servers) {
+            for (const ReceivedRequest& request : server->received) {
+              ran = ran || request.Get("Request-Id") == id;
+            }
+          }
+        }
+        // Listening ends 3 s after the signal.
+        const bool connected =
+            is_kept || row.sent_after < kStopsAfter + Seconds(3);
+        if (!connected) continue;
+        // Answered before the process ended, whatever the answer.
+        CHECK(caller.done);
+        CHECK(caller.complete);
+        const bool is_idempotent = where == "/safe/x";
+        const unsigned expected = is_idempotent  ? row.idempotent_status
+                                  : row.is_taken ? 200u
+                                                 : 503u;
+        CHECK(caller.status == expected);
+        CHECK(caller.closes);
+        CHECK(ran == (expected != 503u));
+        if (!ran) CHECK(caller.took < Ms{300});
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
