Require a key as soon as workspaces are configured, not while any key is left

Cause: the key was checked only if the configuration held any key. That the configuration has workspaces and that it has keys are two facts.

--- a/include/knapweed/gateway/fleet_config.h
+++ b/include/knapweed/gateway/fleet_config.h
@@ -101,6 +101,9 @@
   RouteIndex route_index;
   std::map<std::string, Service, std::less<>> services;
   std::vector<Workspace> workspaces;
+  /// Calls on routes that are not public need a key, also if there is no
+  /// workspace or no key left.
+  bool requires_keys = true;
   /// Maps a caller's key to an index in `workspaces`.
   std::map<std::string, uint32_t, std::less<>> keys;
   CallerLimits limits;
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -65,7 +65,7 @@
   const Ms wait =
       std::min(head.deadline.value_or(route.timeout), route.timeout);
   state->deadline = state->request.received + wait;
-  if (!route.is_public && !state->config->keys.empty()) {
+  if (!route.is_public && state->config->requires_keys) {
     state->workspace = FindWorkspace(*state->config, head.key);
     if (state->workspace == nullptr) {
       co_await Refuse(state, stale ? 503 : 401, StoreRetryAfter(),
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -204,7 +204,8 @@
              {"row", row.version},
              {"routes", config->routes.size()},
              {"workspaces", config->workspaces.size()},
-             {"keys", config->keys.size()}});
+             {"keys", config->keys.size()},
+             {"requires_keys", config->requires_keys ? 1 : 0}});
   view_.config = std::make_shared<const FleetConfig>(*std::move(config));
   for (const auto& [id, up] : view_.upstreams.all()) ApplyService(*up);
 }
