--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -81,6 +81,7 @@
   kHeldElsewhere,
   kUnavailable,
 };
+inline constexpr Reservation kLastReservation = Reservation::kUnavailable;
 
 /// The result of `Budgets::Reserve`. `begins_program` is set when the program
 /// has spent nothing and has no other turn in progress; `waited` is the time
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -29,7 +29,8 @@
 
 /// A caller's request, read completely.
 struct CallerRequest {
-  http::verb method = http::verb::get;
+  /// As the caller sent it; it may be one that HTTP does not define.
+  std::string method;
   std::string target;
   http::fields fields;
   std::shared_ptr<const std::string> body;
@@ -111,6 +112,11 @@
   enum class Step : uint8_t { kNext, kDone };
 
   Task<void> RunChecked(StatePtr state);
+  /// Answers a call that an exception has ended.
+  Task<void> RefuseAfterException(StatePtr state);
+  /// Refuses a call with a field that can't be written to the store or to
+  /// another gateway.
+  Task<Step> CheckFields(StatePtr state);
   Task<Step> ResolveRoute(StatePtr state);
   /// Refuses or shortens a call that may last longer than this process.
   Task<Step> RefuseIfStopping(StatePtr state);
@@ -146,14 +152,15 @@
   void BeginLoad(State& state, Upstream& upstream);
   void RecordPromptMix(const State& state);
   /// Takes the attempt's prompt out of the prefill that is pending.
-  static void EndPrefill(const State& state, Upstream& upstream);
+  static void EndPrefill(State& state, Upstream& upstream);
   /// Measures the upstream by events that have arrived just now.
   void RecordEvents(State& state, Upstream& upstream, uint64_t events);
   /// Leaves out the present span if a write to the caller delayed it.
   void SkipCallerWait(State& state, Ms write_began);
   /// Measures the upstream by a complete answer that is not a stream.
   void RecordAnswer(const State& state, Upstream& upstream);
-  /// Takes an attempt that has ended out of the load of its upstream.
+  /// Takes an attempt that has ended out of the load of its upstream; no effect
+  /// if it is not in it.
   void EndLoad(State& state, Upstream& upstream);
   /// Ends the time for which the call waits for its first event.
   void StopWaiting(State& state);
--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -16,7 +16,7 @@
 /// A request as it is sent to an upstream. All attempts of a call share the
 /// body.
 struct UpstreamRequest {
-  http::verb method = http::verb::get;
+  std::string method;
   std::string target;
   http::fields fields;
   std::shared_ptr<const std::string> body;
@@ -42,6 +42,10 @@
   kOverLimit,
 };
 
+/// Status of a response by another instance than the one that the request
+/// names.
+inline constexpr unsigned kMisdirected = 421;
+
 /// Most bytes that are read from an upstream ahead of their use. Bounds the
 /// memory of a response whose header or chunk header does not end.
 inline constexpr size_t kMaxReadAheadBytes = 128 << 10;
@@ -67,9 +71,10 @@
   Attempt(const Attempt&) = delete;
   ~Attempt() { Abort(); }
 
-  /// Sends the request on `conn` and reads the header of its response. Reads
-  /// and discards late responses to earlier requests. Has no timeout of its
-  /// own; call `Abort` to end it.
+  /// Sends the request on `conn` and reads the header of its response, which is
+  /// the one that states the id of the request. Reads and discards late
+  /// responses to earlier requests; one that states no id is `kBroken`. Has no
+  /// timeout of its own; call `Abort` to end it.
   Task<AttemptOutcome> Begin(std::unique_ptr<UpstreamConnection> conn,
                              const UpstreamRequest& request,
                              std::string_view request_id);
@@ -102,6 +107,8 @@
   struct RequestWrite;
 
   Task<bool> ReadHead();
+  /// Returns the outcome that the header of the request's response states.
+  AttemptOutcome OutcomeOf(std::string_view request_id) const;
   static Task<void> Send(std::shared_ptr<RequestWrite> write);
 
   asio::io_context& loop_;
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "knapweed/gateway/announcement.h"
 #include "knapweed/gateway/call_runner.h"
 #include "knapweed/gateway/known_rows.h"
 #include "knapweed/gateway/store.h"
@@ -99,6 +100,9 @@
   /// `now` is the store's time when the rows were read; `age` is the time since
   /// then.
   void ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age);
+  /// Takes over what another gateway tells of crashes and limits, and returns
+  /// its announcement; nothing if it is this gateway's, too old or malformed.
+  std::optional<Announcement> ReadAnnouncement(const Row& row, Ms now, Ms age);
   void RestoreOwnUseFrom(const std::vector<Row>& rows, Ms now);
   /// Requests the rows from peers until this gateway is ready.
   Task<void> BootstrapFromPeers();
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -18,6 +18,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <list>
 #include <memory>
@@ -44,9 +45,22 @@
   return std::chrono::milliseconds(span.count);
 }
 
-/// Starts a detached coroutine. An exception that escapes it ends the process,
-/// since it can only come from a violated invariant.
+/// Logs and counts an exception that escaped `what`. What escapes is an input
+/// that no check foresaw, and one input must not end the process for all.
+void ReportException(std::string_view what, const std::exception_ptr& failure);
+/// Returns how many exceptions were reported in this process.
+uint64_t ExceptionsReported();
+
+/// Starts a detached coroutine. An exception that escapes it ends it, and is
+/// reported.
 void Spawn(asio::io_context& loop, Task<void> task);
+/// Starts a coroutine that is to run until the loop stops. After an exception
+/// it is started anew, from its beginning.
+void SpawnForever(asio::io_context& loop, std::string what,
+                  std::function<Task<void>()> start);
+/// Runs one step of such a coroutine, such as a row of a table. Returns false
+/// if an exception escaped, which is reported; the others can still be run.
+bool RunStep(std::string_view what, const std::function<void()>& step);
 
 /// Waits for `span`; returns early, without an error, if the loop stops.
 Task<void> Sleep(asio::io_context& loop, Ms span);
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "knapweed/base/json.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -23,14 +24,21 @@
   return it != row.end() && it->is_object() ? *it : kEmpty;
 }
 
+/// Returns whether a value is a number that can count calls: of at least 0 and
+/// of a size that sums stay finite.
+bool IsRate(const json& value) {
+  constexpr double kMost = 1e12;
+  if (!value.is_number()) return false;
+  const auto n = value.get<double>();
+  return n >= 0 && n <= kMost;
+}
+
 UseByWorkspace DecodeUse(const json& use_json, const json& admitted_json) {
   constexpr size_t kFieldCount = 4;
   UseByWorkspace use;
   for (const auto& [name, item] : use_json.items()) {
-    const bool readable =
-        item.is_array() && item.size() == kFieldCount &&
-        std::all_of(item.begin(), item.end(),
-                    [](const json& number) { return number.is_number(); });
+    const bool readable = item.is_array() && item.size() == kFieldCount &&
+                          std::all_of(item.begin(), item.end(), IsRate);
     if (!readable) {
       kLog.Warning("A gateway's usage of a workspace can't be decoded.",
                    {{"workspace", name}});
@@ -43,7 +51,7 @@
     one.program_demand_per_s = item[3].get<double>();
     const auto admitted = admitted_json.find(name);
     const bool has_admitted =
-        admitted != admitted_json.end() && admitted->is_number();
+        admitted != admitted_json.end() && IsRate(*admitted);
     one.admitted_per_s =
         has_admitted ? admitted->get<double>() : one.demand_per_s;
     use[name] = one;
@@ -66,15 +74,15 @@
   for (const auto& [id, item] : limits_json.items()) {
     const bool readable = item.is_array() && item.size() == kFieldCount &&
                           item[0].is_number_unsigned() &&
-                          (item[1].is_null() || item[1].is_number()) &&
-                          item[2].is_number_integer();
+                          (item[1].is_null() || IsRate(item[1])) &&
+                          MsOf(item[2]).has_value();
     if (!readable) {
       kLog.Warning("An upstream's limit can't be decoded.", {{"upstream", id}});
       continue;
     }
     LimitRecord record{id, item[0].get<uint64_t>(), {}};
     if (item[1].is_number()) record.limit.per_s = item[1].get<double>();
-    record.limit.observed_at = at - Ms{item[2].get<int64_t>()};
+    record.limit.observed_at = at - *MsOf(item[2]);
     limits.push_back(std::move(record));
   }
   return limits;
@@ -98,29 +106,24 @@
   for (const LimitRecord& record : announcement.limits) {
     limits[record.upstream] = EncodeLimit(record, announcement.at);
   }
-  return json{{"address", announcement.peer_address.ToString()},
-              {"at_ms", announcement.at.count},
-              {"use", std::move(use)},
-              {"admitted", std::move(admitted)},
-              {"crashes", announcement.crashes},
-              {"limits", std::move(limits)}}
-      .dump();
+  return DumpJson({{"address", announcement.peer_address.ToString()},
+                   {"at_ms", announcement.at.count},
+                   {"use", std::move(use)},
+                   {"admitted", std::move(admitted)},
+                   {"crashes", announcement.crashes},
+                   {"limits", std::move(limits)}});
 }
 
 absl::StatusOr<Announcement> DecodeAnnouncement(std::string_view bytes) {
-  const json row = json::parse(bytes, nullptr, false);
+  const json row = ParseJson(bytes);
   if (!row.is_object()) return absl::InvalidArgumentError("not an object");
   Announcement announcement;
-  const auto address = row.find("address");
   const bool has_address =
-      address != row.end() && address->is_string() &&
-      ParseAddress(address->get<std::string>(), &announcement.peer_address);
+      ParseAddress(TextField(row, "address"), &announcement.peer_address);
   if (!has_address) return absl::InvalidArgumentError("no address");
-  const auto at = row.find("at_ms");
-  if (at == row.end() || !at->is_number_integer()) {
-    return absl::InvalidArgumentError("no time");
-  }
-  announcement.at = Ms{at->get<int64_t>()};
+  const std::optional<Ms> at = MsField(row, "at_ms");
+  if (!at.has_value()) return absl::InvalidArgumentError("no time");
+  announcement.at = *at;
   announcement.use = DecodeUse(ObjectOf(row, "use"), ObjectOf(row, "admitted"));
   const auto crashes = row.find("crashes");
   if (crashes != row.end()) announcement.crashes = *crashes;
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "knapweed/base/ids.h"
+#include "knapweed/base/json.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -56,7 +57,7 @@
 }
 
 std::optional<Ms> ExpiresAt(std::string_view value, Ms retention) {
-  const nlohmann::json row = nlohmann::json::parse(value, nullptr, false);
+  const nlohmann::json row = ParseJson(value);
   if (!row.is_object() || !row.contains("state")) return std::nullopt;
   const BudgetState state = DecodeBudget(row["state"]);
   if (state.written_at == Ms{0}) return std::nullopt;
@@ -68,23 +69,16 @@
 BudgetState DecodeBudget(const nlohmann::json& json) {
   BudgetState state;
   if (!json.is_object()) return state;
-  const auto spent = json.find("spent");
-  if (spent != json.end() && spent->is_number_unsigned()) {
-    state.spent = spent->get<uint64_t>();
-  }
-  const auto written_at = json.find("written_at");
-  if (written_at != json.end() && written_at->is_number_integer()) {
-    state.written_at = Ms{written_at->get<int64_t>()};
-  }
-  const auto allowances = json.find("allowances");
-  if (allowances == json.end() || !allowances->is_object()) return state;
+  state.spent = CountField(json, "spent");
+  state.written_at = MsField(json, "written_at").value_or(Ms{0});
+  const nlohmann::json* allowances = FindField(json, "allowances");
+  if (allowances == nullptr || !allowances->is_object()) return state;
   for (const auto& [gateway, item] : allowances->items()) {
     const bool readable = item.is_array() && item.size() == 2 &&
                           item[0].is_number_unsigned() &&
-                          item[1].is_number_integer();
+                          MsOf(item[1]).has_value();
     if (!readable) continue;
-    state.allowances[gateway] = {item[0].get<uint64_t>(),
-                                 Ms{item[1].get<int64_t>()}};
+    state.allowances[gateway] = {CountOf(item[0]), *MsOf(item[1])};
   }
   return state;
 }
@@ -233,15 +227,17 @@
   HttpRequest call;
   call.method = http::verb::post;
   call.target = std::string(kBudgetPrefix) + "/reserve";
-  call.body = body.dump();
+  call.body = DumpJson(body);
   const HttpResponse raw = co_await clients_.At(home).Send(call, kPeerTimeout);
-  const nlohmann::json json = nlohmann::json::parse(raw.body, nullptr, false);
-  *answered = raw.status == 200 && json.is_object() &&
-              json.value("reservation", -1) >= 0;
+  const nlohmann::json json = ParseJson(raw.body);
+  const nlohmann::json* reservation = FindField(json, "reservation");
+  *answered = raw.status == 200 && reservation != nullptr &&
+              reservation->is_number_unsigned() &&
+              *reservation <= static_cast<uint64_t>(kLastReservation);
   if (!*answered) co_return result;
-  result.reservation = static_cast<Reservation>(json.value("reservation", 0));
-  result.begins_program = json.value("begins", false);
-  result.waited = Ms{json.value("waited_ms", int64_t{0})};
+  result.reservation = static_cast<Reservation>(reservation->get<uint64_t>());
+  result.begins_program = FlagField(json, "begins");
+  result.waited = MsField(json, "waited_ms").value_or(Ms{0});
   co_return result;
 }
 
@@ -258,7 +254,7 @@
   HttpRequest call;
   call.method = http::verb::post;
   call.target = std::string(kBudgetPrefix) + "/settle";
-  call.body = body.dump();
+  call.body = DumpJson(body);
   for (int i = 0; i < kSettleAttempts; ++i) {
     const HttpResponse raw =
         co_await clients_.At(ticket.home).Send(call, kPeerTimeout);
@@ -273,11 +269,9 @@
 Task<HttpResponse> Budgets::AnswerPeer(const HttpRequest& call) {
   HttpResponse answer;
   answer.status = 400;
-  const nlohmann::json json = nlohmann::json::parse(call.body, nullptr, false);
-  const bool readable =
-      json.is_object() && json.contains("turn") && json["turn"].is_string();
-  if (!readable) co_return answer;
-  const std::string turn = json["turn"];
+  const nlohmann::json json = ParseJson(call.body);
+  const std::string turn = TextField(json, "turn");
+  if (turn.empty()) co_return answer;
   if (call.target.ends_with("/settle")) {
     // The reservation of an unknown turn may still be in progress; the caller
     // retries.
@@ -285,16 +279,16 @@
     const auto it = remote_turns_.find(turn);
     if (it == remote_turns_.end()) co_return answer;
     SettleHere(it->second.program, it->second.max_tokens,
-               json.value("spent", uint64_t{0}));
+               CountField(json, "spent"));
     remote_turns_.erase(it);
     answer.status = 200;
     co_return answer;
   }
-  const std::string program = json.value("program", "");
-  const uint64_t max_tokens = json.value("most", uint64_t{0});
-  const Ms deadline = clock_.Now() + Ms{json.value("time_ms", int64_t{0})};
+  const std::string program = TextField(json, "program");
+  const uint64_t max_tokens = CountField(json, "most");
+  const Ms deadline = clock_.Now() + MsField(json, "time_ms").value_or(Ms{0});
   const ReserveResult result = co_await ReserveHere(
-      program, json.value("budget", uint64_t{0}), max_tokens, deadline);
+      program, CountField(json, "budget"), max_tokens, deadline);
   if (result.reservation == Reservation::kReserved) {
     const auto old = remote_turns_.find(turn);
     if (old != remote_turns_.end()) {
@@ -304,11 +298,9 @@
     remote_turns_[turn] = {program, max_tokens, deadline + kSettleGrace};
   }
   answer.status = 200;
-  answer.body =
-      nlohmann::json{{"reservation", static_cast<int>(result.reservation)},
-                     {"begins", result.begins_program},
-                     {"waited_ms", result.waited.count}}
-          .dump();
+  answer.body = DumpJson({{"reservation", static_cast<int>(result.reservation)},
+                          {"begins", result.begins_program},
+                          {"waited_ms", result.waited.count}});
   co_return answer;
 }
 
--- a/src/gateway/call_load.cc
+++ b/src/gateway/call_load.cc
@@ -34,6 +34,7 @@
   state.event_at = Ms{0};
   state.unsampled_tokens = 0;
   upstream.own = upstream.own + state.load;
+  state.awaits_prefill = true;
   if (!state.route->streaming) return;
   state.awaits_event = true;
   Waiting& waiting = waiting_[state.service->name];
@@ -54,7 +55,9 @@
               state.sent_at);
 }
 
-void CallRunner::EndPrefill(const State& state, Upstream& upstream) {
+void CallRunner::EndPrefill(State& state, Upstream& upstream) {
+  if (!state.awaits_prefill) return;
+  state.awaits_prefill = false;
   upstream.own.pending_prefill_tokens -= state.load.pending_prefill_tokens;
 }
 
@@ -107,7 +110,10 @@
 }
 
 void CallRunner::EndLoad(State& state, Upstream& upstream) {
+  if (state.load.calls == 0) return;
   StopWaiting(state);
+  EndPrefill(state, upstream);
+  state.load.calls = 0;
   --upstream.own.calls;
   upstream.own.resident_tokens -= state.load.resident_tokens;
   if (state.event_at == Ms{0}) return;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -43,7 +43,16 @@
     locked->caller_disconnected = true;
     if (locked->attempt != nullptr) locked->attempt->Abort();
   });
-  co_await RunChecked(state);
+  std::exception_ptr failure;
+  try {
+    co_await RunChecked(state);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  if (failure) {
+    ReportException("a call", failure);
+    co_await RefuseAfterException(state);
+  }
   state->timer.cancel();
   state->attempt.reset();
   if (state->holds_rate_token && state->workspace != nullptr) {
@@ -63,8 +72,16 @@
   --under_way_;
 }
 
+Task<void> CallRunner::RefuseAfterException(StatePtr state) {
+  if (state->attempt != nullptr) state->attempt->Abort();
+  if (state->last_upstream != nullptr) EndLoad(*state, *state->last_upstream);
+  co_await Refuse(state, 500, Ms{0}, "internal error");
+}
+
 Task<void> CallRunner::RunChecked(StatePtr state) {
-  Step step = co_await ResolveRoute(state);
+  Step step = co_await CheckFields(state);
+  if (step == Step::kDone) co_return;
+  step = co_await ResolveRoute(state);
   if (step == Step::kDone) co_return;
   step = co_await RefuseIfStopping(state);
   if (step == Step::kDone) co_return;
@@ -82,6 +99,36 @@
   co_await RunAttempts(state);
 }
 
+namespace {
+
+/// Longest identifier that fits in a row's key beside what is added to it.
+constexpr size_t kMaxIdBytes = 128;
+
+/// Returns whether an identifier can be a part of rows and messages as it is.
+bool IsValidId(std::string_view id) {
+  const auto is_printable = [](char c) { return c > ' ' && c <= '~'; };
+  return id.size() <= kMaxIdBytes &&
+         std::all_of(id.begin(), id.end(), is_printable);
+}
+
+/// Returns what is wrong with a call's fields; empty if nothing is.
+std::string_view FaultOf(const CallHead& head) {
+  if (!IsValidId(head.request_id)) return "malformed request id";
+  if (!IsValidId(head.program)) return "malformed program id";
+  if (!IsValidId(head.previous_turn)) return "malformed id of previous turn";
+  if (!IsValidId(head.begun_by)) return "malformed id of resumed request";
+  return {};
+}
+
+}  // namespace
+
+Task<CallRunner::Step> CallRunner::CheckFields(StatePtr state) {
+  const std::string_view fault = FaultOf(state->request.head);
+  if (fault.empty()) co_return Step::kNext;
+  co_await Refuse(state, 400, Ms{0}, fault);
+  co_return Step::kDone;
+}
+
 void CallRunner::StartDeadlineTimer(const StatePtr& state) {
   const Ms left = std::max(state->deadline - deps_.clock.Now(), Ms{0});
   state->timer.expires_after(ToChrono(left));
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -16,9 +16,6 @@
 inline constexpr Ms kRetryNoUpstream{400};
 /// Retry-After if every upstream tried was full.
 inline constexpr Ms kRetryFull{150};
-/// Status of a response by another instance than the one that the request
-/// names.
-inline constexpr unsigned kMisdirected = 421;
 
 /// One call in progress.
 struct CallRunner::State {
@@ -59,6 +56,8 @@
   /// Time of the attempt's last event; zero before the first.
   Ms event_at;
   bool awaits_event = false;
+  /// The present attempt's prompt counts as pending prefill.
+  bool awaits_prefill = false;
   /// Tokens that arrived since `event_at`.
   uint64_t unsampled_tokens = 0;
   /// Number of attempts that may have run the call.
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -52,14 +52,13 @@
   write_->body = request.body;
   auto& message = write_->request;
   message.version(11);
-  message.method(request.method);
+  message.method_string(request.method);
   message.target(request.target);
   static_cast<http::fields&>(message) = request.fields;
   const std::string& body = *request.body;
   message.body() = {body.data(), body.size()};
-  const bool needs_length = !body.empty() ||
-                            request.method == http::verb::post ||
-                            request.method == http::verb::put;
+  const bool needs_length =
+      !body.empty() || request.method == "POST" || request.method == "PUT";
   if (needs_length) {
     message.set(http::field::content_length, std::to_string(body.size()));
   }
@@ -70,11 +69,11 @@
     const bool ok = co_await ReadHead();
     if (!ok) co_return AttemptOutcome::kBroken;
     if (status() < 200) continue;
-    const bool is_late =
-        !head_.request_id.empty() && head_.request_id != request_id;
-    if (!is_late) {
-      const bool not_run = head_.not_run || status() == 421;
-      co_return not_run ? AttemptOutcome::kNotRun : AttemptOutcome::kResponded;
+    if (head_.request_id == request_id) co_return OutcomeOf(request_id);
+    if (head_.request_id.empty()) {
+      kLog.Warning("A response does not tell which request it answers.",
+                   {{"request", request_id}, {"status", status()}});
+      co_return AttemptOutcome::kBroken;
     }
     kLog.Info("Discarded a late response to another request.",
               {{"request", request_id}, {"answers", head_.request_id}});
@@ -85,6 +84,14 @@
   co_return AttemptOutcome::kBroken;
 }
 
+AttemptOutcome Attempt::OutcomeOf(std::string_view request_id) const {
+  const bool not_run = head_.not_run || status() == kMisdirected;
+  if (!not_run) return AttemptOutcome::kResponded;
+  // Without an id it may be a late response to an earlier request.
+  const bool is_sure = !request_id.empty() || !write_->conn->reused;
+  return is_sure ? AttemptOutcome::kNotRun : AttemptOutcome::kBroken;
+}
+
 Task<bool> Attempt::ReadHead() {
   parser_ = std::make_unique<Parser>();
   parser_->header_limit(kMaxResponseHeaderBytes);
@@ -96,7 +103,7 @@
   if (ec || aborted_) co_return false;
   head_ = dialect_.decode_response(parser_->get());
   // A 421 comes from another instance, at an address that was reused.
-  if (head_.draining && status() != 421) saw_draining_ = true;
+  if (head_.draining && status() != kMisdirected) saw_draining_ = true;
   co_return true;
 }
 
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "knapweed/base/log.h"
-#include "knapweed/gateway/announcement.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -57,10 +56,14 @@
 }
 
 void FleetWatch::Start() {
-  Spawn(loop_, FollowConfig());
-  Spawn(loop_, FollowUpstreams());
-  Spawn(loop_, FollowGateways());
-  Spawn(loop_, BootstrapFromPeers());
+  SpawnForever(loop_, "following the configuration",
+               [this] { return FollowConfig(); });
+  SpawnForever(loop_, "following upstreams",
+               [this] { return FollowUpstreams(); });
+  SpawnForever(loop_, "following gateways",
+               [this] { return FollowGateways(); });
+  SpawnForever(loop_, "reading tables from a peer",
+               [this] { return BootstrapFromPeers(); });
 }
 
 KnownRows FleetWatch::RowsForPeers() {
@@ -246,7 +249,9 @@
     if (changes.ok) {
       operator_table_read_ = true;
       ApplyEvacuations(changes.rows, changes.is_whole_table);
-      for (const Row& row : changes.rows) ApplyConfig(row);
+      for (const Row& row : changes.rows) {
+        RunStep("a row of the configuration", [&] { ApplyConfig(row); });
+      }
       view_.config_confirmed_at = clock_.Now();
       RecordStreamPlaces();
     } else {
@@ -362,7 +367,9 @@
     const TableChanges changes =
         co_await ReadChanges(dialect_.upstream_table, position);
     if (changes.ok) {
-      for (const Row& row : changes.rows) ApplyUpstream(row);
+      for (const Row& row : changes.rows) {
+        RunStep("a row of an upstream", [&] { ApplyUpstream(row); });
+      }
       if (changes.is_whole_table) RemoveUnlisted(changes.rows);
       upstreams_read_ = true;
     }
@@ -410,28 +417,37 @@
   co_return false;
 }
 
+std::optional<Announcement> FleetWatch::ReadAnnouncement(const Row& row, Ms now,
+                                                         Ms age) {
+  absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
+  if (!told.ok()) {
+    kLog.Warning("A gateway's row can't be decoded.",
+                 {{"key", row.key.key}, {"error", told.status().ToString()}});
+    return std::nullopt;
+  }
+  const bool is_other = row.key.key != self_.name;
+  if (!is_other || now - told->at > kAnnouncementTtl) return std::nullopt;
+  crashes_.MergeRecords(told->crashes);
+  for (LimitRecord& record : told->limits) {
+    // From the store's clock to that of this process.
+    record.limit.observed_at += clock_.Now() - age - now;
+  }
+  send_limits_.MergeRecords(told->limits);
+  return *std::move(told);
+}
+
 void FleetWatch::ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age) {
   std::vector<Address> peers;
   std::vector<UseByWorkspace> uses;
   gateway_rows_ = rows;
   gateways_read_at_ = clock_.Now() - age;
   for (const Row& row : rows) {
-    absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
-    if (!told.ok()) {
-      kLog.Warning("A gateway's row can't be decoded.",
-                   {{"key", row.key.key}, {"error", told.status().ToString()}});
-      continue;
-    }
-    if (now - told->at > kAnnouncementTtl) continue;
-    if (row.key.key == self_.name) continue;
-    crashes_.MergeRecords(told->crashes);
-    for (LimitRecord& record : told->limits) {
-      // From the store's clock to that of this process.
-      record.limit.observed_at += clock_.Now() - age - now;
-    }
-    send_limits_.MergeRecords(told->limits);
-    uses.push_back(std::move(told->use));
-    peers.push_back(told->peer_address);
+    RunStep("a row of a gateway", [&] {
+      std::optional<Announcement> told = ReadAnnouncement(row, now, age);
+      if (!told.has_value()) return;
+      uses.push_back(std::move(told->use));
+      peers.push_back(told->peer_address);
+    });
   }
   quotas_.SetOthers(uses, age);
   budgets_.SetOthers(peers);
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -289,14 +289,14 @@
     CallerRequest request;
     auto& message = parser.get();
     request.received = front_.clock_.Now();
-    request.method = message.method();
+    request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.body =
         std::make_shared<const std::string>(std::move(message.body()));
     request.fields = message;
     request.head = front_.dialect_.decode_call(request.fields);
     keep_alive_ = message.keep_alive();
-    is_head_request_ = request.method == http::verb::head;
+    is_head_request_ = message.method() == http::verb::head;
     stream_.expires_never();
     auto answered = std::make_shared<bool>(false);
     Spawn(front_.loop_, WatchForDisconnect(answered));
@@ -443,7 +443,7 @@
   acceptor_ = std::make_shared<asio::ip::tcp::acceptor>(loop_);
   if (!OpenAcceptor(*acceptor_, address, memory_.socket_buffer_bytes()))
     return false;
-  Spawn(loop_, Accept());
+  SpawnForever(loop_, "accepting callers", [this] { return Accept(); });
   return true;
 }
 
@@ -483,7 +483,7 @@
   asio::co_spawn(loop_, session->Run(),
                  [this, session](const std::exception_ptr& failure) {
                    sessions_.erase(session);
-                   if (failure) std::rethrow_exception(failure);
+                   if (failure) ReportException("a connection", failure);
                  });
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -179,6 +179,8 @@
   metrics.GetGauge("process_resident_kb").Set(use.resident_kb);
   metrics.GetGauge("process_peak_resident_kb").Set(use.peak_resident_kb);
   memory.UpdateGauges();
+  metrics.GetGauge("exceptions_reported")
+      .Set(static_cast<int64_t>(ExceptionsReported()));
 }
 
 Task<void> Gateway::Parts::RunMaintenance() {
@@ -289,9 +291,12 @@
                          {"version", kVersionText}});
   parts.store.Start();
   parts.watch.Start();
-  Spawn(parts.loop, parts.sweeper.Run());
-  Spawn(parts.loop, parts.stream_records.Run());
-  Spawn(parts.loop, parts.RunMaintenance());
+  SpawnForever(parts.loop, "sweeping rows",
+               [&parts] { return parts.sweeper.Run(); });
+  SpawnForever(parts.loop, "recording streams",
+               [&parts] { return parts.stream_records.Run(); });
+  SpawnForever(parts.loop, "maintenance",
+               [&parts] { return parts.RunMaintenance(); });
   return true;
 }
 
@@ -356,9 +361,11 @@
     if (!ec) Spawn(loop, ShutdownAndStopLoop(loop, gateway));
   });
   asio::signal_set hangup(loop, SIGHUP);
-  Spawn(loop, ReloadOnHangup(gateway, hangup, path));
+  SpawnForever(loop, "reloading settings",
+               [&] { return ReloadOnHangup(gateway, hangup, path); });
   if (!gateway.Start()) return kExitFailed;
-  loop.run();
+  // What escapes a completion handler ends `run`, which can be called again.
+  while (!loop.stopped()) RunStep("the loop", [&] { loop.run(); });
   FlushLog();
   return kExitOk;
 }
--- a/src/gateway/grant_ledger.cc
+++ b/src/gateway/grant_ledger.cc
@@ -1,7 +1,8 @@
 #include "knapweed/gateway/grant_ledger.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+
+#include "knapweed/base/json.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -24,8 +25,7 @@
 class MessageReader {
  public:
   explicit MessageReader(std::string_view bytes)
-      : message_(json::parse(bytes, nullptr, false)),
-        valid_(message_.is_object()) {}
+      : message_(ParseJson(bytes)), valid_(message_.is_object()) {}
 
   template <typename T>
   T Get(const char* name, bool (json::*has_type)() const noexcept) {
@@ -38,7 +38,9 @@
   bool Has(const char* name) const { return Find(name) != nullptr; }
   bool Flag(const char* name) { return Get<bool>(name, &json::is_boolean); }
   Ms Span(const char* name) {
-    return Ms{Get<int64_t>(name, &json::is_number_integer)};
+    const std::optional<Ms> span = MsField(message_, name);
+    if (!span.has_value()) valid_ = false;
+    return span.value_or(Ms{0});
   }
   /// Reads "per_s", which is null where there is no limit, and "age_ms".
   StatedLimit Limit(Ms now) {
@@ -85,7 +87,7 @@
     message["cold_left_ms"] = request.cold.left.count;
   }
   AddLimit(message, request.record.limit, now);
-  return message.dump();
+  return DumpJson(message);
 }
 
 absl::StatusOr<GrantRequest> DecodeGrantRequest(std::string_view bytes,
@@ -116,7 +118,7 @@
                   {"wait_ms", answer.grant.wait.count},
                   {"ttl_ms", answer.grant.ttl.count}};
   AddLimit(message, answer.limit, now);
-  return message.dump();
+  return DumpJson(message);
 }
 
 absl::StatusOr<GrantAnswer> DecodeGrantAnswer(std::string_view bytes, Ms now) {
--- a/src/gateway/internal_server.cc
+++ b/src/gateway/internal_server.cc
@@ -63,9 +63,11 @@
                    InternalHandler handler) {
   auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(loop);
   if (!OpenAcceptor(*acceptor, address, 0)) return false;
-  Spawn(loop, AcceptInternal(
-                  loop, std::move(acceptor),
-                  std::make_shared<const InternalHandler>(std::move(handler))));
+  const auto shared =
+      std::make_shared<const InternalHandler>(std::move(handler));
+  SpawnForever(loop, "accepting internal calls", [&loop, acceptor, shared] {
+    return AcceptInternal(loop, acceptor, shared);
+  });
   return true;
 }
 
--- a/src/gateway/known_rows.cc
+++ b/src/gateway/known_rows.cc
@@ -1,6 +1,6 @@
 #include "knapweed/gateway/known_rows.h"
 
-#include <nlohmann/json.hpp>
+#include "knapweed/base/json.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -30,9 +30,9 @@
 }
 
 bool DecodeMs(const json& message, const char* name, Ms* ms) {
-  const auto it = message.find(name);
-  if (it == message.end() || !it->is_number_integer()) return false;
-  *ms = Ms{it->get<int64_t>()};
+  const std::optional<Ms> value = MsField(message, name);
+  if (!value.has_value()) return false;
+  *ms = *value;
   return true;
 }
 
@@ -51,7 +51,7 @@
 }
 
 absl::StatusOr<KnownRows> DecodeKnownRows(std::string_view bytes) {
-  const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json message = ParseCbor(bytes);
   KnownRows known;
   const bool readable =
       message.is_object() && message.contains("rows") &&
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Logger kLog("front");
+constexpr Logger kExceptionLog("task");
+
+uint64_t exceptions_reported = 0;
 
 /// Maximum number of idle connections to one address, and their maximum idle
 /// time: a peer may have dropped an older one without closing it.
@@ -38,12 +41,64 @@
 
 }  // namespace
 
+void ReportException(std::string_view what, const std::exception_ptr& failure) {
+  ++exceptions_reported;
+  std::string text = "unknown";
+  try {
+    std::rethrow_exception(failure);
+  } catch (const std::exception& error) {
+    text = error.what();
+  } catch (...) {
+    // Its type is all that could be told.
+  }
+  kExceptionLog.Error("An exception escaped.",
+                      {{"from", what}, {"error", text}});
+}
+
+uint64_t ExceptionsReported() { return exceptions_reported; }
+
 void Spawn(asio::io_context& loop, Task<void> task) {
   asio::co_spawn(loop, std::move(task), [](const std::exception_ptr& failure) {
-    if (failure) std::rethrow_exception(failure);
+    if (failure) ReportException("a task", failure);
   });
 }
 
+namespace {
+
+Task<void> RunForever(asio::io_context& loop, std::string what,
+                      std::function<Task<void>()> start) {
+  // Keeps one bad input from taking the processor.
+  constexpr Ms kPause{250};
+  while (true) {
+    std::exception_ptr failure;
+    try {
+      co_await start();
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    if (!failure) co_return;
+    ReportException(what, failure);
+    co_await Sleep(loop, kPause);
+  }
+}
+
+}  // namespace
+
+void SpawnForever(asio::io_context& loop, std::string what,
+                  std::function<Task<void>()> start) {
+  Spawn(loop, RunForever(loop, std::move(what), std::move(start)));
+}
+
+bool RunStep(std::string_view what, const std::function<void()>& step) {
+  try {
+    step();
+  } catch (...) {
+    ReportException(what, std::current_exception());
+    return false;
+  }
+  return true;
+}
+
 Task<void> Sleep(asio::io_context& loop, Ms span) {
   asio::steady_timer timer(loop, ToChrono(span));
   NetErrorCode ec;
--- a/src/gateway/program_starts.cc
+++ b/src/gateway/program_starts.cc
@@ -1,6 +1,8 @@
 #include "knapweed/gateway/program_starts.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+
+#include "knapweed/base/json.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -8,14 +10,9 @@
 /// A home that takes longer is not waited for; the call would be late.
 constexpr Ms kHomeTimeout{150};
 
-/// Returns a number of a message; 0 if it is missing or no number.
-double NumberOf(const nlohmann::json& message, const char* name) {
-  const auto it = message.find(name);
-  return it != message.end() && it->is_number() ? it->get<double>() : 0;
-}
-
-Ms MsOf(const nlohmann::json& message, const char* name) {
-  return Ms{static_cast<int64_t>(NumberOf(message, name))};
+/// Returns a span of a message; 0 if it is missing or none.
+Ms SpanField(const nlohmann::json& message, const char* name) {
+  return std::max(MsField(message, name).value_or(Ms{0}), Ms{0});
 }
 
 }  // namespace
@@ -44,22 +41,20 @@
   HttpRequest call;
   call.method = http::verb::post;
   call.target = std::string(kStartPath);
-  call.body =
-      nlohmann::json{{"workspace", workspace}, {"waited_ms", waited.count}}
-          .dump();
+  call.body = DumpJson({{"workspace", workspace}, {"waited_ms", waited.count}});
   const HttpResponse raw = co_await clients_.At(home).Send(call, kHomeTimeout);
   if (raw.status == 0) peers_.Skip(home);
-  const nlohmann::json answer = nlohmann::json::parse(raw.body, nullptr, false);
+  const nlohmann::json answer = ParseJson(raw.body);
   const bool readable = raw.status == 200 && answer.is_object() &&
                         answer.contains("allowed") &&
                         answer["allowed"].is_boolean();
   if (!readable) co_return verdict;
   verdict.decided = true;
   verdict.allowed = answer["allowed"].get<bool>();
-  verdict.retry_after = MsOf(answer, "retry_ms");
-  verdict.input.others.calls = NumberOf(answer, "used");
-  verdict.input.begun = NumberOf(answer, "begun");
-  verdict.input.calls_per_program = NumberOf(answer, "calls_per_program");
+  verdict.retry_after = SpanField(answer, "retry_ms");
+  verdict.input.others.calls = NumberField(answer, "used");
+  verdict.input.begun = NumberField(answer, "begun");
+  verdict.input.calls_per_program = NumberField(answer, "calls_per_program");
   verdict.input.waited = waited;
   co_return verdict;
 }
@@ -67,7 +62,7 @@
 HttpResponse ProgramStarts::AnswerPeer(const HttpRequest& call) {
   HttpResponse answer;
   answer.status = 400;
-  const nlohmann::json json = nlohmann::json::parse(call.body, nullptr, false);
+  const nlohmann::json json = ParseJson(call.body);
   const bool readable = json.is_object() && json.contains("workspace") &&
                         json["workspace"].is_string();
   if (!readable) return answer;
@@ -76,15 +71,14 @@
   answer.status = 404;
   if (workspace == nullptr) return answer;
   const QuotaVerdict verdict =
-      quotas_.GrantStart(*workspace, MsOf(json, "waited_ms"));
+      quotas_.GrantStart(*workspace, SpanField(json, "waited_ms"));
   answer.status = verdict.decided ? 200 : 503;
   const QuotaInput& input = verdict.input;
-  answer.body = nlohmann::json{{"allowed", verdict.allowed},
-                               {"retry_ms", verdict.retry_after.count},
-                               {"used", input.own.calls + input.others.calls},
-                               {"begun", input.begun},
-                               {"calls_per_program", input.calls_per_program}}
-                    .dump();
+  answer.body = DumpJson({{"allowed", verdict.allowed},
+                          {"retry_ms", verdict.retry_after.count},
+                          {"used", input.own.calls + input.others.calls},
+                          {"begun", input.begun},
+                          {"calls_per_program", input.calls_per_program}});
   return answer;
 }
 
--- a/src/gateway/shared_row.cc
+++ b/src/gateway/shared_row.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "knapweed/base/json.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -43,8 +44,7 @@
   row.confirmed_at = clock_.Now();
   for (const Row& found : answer.rows) {
     if (found.key != key || found.deleted) continue;
-    const nlohmann::json value =
-        nlohmann::json::parse(found.value, nullptr, false);
+    const nlohmann::json value = ParseJson(found.value);
     row.version = found.version;
     if (!value.is_object() || !value.contains("state")) {
       kLog.Warning("A shared row cannot be decoded; replacing it.",
@@ -52,7 +52,9 @@
       continue;
     }
     row.state = value["state"];
-    row.marks = value.value("marks", nlohmann::json::array());
+    const nlohmann::json* marks = FindField(value, "marks");
+    const bool has_marks = marks != nullptr && marks->is_array();
+    row.marks = has_marks ? *marks : nlohmann::json::array();
   }
 }
 
@@ -87,7 +89,7 @@
     Commit commit;
     commit.conditions.push_back({key, row.version});
     commit.writes.push_back(
-        {key, nlohmann::json{{"state", next}, {"marks", marks}}.dump()});
+        {key, DumpJson({{"state", next}, {"marks", marks}})});
     StoreAnswer answer;
     do {
       answer = co_await store_.Apply(commit);
--- a/src/gateway/store.cc
+++ b/src/gateway/store.cc
@@ -114,7 +114,9 @@
   co_return answer;
 }
 
-void Store::Start() { Spawn(loop_, ProbeDirect()); }
+void Store::Start() {
+  SpawnForever(loop_, "probing the store", [this] { return ProbeDirect(); });
+}
 
 Task<void> Store::ProbeDirect() {
   RowRange range;
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -1,9 +1,9 @@
 #include "knapweed/gateway/stream_records.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "knapweed/base/json.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -47,16 +47,9 @@
 
 RowKey KeyOf(const std::string& name) { return {kTable, PartName(), name}; }
 
-std::optional<Ms> WrittenAt(const json& row) {
-  const auto it = row.find("at_ms");
-  if (it == row.end() || !it->is_number_integer()) return std::nullopt;
-  return Ms{it->get<int64_t>()};
-}
-
 std::optional<Ms> ExpiresAt(std::string_view value, Ms retention) {
-  const json row = json::parse(value, nullptr, false);
-  const std::optional<Ms> at =
-      row.is_object() ? WrittenAt(row) : std::optional<Ms>();
+  const json row = ParseJson(value);
+  const std::optional<Ms> at = MsField(row, "at_ms");
   if (!at.has_value()) return std::nullopt;
   return *at + std::max(retention, kSweepAfter);
 }
@@ -67,7 +60,7 @@
   constexpr size_t kFieldCount = 4;
   return item.is_array() && item.size() == kFieldCount && item[0].is_string() &&
          item[1].is_string() && item[2].is_string() &&
-         item[3].is_number_integer();
+         MsOf(item[3]).has_value();
 }
 
 }  // namespace
@@ -86,17 +79,18 @@
 
 std::optional<StreamRecords::Record> StreamRecords::Decode(
     const std::string& value) {
-  const json row = json::parse(value, nullptr, false);
-  const bool readable = row.is_object() && WrittenAt(row).has_value() &&
-                        row.contains("places") && row["places"].is_array();
+  const json row = ParseJson(value);
+  const std::optional<Ms> written_at = MsField(row, "at_ms");
+  const json* places = FindField(row, "places");
+  const bool readable =
+      written_at.has_value() && places != nullptr && places->is_array();
   if (!readable) return std::nullopt;
   Record record;
-  record.written_at = *WrittenAt(row);
-  for (const json& item : row["places"]) {
+  record.written_at = *written_at;
+  for (const json& item : *places) {
     // Leaving out one place would make the others look complete.
     if (!IsPlace(item)) return std::nullopt;
-    record.places.push_back(
-        {{item[0], {item[1], item[2]}}, Ms{item[3].get<int64_t>()}});
+    record.places.push_back({{item[0], {item[1], item[2]}}, *MsOf(item[3])});
   }
   const auto streams = row.find("streams");
   if (streams == row.end() || !streams->is_object()) return record;
@@ -121,10 +115,9 @@
     const auto it = index.find(stream.place);
     if (it != index.end()) streams[stream.request_id] = it->second;
   }
-  return json{{"at_ms", store_.now().count},
-              {"places", std::move(places)},
-              {"streams", std::move(streams)}}
-      .dump();
+  return DumpJson({{"at_ms", store_.now().count},
+                   {"places", std::move(places)},
+                   {"streams", std::move(streams)}});
 }
 
 StreamRecords::OwnPlace& StreamRecords::Own(const RouteOrigin& place,
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -1,10 +1,10 @@
 #include "knapweed/gateway/stream_versions.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
+#include "knapweed/base/json.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -31,20 +31,13 @@
   HttpRequest call;
   call.method = http::verb::post;
   call.target = std::string(path);
-  call.body = body.dump();
+  call.body = DumpJson(body);
   return call;
 }
 
-/// Returns a text field of a message; empty if it is missing or no text.
-std::string TextOf(const json& message, const char* name) {
-  if (!message.is_object()) return {};
-  const auto it = message.find(name);
-  const bool is_text = it != message.end() && it->is_string();
-  return is_text ? it->get<std::string>() : std::string();
-}
-
 std::optional<StreamOrigin> DecodeOrigin(const json& message) {
-  StreamOrigin origin{TextOf(message, "service"), TextOf(message, "version")};
+  StreamOrigin origin{TextField(message, "service"),
+                      TextField(message, "version")};
   if (origin.service.empty() || origin.version.empty()) return std::nullopt;
   return origin;
 }
@@ -168,7 +161,7 @@
       PostJson(kStreamOriginPath, {{"request", request_id}});
   const HttpResponse response = co_await send_(peer, call, kAskTimeout);
   if (response.status == 200) {
-    const json message = json::parse(response.body, nullptr, false);
+    const json message = ParseJson(response.body);
     const std::optional<StreamOrigin> origin = DecodeOrigin(message);
     if (origin.has_value()) search->origin = origin;
   }
@@ -178,8 +171,8 @@
 
 HttpResponse StreamVersions::AnswerPeer(const HttpRequest& call) {
   HttpResponse response;
-  const json message = json::parse(call.body, nullptr, false);
-  const std::string request_id = TextOf(message, "request");
+  const json message = ParseJson(call.body);
+  const std::string request_id = TextField(message, "request");
   response.status = 400;
   if (request_id.empty()) return response;
   if (call.target == kStreamBegunPath) {
@@ -193,7 +186,7 @@
   response.status = origin.has_value() ? 200 : 404;
   if (!origin.has_value()) return response;
   response.body =
-      json{{"service", origin->service}, {"version", origin->version}}.dump();
+      DumpJson({{"service", origin->service}, {"version", origin->version}});
   return response;
 }
 
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -1,11 +1,11 @@
 #include "knapweed/gateway/turns.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
 #include "knapweed/base/ids.h"
+#include "knapweed/base/json.h"
 #include "knapweed/base/log.h"
 #include "knapweed/base/parse.h"
 
@@ -79,26 +79,18 @@
   return it != json.end() && it->is_binary();
 }
 
-/// Returns a text field; empty if it is missing or no text.
-std::string TextOf(const nlohmann::json& json, const char* name) {
-  const auto it = json.find(name);
-  const bool is_text = it != json.end() && it->is_string();
-  return is_text ? it->get<std::string>() : std::string();
-}
-
 TurnPtr Decode(const std::string& id, std::string_view bytes) {
   const std::optional<Ms> until = RowsUntil(bytes);
   if (!until.has_value()) return nullptr;
   bytes.remove_prefix(bytes.find('\n') + 1);
-  const nlohmann::json json =
-      nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const nlohmann::json json = ParseCbor(bytes);
   const bool readable =
       json.is_object() && IsBinary(json, "input") && IsBinary(json, "output");
   if (!readable) return nullptr;
   auto turn = std::make_shared<Turn>();
   turn->id = id;
-  turn->workspace = TextOf(json, "workspace");
-  turn->previous = TextOf(json, "previous");
+  turn->workspace = TextField(json, "workspace");
+  turn->previous = TextField(json, "previous");
   if (IsBinary(json, "history")) turn->history = BytesOf(json, "history");
   turn->input = BytesOf(json, "input");
   turn->output = BytesOf(json, "output");
--- a/standins/standin.cc
+++ b/standins/standin.cc
@@ -57,10 +57,6 @@
 void to_json(json& to, const Ms& from) { to = from.count; }
 void from_json(const json& from, Ms& to) { to.count = from.get<int64_t>(); }
 
-std::string DumpJson(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 void SendJson(HttpResponder& responder, int status, const json& body) {
   responder.Send(
       {status, {{"Content-Type", "application/json"}}, DumpJson(body)});
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "knapweed/base/json.h"
 #include "knapweed/http/server.h"
 
 namespace knapweed {
@@ -52,8 +53,6 @@
   return absl::OkStatus();
 }
 
-/// Serializes a JSON value; bytes that are not UTF-8 are replaced.
-std::string DumpJson(const nlohmann::json& value);
 /// Sends a response with a JSON body.
 void SendJson(HttpResponder& responder, int status, const nlohmann::json& body);
 /// Sends {"error":{"message":...}}, the format of chat completion APIs.
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -297,6 +297,29 @@
              "HTTP/1.1 200 X\r\nRequest-Id: " + request.Get("Request-Id") +
              "\r\n" + signature + plain;
       break;
+    case Script::Kind::kEarlierRefusal:
+      text =
+          "HTTP/1.1 503 X\r\nRequest-Id: earlier\r\nNot-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n" +
+          Head(request, 200, signature + plain);
+      break;
+    case Script::Kind::kRefusalWithoutId:
+      text = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" +
+             Head(request, 200, signature + plain);
+      break;
+    case Script::Kind::kMisdirectionWithoutId:
+      text = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n" +
+             Head(request, 200, signature + plain);
+      break;
+    case Script::Kind::kRaw: {
+      text = script.raw;
+      const size_t at = text.find("@ID");
+      if (at != std::string::npos) {
+        text.replace(at, 3, request.Get("Request-Id"));
+      }
+      keep_open = false;
+      break;
+    }
     case Script::Kind::kReset: {
       const std::string partial_response =
           Head(request, 200, signature + "\r\nbod");
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -36,6 +36,15 @@
     /// A response with another request's ID before the response to this one.
     /// Only the first of them states that the server is leaving.
     kMismatched,
+    /// An earlier request's refusal (503, not run) once more, then the response
+    /// to this one, which was run.
+    kEarlierRefusal,
+    /// The same, but the refusal states no request ID.
+    kRefusalWithoutId,
+    /// The same with a 421.
+    kMisdirectionWithoutId,
+    /// The bytes in `raw`; then closes the connection.
+    kRaw,
     /// A response without a length that is cut off by a TCP reset.
     kReset,
     /// No response; closes the connection after 20 s.
@@ -78,6 +87,8 @@
   int break_after = -1;
   /// Delay before the response.
   Ms pause;
+  /// The bytes of `kRaw`; "@ID" in them stands for the request's ID.
+  std::string raw = {};
 };
 
 /// A request as the server received it.
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -73,7 +73,12 @@
 
 void FakeStore::Put(const std::string& table, const std::string& key,
                     const std::string& value) {
-  rows_[{table, "", key}] = {value, ++version_, false};
+  PutInPart(table, "", key, value);
+}
+
+void FakeStore::PutInPart(const std::string& table, const std::string& part,
+                          const std::string& key, const std::string& value) {
+  rows_[{table, part, key}] = {value, ++version_, false};
 }
 
 void FakeStore::Remove(const std::string& table, const std::string& key) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -47,6 +47,9 @@
   /// apply.
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
+  /// The same in a named part.
+  void PutInPart(const std::string& table, const std::string& part,
+                 const std::string& key, const std::string& value);
   /// Deletes a row directly.
   void Remove(const std::string& table, const std::string& key);
   /// Returns the value of the first row with this key in any part; empty if
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -230,6 +230,39 @@
   CHECK(cluster.Call(call).status == 200);
 }
 
+// Guards against a refusal that is believed for another request than the one it
+// answers: the caller would be told "not run" of a call that ran, or the call
+// would run a second time elsewhere.
+TEST_CASE("a refusal counts only for the request whose id it states") {
+  using Kind = Script::Kind;
+  struct Row {
+    const char* what;
+    Kind kind;
+    int status;
+  };
+  const Row rows[] = {
+      {"of an earlier request", Kind::kEarlierRefusal, 200},
+      {"of no request", Kind::kRefusalWithoutId, 502},
+      {"of another instance and no request", Kind::kMisdirectionWithoutId, 502},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    TestCluster cluster(1, 3);
+    // Connections that are kept.
+    for (int i = 0; i < 6; ++i) cluster.Call(PlainCall("/safe/x"));
+    for (auto& server : cluster.plain) server->received.clear();
+    for (auto& server : cluster.plain) server->default_script.kind = row.kind;
+    constexpr int kCalls = 6;
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string id = "once-" + std::to_string(i);
+      CHECK(cluster.Call(PlainCall("/once/x", id)).status == row.status);
+      cluster.RunFor(Ms{100});
+    }
+    CHECK(cluster.CountPlainRequests() == kCalls);
+  }
+}
+
 // Guards against a key check that is skipped because a table is empty: taking
 // away the last key must not open the system to everybody.
 TEST_CASE("a route that is not public needs a key whatever keys there are") {
