Count one crash of an upstream once, whatever requests it broke off

Cause: the request's id was part of the name of a crash, so each copy that one crash broke off counted as a crash of its own. Turns were told apart by their new input alone, whatever history it continued.

Change: a crash is named by the upstream's id and the start of its incarnation, alike at all gateways. The digest contains the id of the turn that is continued. The rule counts servers, so this is what it asks.

--- a/include/knapweed/gateway/crash_watch.h
+++ b/include/knapweed/gateway/crash_watch.h
@@ -16,10 +16,18 @@
 /// gateway recognizes such a request when it is retried.
 namespace knapweed::gateway {
 
-/// Returns a digest of what stays the same when a caller retries a request:
-/// workspace, target and body.
-uint64_t RequestDigest(std::string_view workspace, std::string_view target,
-                       std::string_view body);
+/// What tells one request from another: the same caller may send it again with
+/// another id and under another program.
+struct DigestedRequest {
+  std::string_view workspace;
+  std::string_view target;
+  /// Stands for the history that precedes the body.
+  std::string_view previous_turn;
+  std::string_view body;
+};
+
+/// Identifies a request.
+uint64_t RequestDigest(const DigestedRequest& request);
 
 /// Records crashes of upstreams and finds the requests that cause them.
 class CrashWatch {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -308,9 +308,14 @@
 }
 
 uint64_t CallRunner::DigestOf(const State& state) {
-  return RequestDigest(
-      state.workspace != nullptr ? state.workspace->name : std::string_view(),
-      state.request.target, *state.request.body);
+  DigestedRequest request;
+  if (state.workspace != nullptr) request.workspace = state.workspace->name;
+  request.target = state.request.target;
+  if (state.route != nullptr && state.route->keeps_history) {
+    request.previous_turn = state.request.head.previous_turn;
+  }
+  request.body = *state.request.body;
+  return RequestDigest(request);
 }
 
 bool CallRunner::MayRunAgain(const State& state) const {
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -36,9 +36,10 @@
 
 }  // namespace
 
-uint64_t RequestDigest(std::string_view workspace, std::string_view target,
-                       std::string_view body) {
-  return HashBytes(body, HashBytes(target, HashBytes(workspace)));
+uint64_t RequestDigest(const DigestedRequest& request) {
+  const uint64_t caller = HashBytes(request.workspace);
+  const uint64_t place = HashBytes(request.target, caller);
+  return HashBytes(request.body, HashBytes(request.previous_turn, place));
 }
 
 CrashWatch::CrashWatch(asio::io_context& loop)
@@ -66,8 +67,11 @@
   if (alive) co_return;
   CrashRecord record;
   record.digest = digest;
-  // The request id makes a second crash of a restarted upstream count too.
-  record.upstream_hash = HashBytes(request_id, HashBytes(upstream->entry.id));
+  // One crash breaks off all requests of an incarnation and counts once; the
+  // next incarnation, also under the same id, can crash again.
+  record.upstream_hash =
+      HashBytes(std::to_string(upstream->entry.started_at_ms),
+                HashBytes(upstream->entry.id));
   record.at = WallTime();
   AddOwn(record);
   kLog.Warning("An upstream crashed while running a request.",
