Don't wait for the body that the answer to a HEAD does not have

Callers saw: a HEAD at a service that answers it with a length and no body, as HTTP asks, waited until its deadline.

Cause: the response parser was not told that the request was a HEAD.

Change: it is, and the length that the upstream states reaches the caller.

Evidence: "a HEAD is answered with the length of the body and without it" gets no answer in 1 s without the change (6 checks) and passes with it.

--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -115,7 +115,12 @@
     co_return co_await ForwardBody(state, upstream, std::move(body));
   }
   state->status = status;
-  const http::fields fields = WithoutHopFields(attempt.header());
+  http::fields fields = WithoutHopFields(attempt.header());
+  // The length of the body that a GET would have.
+  const auto length = attempt.header().find(http::field::content_length);
+  if (state->request.method == "HEAD" && length != attempt.header().end()) {
+    fields.set(http::field::content_length, length->value());
+  }
   const bool sent = co_await state->link.WriteResponse(status, fields, body);
   if (!sent) state->caller_disconnected = true;
   co_return Step::kDone;
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -96,6 +96,7 @@
   parser_ = std::make_unique<Parser>();
   parser_->header_limit(kMaxResponseHeaderBytes);
   parser_->body_limit(kMaxResponseBodyBytes);
+  parser_->skip(write_->request.method() == http::verb::head);
   NetErrorCode ec;
   co_await http::async_read_header(
       write_->conn->stream, write_->conn->buf, *parser_,
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -334,7 +334,9 @@
   message.result(status);
   message.body() = {body.data(), body.size()};
   const bool has_body = status != 204 && status != 304;
-  if (has_body) {
+  const bool states_length =
+      is_head_request_ && fields.count(http::field::content_length) > 0;
+  if (has_body && !states_length) {
     message.set(http::field::content_length, std::to_string(body.size()));
   }
   if (!has_body || is_head_request_) message.body() = {};
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -257,6 +257,11 @@
   if (was_endless) co_return false;
   std::string text;
   bool keep_open = true;
+  if (request.method == "HEAD") {
+    text = Head(request, 200, signature + "Content-Length: 4\r\n\r\n");
+    const bool written = co_await WriteText(stream, text);
+    co_return written;
+  }
   switch (script.kind) {
     case Script::Kind::kPlain:
       text = Head(request, 200, signature + plain);
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -230,6 +230,21 @@
   CHECK(cluster.Call(call).status == 200);
 }
 
+// Guards against a wait for a body that the answer to a HEAD does not have.
+TEST_CASE("a HEAD is answered with the length of the body and without it") {
+  TestCluster cluster;
+  for (int i = 0; i < 2; ++i) {
+    const std::string text =
+        "HEAD /safe/x HTTP/1.1\r\nHost: " + std::string(kHost) +
+        "\r\nKey: key1\r\nRequest-Id: h\r\n"
+        "Connection: close\r\n\r\n";
+    const std::string response = cluster.SendRaw(text, 0, Ms{1000});
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(response.find("Content-Length: 4\r\n") != std::string::npos);
+    CHECK(response.ends_with("\r\n\r\n"));
+  }
+}
+
 // Guards against a refusal that is believed for another request than the one it
 // answers: the caller would be told "not run" of a call that ran, or the call
 // would run a second time elsewhere.
