Never continue a turn of which only the end is stored

Cause: FinishStream stores what this request forwarded, and the request that brought the first events had ended elsewhere.

Change: such a turn is stored with a mark in place of its text. A turn that names it is refused with the reason (503, not run).

Evidence: "a turn that its caller resumed is not continued without its start" fails without the check of the mark (3 checks) and passes with it.

--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -36,6 +36,9 @@
   std::string input;
   /// The data of each event, followed by a line feed.
   std::string output;
+  /// Its caller resumed it by another request, so the start of its output is
+  /// not known here, and no turn can continue it.
+  bool lacks_start = false;
   /// It holds a part of the text of a turn that is too long for one commit, and
   /// is no turn that a caller can name.
   bool is_section = false;
@@ -45,7 +48,13 @@
 using TurnPtr = std::shared_ptr<const Turn>;
 
 /// `kUnavailable`: the store did not answer, or the chain is damaged.
-enum class HistoryOutcome : uint8_t { kFound, kNotFound, kUnavailable };
+/// `kIncomplete`: a turn of the chain lacks the start of its output.
+enum class HistoryOutcome : uint8_t {
+  kFound,
+  kNotFound,
+  kUnavailable,
+  kIncomplete,
+};
 
 /// The text of a chain of turns, oldest first.
 struct History {
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -179,6 +179,10 @@
     co_await Refuse(state, 404, Ms{0}, "no such turn");
     co_return Step::kDone;
   }
+  if (history.outcome == HistoryOutcome::kIncomplete) {
+    co_await Refuse(state, 503, Ms{0}, "history lacks the start of a turn");
+    co_return Step::kDone;
+  }
   if (history.outcome == HistoryOutcome::kUnavailable) {
     co_await Refuse(state, 503, StoreRetryAfter(), "history out of reach");
     co_return Step::kDone;
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -263,7 +263,8 @@
     if (state->workspace != nullptr) turn->workspace = state->workspace->name;
     turn->previous = head.previous_turn;
     turn->input = *state->request.body;
-    turn->output = std::move(state->output);
+    turn->lacks_start = head.resume_after.value_or(0) > 0;
+    if (!turn->lacks_start) turn->output = std::move(state->output);
     const Ms ttl = state->route->history_ttl;
     const bool outlives = !turn->previous.empty() &&
                           deps_.turns.OutlivesChain(state->chain_until, ttl);
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -47,6 +47,7 @@
                          {"output", bytes(turn.output)}};
   if (turn.history.has_value()) json["history"] = bytes(*turn.history);
   if (turn.is_section) json["section"] = true;
+  if (turn.lacks_start) json["lacks_start"] = true;
   std::string out;
   nlohmann::json::to_cbor(json, out);
   return std::to_string(turn.rows_until.count) + '\n' + out;
@@ -95,6 +96,7 @@
   turn->input = BytesOf(json, "input");
   turn->output = BytesOf(json, "output");
   turn->is_section = json.contains("section");
+  turn->lacks_start = json.contains("lacks_start");
   turn->rows_until = *until;
   return turn;
 }
@@ -232,6 +234,10 @@
       history.outcome = HistoryOutcome::kNotFound;
       co_return history;
     }
+    if (turn->lacks_start) {
+      history.outcome = HistoryOutcome::kIncomplete;
+      co_return history;
+    }
     history.outcome = HistoryOutcome::kUnavailable;
     history.rows_until = named ? turn->rows_until
                                : std::min(history.rows_until, turn->rows_until);
--- a/tests/platform/turns_test.cc
+++ b/tests/platform/turns_test.cc
@@ -120,6 +120,34 @@
   }
 }
 
+// Guards against a turn that runs on a history without the events that another
+// request brought.
+TEST_CASE("a turn that its caller resumed is not continued without its start") {
+  TestCluster cluster(1, 2);
+  KeepTurnsFor(cluster, Seconds(60));
+  cluster.Configure([](nlohmann::json& config) {
+    config["routes"][1]["resumable"] = true;
+    config["routes"][1]["max_attempts"] = 1;
+  });
+  cluster.RunFor(Ms{300});
+  for (auto& engine : cluster.engines) {
+    engine->scripts.push_back({Script::Kind::kEvents, 3, 1, Ms{0}});
+  }
+  CHECK_FALSE(RunTurn(cluster, "begun", "", "one;", 0).complete);
+  for (auto& engine : cluster.engines) engine->scripts.clear();
+  CallerRequest resume = PlainCall("/kept/x", "resumed");
+  resume.body = "one;";
+  resume.headers["Last-Event-Id"] = "1";
+  resume.headers["Resumes"] = "begun";
+  const CallerResponse rest = cluster.Call(resume);
+  CHECK(rest.complete);
+  CHECK(rest.body.find("word1") == std::string::npos);
+  const CallerResponse next = RunTurn(cluster, "next", "resumed", "two;", 0);
+  CHECK(next.status == 503);
+  CHECK(next.body.find("lacks the start") != std::string::npos);
+  CHECK(BodyOf(cluster, "next").empty());
+}
+
 // Guards against turns of many rows that are stored and can't be read back.
 TEST_CASE("a turn of any size is read back by another gateway") {
   const size_t sizes[] = {
