--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -245,6 +245,17 @@
   }
 }
 
+// Guards against turns whose tokens no budget counts before they run.
+TEST_CASE("a turn with a budget states the most tokens that it generates") {
+  TestCluster cluster;
+  CallerRequest turn = TurnCall("t1", "p1", 100, 20);
+  turn.headers.erase("Token-Usage");
+  CHECK(cluster.Call(turn).status == 400);
+  turn.headers["Token-Usage"] = "100,0";
+  CHECK(cluster.Call(turn).status == 400);
+  CHECK(cluster.EngineRequests().empty());
+}
+
 // Guards against a refusal that is believed for another request than the one it
 // answers: the caller would be told "not run" of a call that ran, or the call
 // would run a second time elsewhere.
