Satisfy the linter in the new tests; give their requests valid ids

The new case of users_platform__stop_test used ids with spaces, which are refused since identifiers are checked: 8 of its checks failed in a whole run.

--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -25,6 +25,25 @@
   return size + text + "\r\n";
 }
 
+/// Returns a refusal that answers no request at hand.
+std::string StrayRefusal(Script::Kind kind) {
+  if (kind == Script::Kind::kMisdirectionWithoutId) {
+    return "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n";
+  }
+  const bool has_id = kind == Script::Kind::kEarlierRefusal;
+  return std::string("HTTP/1.1 503 X\r\n") +
+         (has_id ? "Request-Id: earlier\r\n" : "") +
+         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Returns the bytes of `kRaw` with the ID in its place.
+std::string RawText(std::string text, const std::string& request_id) {
+  constexpr std::string_view kPlace = "@ID";
+  const size_t at = text.find(kPlace);
+  if (at != std::string::npos) text.replace(at, kPlace.size(), request_id);
+  return text;
+}
+
 std::string EventText(int number) {
   const std::string n = std::to_string(number);
   return "id: " + n + "\ndata: word" + n + "\n\n";
@@ -303,28 +322,14 @@
              "\r\n" + signature + plain;
       break;
     case Script::Kind::kEarlierRefusal:
-      text =
-          "HTTP/1.1 503 X\r\nRequest-Id: earlier\r\nNot-Executed: 1\r\n"
-          "Content-Length: 0\r\n\r\n" +
-          Head(request, 200, signature + plain);
-      break;
     case Script::Kind::kRefusalWithoutId:
-      text = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" +
-             Head(request, 200, signature + plain);
-      break;
     case Script::Kind::kMisdirectionWithoutId:
-      text = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n" +
-             Head(request, 200, signature + plain);
+      text = StrayRefusal(script.kind) + Head(request, 200, signature + plain);
       break;
-    case Script::Kind::kRaw: {
-      text = script.raw;
-      const size_t at = text.find("@ID");
-      if (at != std::string::npos) {
-        text.replace(at, 3, request.Get("Request-Id"));
-      }
+    case Script::Kind::kRaw:
+      text = RawText(script.raw, request.Get("Request-Id"));
       keep_open = false;
       break;
-    }
     case Script::Kind::kReset: {
       const std::string partial_response =
           Head(request, 200, signature + "\r\nbod");
--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -263,8 +263,7 @@
                                "Keep-Alive",
                                "Length-Hint"};
   const std::string values[] = {"",
-                                "\xAE"
-                                "alec",
+                                std::string("\xAE") + "alec",
                                 "\xff\xfe",
                                 std::string(150, 'a'),
                                 std::string(3000, 'b'),
@@ -307,15 +306,18 @@
   }
   for (const std::string& name : names) {
     for (const std::string& value : values) {
-      const std::string more = name + ": " + value + "\r\n";
+      const std::string& path = paths[static_cast<size_t>(served) % 5];
+      const std::string usual = text_of("POST", path, "");
       // As the first of its name, before the usual ones.
-      const std::string path = paths[static_cast<size_t>(served) % 5];
-      send("POST " + path + " HTTP/1.1\r\n" + more +
-           text_of("", "", "").substr(std::string("  HTTP/1.1\r\n").size()));
+      std::string text = usual.substr(0, usual.find('\n') + 1);
+      text.append(name).append(": ").append(value).append("\r\n");
+      text.append(usual.substr(usual.find('\n') + 1));
+      send(text);
     }
   }
   const std::string good =
-      text_of("POST", "/kept/x", "Program-Id: p\r\nToken-Budget: 100\r\n");
+      text_of("POST", "/kept/x",
+              "Program-Id: p\r\nToken-Budget: 100\r\nToken-Usage: 10,4\r\n");
   for (int seed = 1; seed <= SeedCount(); ++seed) {
     std::mt19937_64 random(static_cast<uint64_t>(seed));
     for (int i = 0; i < 200; ++i) send(Mutated(good, random));
@@ -336,9 +338,8 @@
   TestCluster cluster(1, 2);
   for (const Row& row : rows) {
     for (const std::string& value :
-         {std::string("\xAE"
-                      "alec"),
-          std::string("a b"), std::string(129, 'a')}) {
+         {std::string("\xAE") + "alec", std::string("a b"),
+          std::string(129, 'a')}) {
       CallerRequest call = PlainCall("/kept/x", "q");
       call.headers[row.name] = value;
       const CallerResponse response = cluster.Call(call);
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -11,7 +11,8 @@
 
 using Kind = Script::Kind;
 
-void SetAll(std::vector<std::unique_ptr<FakeServer>>& servers, Script script) {
+void SetAll(std::vector<std::unique_ptr<FakeServer>>& servers,
+            const Script& script) {
   for (auto& server : servers) server->default_script = script;
 }
 
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -230,7 +230,9 @@
     CHECK_FALSE(before.closes);
   }
   co_await gateway::Sleep(cluster.loop, after);
-  if (!is_kept) co_await gateway::Connect(stream, address, Seconds(1));
+  if (!is_kept) {
+    co_await gateway::Connect(stream, address, Seconds(1));
+  }
   co_await SendOne(stream, text, caller);
   caller.done = true;
 }
@@ -273,7 +275,7 @@
     std::deque<StoppingCaller> callers;
     for (const Row& row : rows) {
       for (const char* path : paths) {
-        const std::string id = std::string(row.what) + path;
+        const std::string id = "q" + std::to_string(callers.size());
         const std::string text = TextOf(path, id, row.deadline);
         gateway::Spawn(cluster.loop,
                        UseAndSend(cluster, is_kept, row.sent_after, text,
@@ -298,8 +300,8 @@
       for (const char* path : paths) {
         const std::string where = path;
         CAPTURE(where);
+        const std::string id = "q" + std::to_string(next);
         const StoppingCaller& caller = callers[next++];
-        const std::string id = what + path;
         bool ran = false;
         for (const auto* servers : {&cluster.engines, &cluster.plain}) {
           for (const auto& server : *servers) {
--- a/tests/platform/stream_version_test.cc
+++ b/tests/platform/stream_version_test.cc
@@ -26,7 +26,7 @@
   cluster.RunFor(Ms{300});
 }
 
-void SetAll(TestCluster& cluster, Script script) {
+void SetAll(TestCluster& cluster, const Script& script) {
   for (auto& engine : cluster.engines) engine->default_script = script;
 }
 
