Tell a starting gateway only recorded places, also while others are not

Cause: a gateway with one place that the store did not hold yet told a peer that starts without the store nothing at all, so that one could begin no streams. Those that wait for a record noticed a lost store only after 1 s.

Change: the peer is told the recorded places, waiting calls are woken by a failed write, and a call that an exception ends after a part of its answer was written closes the connection in place of a second answer.

--- a/include/knapweed/gateway/stream_records.h
+++ b/include/knapweed/gateway/stream_records.h
@@ -85,9 +85,9 @@
   Task<bool> WaitUntilRecorded(RouteOrigin place);
   /// Returns whether several versions of the service are recorded or will be.
   bool HasSeveralVersions(const std::string& service) const;
-  /// Returns the row of this gateway for one that starts without the store, and
-  /// keeps what it names until that one has a row of its own. Nothing if the
-  /// store may not hold all that the row names.
+  /// Returns a row for a gateway that starts without the store, with the places
+  /// that this gateway's row names, and keeps these until that gateway relies
+  /// on them no more. Nothing if there is none.
   std::optional<Row> RowForPeer();
   /// Takes over a peer's row, which was asked for at `asked_at`: its places
   /// count as recorded for a while. Ignores a row that can't be decoded.
@@ -134,7 +134,8 @@
 
   /// Returns nothing if any place of the row can't be decoded.
   static std::optional<Record> Decode(const std::string& value);
-  std::string Encode() const;
+  enum class Places : uint8_t { kAll, kRecorded };
+  std::string Encode(Places places) const;
   /// Adds the place if it is new.
   OwnPlace& Own(const RouteOrigin& place, Ms longest_span);
   /// Returns whether the other gateways still count this gateway's row.
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -75,6 +75,12 @@
 Task<void> CallRunner::RefuseAfterException(StatePtr state) {
   if (state->attempt != nullptr) state->attempt->Abort();
   if (state->last_upstream != nullptr) EndLoad(*state, *state->last_upstream);
+  if (state->status != 0) {
+    // A part of a response may have been written.
+    state->stream_aborted = true;
+    state->link.AbortStream();
+    co_return;
+  }
   co_await Refuse(state, 500, Ms{0}, "internal error");
 }
 
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -102,10 +102,11 @@
   return record;
 }
 
-std::string StreamRecords::Encode() const {
+std::string StreamRecords::Encode(Places which) const {
   json places = json::array();
   std::map<RouteOrigin, size_t> index;
   for (const auto& [place, own] : own_) {
+    if (which == Places::kRecorded && !own.is_recorded) continue;
     index[place] = places.size();
     places.push_back({place.route, place.origin.service, place.origin.version,
                       own.longest_span.count});
@@ -188,14 +189,16 @@
 }
 
 std::optional<Row> StreamRecords::RowForPeer() {
-  const bool all_recorded =
-      RowCounts() &&
-      std::all_of(own_.begin(), own_.end(),
-                  [](const auto& item) { return item.second.is_recorded; });
-  if (own_.empty() || !all_recorded) return std::nullopt;
+  if (!RowCounts()) return std::nullopt;
   const Ms until = clock_.Now() + kPeerReliesOnRow;
-  for (auto& [place, own] : own_) own.needed_until = until;
-  return Row{KeyOf(name_), Encode(), row_version_, false};
+  bool has_place = false;
+  for (auto& [place, own] : own_) {
+    if (!own.is_recorded) continue;
+    own.needed_until = until;
+    has_place = true;
+  }
+  if (!has_place) return std::nullopt;
+  return Row{KeyOf(name_), Encode(Places::kRecorded), row_version_, false};
 }
 
 void StreamRecords::ApplyPeerRow(const Row& row, Ms asked_at) {
@@ -339,7 +342,7 @@
   const RowKey key = KeyOf(name_);
   Commit commit;
   commit.conditions.push_back({key, row_version_});
-  commit.writes.push_back({key, Encode()});
+  commit.writes.push_back({key, Encode(Places::kAll)});
   std::vector<RouteOrigin> written;
   for (const auto& [place, own] : own_) written.push_back(place);
   const size_t streams = begun_.size();
@@ -358,6 +361,8 @@
     co_return true;
   }
   is_changed_ = true;
+  // Those that wait look whether the store is still reachable.
+  written_.Notify();
   if (answer.outcome != StoreOutcome::kConflict) co_return false;
   row_version_ = 0;
   for (const Row& row : answer.rows) {
--- a/tests/gateway__stream_versions_test.cc
+++ b/tests/gateway__stream_versions_test.cc
@@ -454,6 +454,13 @@
   CHECK_FALSE(fleet.Begin(1, "s", "v1"));
   fleet.At(1).ApplyPeerRow(*row, fleet.clock().Now());
   CHECK(fleet.Begin(1, "s", "v1"));
+  // A place that the peer could not record is not told.
+  fleet.List("v2");
+  fleet.RecordPlaces(0);
+  const std::optional<Row> later = fleet.At(0).RowForPeer();
+  REQUIRE(later.has_value());
+  CHECK(later->value.find("v1") != std::string::npos);
+  CHECK(later->value.find("v2") == std::string::npos);
   // The peer may withdraw it by then.
   fleet.clock().Advance(Seconds(50));
   CHECK_FALSE(fleet.Begin(1, "t", "v1"));
