Ask only turns for the most tokens that they generate

Change: it stands where the budget is reserved.

Evidence: "a turn with a budget states the most tokens that it generates" has a call of a plain service, which is served.

--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -205,6 +205,12 @@
   const bool has_budget = state->route->streaming && !head.program.empty() &&
                           head.token_budget.has_value();
   if (!has_budget) co_return Step::kNext;
+  if (head.max_output_tokens == 0) {
+    // A reservation of nothing always fits.
+    co_await Refuse(state, 400, Ms{0},
+                    "token budget without the most tokens of a turn");
+    co_return Step::kDone;
+  }
   state->ticket.program = head.program;
   if (state->workspace != nullptr) {
     state->ticket.program = state->workspace->name + "/" + head.program;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -123,10 +123,6 @@
   if (!IsValidId(head.program)) return "malformed program id";
   if (!IsValidId(head.previous_turn)) return "malformed id of previous turn";
   if (!IsValidId(head.begun_by)) return "malformed id of resumed request";
-  // Such a turn could not be counted before it runs.
-  if (head.token_budget.has_value() && head.max_output_tokens == 0) {
-    return "token budget without the most tokens of a turn";
-  }
   return {};
 }
 
--- a/tests/platform/path_test.cc
+++ b/tests/platform/path_test.cc
@@ -255,6 +255,9 @@
   turn.headers["Token-Usage"] = "100,0";
   CHECK(cluster.Call(turn).status == 400);
   CHECK(cluster.EngineRequests().empty());
+  // A call that is no turn generates none.
+  turn.path = "/safe/x";
+  CHECK(cluster.Call(turn).status == 200);
 }
 
 // Guards against a refusal that is believed for another request than the one it
