--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -26,6 +26,9 @@
   std::vector<LimitRecord> limits;
 };
 
+/// Table with one row a gateway, which holds its announcement.
+inline constexpr char kGatewayTable[] = "gateways";
+
 std::string EncodeAnnouncement(const Announcement& announcement);
 
 /// Decodes a row's value. Skips the usage of a workspace and the limit of an
--- a/include/knapweed/gateway/stream_records.h
+++ b/include/knapweed/gateway/stream_records.h
@@ -160,7 +160,7 @@
   std::string name_;
   std::map<RouteOrigin, OwnPlace> own_;
   /// Places that a peer's row names, and until when a stream may begin there.
-  std::map<RouteOrigin, Ms> vouched_;
+  std::map<RouteOrigin, Ms> peer_places_;
   std::deque<BegunStream> begun_;
   /// The row differs from what it should be.
   bool is_changed_ = false;
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -32,6 +32,25 @@
 /// Time that the last answer of a process needs before its end.
 constexpr Ms kLastAnswerTime{100};
 
+/// Longest identifier that fits in a row's key beside what is added to it.
+constexpr size_t kMaxIdBytes = 128;
+
+/// Returns whether an identifier can be a part of rows and messages as it is.
+bool IsValidId(std::string_view id) {
+  const auto is_printable = [](char c) { return c > ' ' && c <= '~'; };
+  return id.size() <= kMaxIdBytes &&
+         std::all_of(id.begin(), id.end(), is_printable);
+}
+
+/// Returns what is wrong with a call's fields; empty if nothing is.
+std::string_view FaultOf(const CallHead& head) {
+  if (!IsValidId(head.request_id)) return "malformed request id";
+  if (!IsValidId(head.program)) return "malformed program id";
+  if (!IsValidId(head.previous_turn)) return "malformed id of previous turn";
+  if (!IsValidId(head.begun_by)) return "malformed id of resumed request";
+  return {};
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -45,6 +64,13 @@
   return long_outage ? kRetryLongOutage : kRetryShortOutage;
 }
 
+Task<CallRunner::Step> CallRunner::CheckFields(StatePtr state) {
+  const std::string_view fault = FaultOf(state->request.head);
+  if (fault.empty()) co_return Step::kNext;
+  co_await Refuse(state, 400, Ms{0}, fault);
+  co_return Step::kDone;
+}
+
 Task<CallRunner::Step> CallRunner::ResolveRoute(StatePtr state) {
   const CallHead& head = state->request.head;
   state->config = deps_.view.config;
--- /dev/null
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -0,0 +1,143 @@
+// The table of gateways: what this one announces of itself, and what it takes
+// over from the others.
+#include <algorithm>
+#include <utility>
+
+#include "knapweed/base/log.h"
+#include "knapweed/gateway/fleet_watch.h"
+
+namespace knapweed::gateway {
+namespace {
+
+constexpr Logger kLog("watch");
+
+/// Interval at which a gateway publishes how many calls it has admitted.
+constexpr Ms kAnnounceInterval{600};
+/// A gateway counts as running if its last announcement is no older than this.
+/// Longer than the rate window, so that the calls it admitted stay counted for
+/// the whole window.
+constexpr Ms kAnnouncementTtl{9000};
+
+}  // namespace
+
+std::vector<LimitRecord> FleetWatch::LimitsToTell() {
+  std::vector<LimitRecord> records = send_limits_.Records();
+  const Ms to_store_clock = store_.StoreNow() - clock_.Now();
+  for (LimitRecord& record : records) {
+    record.limit.observed_at += to_store_clock;
+  }
+  return records;
+}
+
+Task<bool> FleetWatch::Announce() {
+  const Announcement announcement{self_.peer_address, store_.StoreNow(),
+                                  quotas_.OwnUse(), crashes_.OwnRecords(),
+                                  LimitsToTell()};
+  const RowKey key{kGatewayTable, "", self_.name};
+  Commit commit;
+  commit.conditions.push_back({key, own_row_version_});
+  commit.writes.push_back({key, EncodeAnnouncement(announcement)});
+  const StoreAnswer answer = co_await store_.Apply(commit);
+  if (answer.outcome == StoreOutcome::kDone) {
+    own_row_version_ = answer.version;
+    co_return true;
+  }
+  if (answer.outcome == StoreOutcome::kConflict) {
+    own_row_version_ = 0;
+    for (const Row& row : answer.rows) {
+      if (row.key == key && !row.deleted) own_row_version_ = row.version;
+    }
+  }
+  co_return false;
+}
+
+std::optional<Announcement> FleetWatch::ReadAnnouncement(const Row& row, Ms now,
+                                                         Ms age) {
+  absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
+  if (!told.ok()) {
+    kLog.Warning("A gateway's row can't be decoded.",
+                 {{"key", row.key.key}, {"error", told.status().ToString()}});
+    return std::nullopt;
+  }
+  const bool is_other = row.key.key != self_.name;
+  if (!is_other || now - told->at > kAnnouncementTtl) return std::nullopt;
+  crashes_.MergeRecords(told->crashes);
+  for (LimitRecord& record : told->limits) {
+    // From the store's clock to that of this process.
+    record.limit.observed_at += clock_.Now() - age - now;
+  }
+  send_limits_.MergeRecords(told->limits);
+  return *std::move(told);
+}
+
+void FleetWatch::ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age) {
+  std::vector<Address> peers;
+  std::vector<UseByWorkspace> uses;
+  gateway_rows_ = rows;
+  gateways_read_at_ = clock_.Now() - age;
+  for (const Row& row : rows) {
+    RunStep("a row of a gateway", [&] {
+      std::optional<Announcement> told = ReadAnnouncement(row, now, age);
+      if (!told.has_value()) return;
+      uses.push_back(std::move(told->use));
+      peers.push_back(told->peer_address);
+    });
+  }
+  quotas_.SetOthers(uses, age);
+  budgets_.SetOthers(peers);
+  starts_.SetOthers(peers);
+  send_limits_.SetOthers(peers);
+  stream_versions_.SetOthers(peers);
+  gateways_read_ = true;
+  for (const Address& seed : seeds_) {
+    if (std::find(peers.begin(), peers.end(), seed) == peers.end()) {
+      peers.push_back(seed);
+    }
+  }
+  store_.SetPeers(std::move(peers));
+}
+
+void FleetWatch::RestoreOwnUseFrom(const std::vector<Row>& rows, Ms now) {
+  own_use_restored_ = true;
+  for (const Row& row : rows) {
+    if (row.key.key != self_.name) continue;
+    own_row_version_ = row.version;
+    const absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
+    if (told.ok()) quotas_.RestoreUse(told->use, now - told->at);
+  }
+}
+
+Task<void> FleetWatch::RestoreOwnUse() {
+  constexpr Ms kRetry{100};
+  std::vector<Row> rows;
+  uint64_t version = 0;
+  while (!own_use_restored_) {
+    const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
+    if (read && !own_use_restored_) RestoreOwnUseFrom(rows, store_.StoreNow());
+    if (!read) {
+      co_await Sleep(loop_, kRetry);
+    }
+  }
+}
+
+Task<void> FleetWatch::FollowGateways() {
+  // The first read of the configuration sets the store's clock.
+  while (view_.config == nullptr) {
+    co_await Sleep(loop_, Ms{50});
+  }
+  constexpr Ms kRetry{300};
+  co_await RestoreOwnUse();
+  while (true) {
+    bool ok = co_await Announce();
+    if (!ok) {
+      ok = co_await Announce();
+    }
+    std::vector<Row> rows;
+    uint64_t version = 0;
+    const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
+    if (read) ApplyGateways(rows, store_.StoreNow(), Ms{0});
+    co_await Sleep(loop_, ok && read ? kAnnounceInterval : kRetry);
+  }
+}
+
+}  // namespace knapweed::gateway
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -157,8 +157,8 @@
   const auto it = own_.find(place);
   const bool in_own_row = it != own_.end() && it->second.is_recorded;
   if (in_own_row && RowCounts()) return true;
-  const auto vouched = vouched_.find(place);
-  return vouched != vouched_.end() && clock_.Now() < vouched->second;
+  const auto told = peer_places_.find(place);
+  return told != peer_places_.end() && clock_.Now() < told->second;
 }
 
 bool StreamRecords::HasUnrecorded() const {
@@ -205,7 +205,7 @@
   const std::optional<Record> record = Decode(row.value);
   if (!record.has_value()) return;
   for (const Place& place : record->places) {
-    vouched_[place.at] = asked_at + kRelyOnPeerRow;
+    peer_places_[place.at] = asked_at + kRelyOnPeerRow;
   }
 }
 
--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -187,6 +187,55 @@
   CHECK(gateway::ExceptionsReported() == 0);
 }
 
+// Guards against numbers that are cut to another size or converted out of
+// range, and against keys that break out of a header.
+TEST_CASE("an entry with a field out of range names no upstream") {
+  struct Row {
+    const char* id;
+    const char* field;
+    nlohmann::json value;
+    bool is_named;
+  };
+  const Row rows[] = {
+      {"i-1", "slots", 4, true},
+      {"i-1", "slots", 4294967296, false},
+      {"i-1", "slots", -1, false},
+      {"i-1", "cold_remaining_ms", 1e300, false},
+      {"i-1", "cold_remaining_ms", -1, false},
+      {"i-1", "address", "127.0.0.1:65536", false},
+      {"i-1", "address", "127.0.0.1:0", false},
+      {"i-1\r\nEvil: 1", "slots", 4, false},
+      {"i 1", "slots", 4, false},
+      {"", "slots", 4, false},
+  };
+  for (const Row& row : rows) {
+    const std::string what =
+        std::string(row.id) + " " + row.field + " " + row.value.dump();
+    CAPTURE(what);
+    nlohmann::json entry = {{"service", "plain"},
+                            {"address", "127.0.0.1:9"},
+                            {"zone", "a"},
+                            {"version", "v1"},
+                            {"state", "ready"}};
+    entry[row.field] = row.value;
+    CHECK(users_platform::DecodeUpstream(row.id, entry.dump()).ok() ==
+          row.is_named);
+  }
+}
+
+// Guards against a key of another writer that adds a header to requests.
+TEST_CASE("an entry's key forges no header") {
+  TestCluster cluster(1, 1);
+  FakeServer& server = *cluster.plain[0];
+  cluster.store.Put("servers", "odd\r\nEvil: 1", server.Entry("plain"));
+  cluster.store.Remove("servers", server.id());
+  cluster.RunFor(Ms{400});
+  for (int i = 0; i < 3; ++i) {
+    CHECK(cluster.Call(PlainCall("/safe/x", std::to_string(i))).status == 503);
+  }
+  CHECK(server.received.empty());
+}
+
 // Guards against stored turns that end a gateway when a caller names them.
 TEST_CASE("stored turns of other writers harm no gateway") {
   TestCluster cluster(1, 2);
