Count a later crash of the same upstream again

Cause: since a crash was named by the upstream's id and start alone, and counted once for ten minutes. An upstream that starts again under its id can be crashed again before its row states the new start; such a crash was not counted, so a request that crashes upstreams was not shut out.

What callers saw: users_platform__gateways_test, 'all gateways quarantine a request that crashes its servers', let 6 and 8 requests reach upstreams where 4 are allowed, in 2 of 9 runs.

Change: reports of one upstream and start are of one crash only if they lie less than a second apart (QuarantineOptions::crash_span).

It works because all gateways notice a crash within the time of one check (0.35 s), and an upstream takes longer to come back.

--- a/include/knapweed/policy/quarantine.h
+++ b/include/knapweed/policy/quarantine.h
@@ -30,6 +30,9 @@
   uint32_t min_upstreams = 2;
   /// How long a crash counts.
   Ms expiry = Seconds(3600);
+  /// Reports about one upstream that lie closer together than this are of one
+  /// crash. Zero: all of them are.
+  Ms crash_span;
   /// Maximum number of digests. Beyond it, the one with the oldest last crash
   /// is evicted.
   size_t max_digests = 4096;
@@ -37,7 +40,8 @@
 
 /// Digests of requests that were running when an upstream crashed. Merging is
 /// commutative and idempotent: processes that have merged the same records, in
-/// any order and any number of times, return the same verdicts. Not
+/// any order and any number of times, return the same verdicts, provided that
+/// two crashes of one upstream lie further apart than the reports of one. Not
 /// thread-safe.
 class Quarantine {
  public:
@@ -69,7 +73,8 @@
     Ms cleared_at;
   };
 
-  static bool AddCrash(Entry& entry, const Crash& crash);
+  bool IsSameCrash(const Crash& a, const Crash& b) const;
+  bool AddCrash(Entry& entry, const Crash& crash) const;
   static Ms NewestOf(const Entry& entry);
   void EvictOldest();
 
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -21,6 +21,9 @@
 /// upstream may have crashed for another reason while the request ran there.
 constexpr uint32_t kCrashesToQuarantine = 3;
 constexpr Ms kRecordTtl = Seconds(600);
+/// All gateways notice one crash within this time, and an upstream takes longer
+/// to come back and crash again.
+constexpr Ms kCrashSpan{1000};
 constexpr size_t kMaxDigests = 1024;
 /// Maximum number of published records, newest last.
 constexpr size_t kMaxOwnRecords = 32;
@@ -30,6 +33,7 @@
   QuarantineOptions options;
   options.min_upstreams = kCrashesToQuarantine;
   options.expiry = kRecordTtl;
+  options.crash_span = kCrashSpan;
   options.max_digests = kMaxDigests;
   return options;
 }
@@ -67,8 +71,9 @@
   if (alive) co_return;
   CrashRecord record;
   record.digest = digest;
-  // One crash breaks off all requests of an incarnation and counts once; the
-  // next incarnation, also under the same id, can crash again.
+  // One crash breaks off all requests of an incarnation and counts once. The
+  // next incarnation can crash again, also under the same id and before its row
+  // states another start.
   record.upstream_hash =
       HashBytes(std::to_string(upstream->entry.started_at_ms),
                 HashBytes(upstream->entry.id));
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -7,12 +7,25 @@
 
 Quarantine::Quarantine(const QuarantineOptions& options) : options_(options) {}
 
-bool Quarantine::AddCrash(Entry& entry, const Crash& crash) {
+bool Quarantine::IsSameCrash(const Crash& a, const Crash& b) const {
+  if (a.upstream_hash != b.upstream_hash) return false;
+  if (options_.crash_span == Ms{0}) return true;
+  return std::max(a.at, b.at) - std::min(a.at, b.at) < options_.crash_span;
+}
+
+bool Quarantine::AddCrash(Entry& entry, const Crash& crash) const {
   auto* const begin = entry.crashes.begin();
   auto* end = begin + entry.count;
   auto* it = std::find_if(begin, end, [&](const Crash& known) {
-    return known.upstream_hash == crash.upstream_hash;
+    return IsSameCrash(known, crash);
   });
+  if (it != end && options_.crash_span > Ms{0}) {
+    // The first report tells when it crashed; a later one would move the time
+    // from which the next crash is told apart.
+    if (it->at <= crash.at) return false;
+    it->at = crash.at;
+    return true;
+  }
   if (it != end) {
     if (it->at >= crash.at) return false;
     it->at = crash.at;
--- a/tests/gateway__crash_watch_test.cc
+++ b/tests/gateway__crash_watch_test.cc
@@ -62,6 +62,22 @@
   }
 }
 
+// Guards against a request that crashes the same upstream again and again: it
+// starts again under its id before its row states another start.
+TEST_CASE("an upstream that crashes again later counts again") {
+  asio::io_context loop;
+  CrashWatch watch(loop);
+  constexpr uint64_t kDigest = 7;
+  for (int crash = 0; crash < 3; ++crash) {
+    CHECK_FALSE(watch.IsQuarantined(kDigest));
+    watch.OnBroken(kDigest, DeadUpstream("a", 1), std::to_string(crash));
+    Spawn(loop, Sleep(loop, Ms{1200}));
+    loop.run();
+    loop.restart();
+  }
+  CHECK(watch.IsQuarantined(kDigest));
+}
+
 TEST_CASE("requests with another caller, place, history or body differ") {
   const DigestedRequest request{"ws", "/turn/x", "t1", "yes"};
   const DigestedRequest others[] = {
--- a/tests/policy__failures_test.cc
+++ b/tests/policy__failures_test.cc
@@ -258,6 +258,49 @@
   }
 }
 
+// Guards against a request that goes on crashing upstreams because those that
+// start again under their ids, before their rows tell, count once.
+TEST_CASE("reports of one crash count once, a later crash again") {
+  struct Row {
+    const char* name;
+    std::vector<CrashRecord> records;
+    QuarantineVerdict verdict;
+  };
+  constexpr Ms kSpan{1000};
+  const Row rows[] = {
+      {"reports of one crash by four gateways",
+       {{1, 7, Ms{5000}}, {1, 7, Ms{5200}}, {1, 7, Ms{5400}}, {1, 7, Ms{5990}}},
+       QuarantineVerdict::kSuspect},
+      {"one upstream crashed three times",
+       {{1, 7, Ms{5000}}, {1, 7, Ms{6000}}, {1, 7, Ms{7400}}},
+       QuarantineVerdict::kQuarantined},
+      {"one upstream twice, each reported twice",
+       {{1, 7, Ms{5000}}, {1, 7, Ms{5300}}, {1, 7, Ms{6500}}, {1, 7, Ms{6900}}},
+       QuarantineVerdict::kSuspect},
+      {"two upstreams, one of them twice",
+       {{1, 7, Ms{5000}}, {1, 8, Ms{5100}}, {1, 7, Ms{6500}}},
+       QuarantineVerdict::kQuarantined},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    std::vector<CrashRecord> records = row.records;
+    std::mt19937 random(1);
+    for (int i = 0; i < 20; ++i) {
+      QuarantineOptions options;
+      options.min_upstreams = 3;
+      options.crash_span = kSpan;
+      Quarantine quarantine(options);
+      for (const CrashRecord& it : records) quarantine.Merge(it);
+      for (const CrashRecord& it : records) CHECK_FALSE(quarantine.Merge(it));
+      CHECK(quarantine.VerdictOf(1, Ms{8000}) == row.verdict);
+      Quarantine peer(options);
+      for (const CrashRecord& it : quarantine.Records()) peer.Merge(it);
+      CHECK(peer.VerdictOf(1, Ms{8000}) == row.verdict);
+      std::shuffle(records.begin(), records.end(), random);
+    }
+  }
+}
+
 TEST_CASE("the number of quarantine digests is bounded") {
   QuarantineOptions options;
   options.max_digests = 10;
