Return the allowances of a stopped gateway in time at a slow store

Cause: Budgets::Flush wrote one program after the other, and a stop called it after the grace less 0.7 s, so a slow store made a stop outlast its grace and left allowances that count as spent after 12 s. In operation the same made confirmations (every 3 s) late. A grace shorter than 3.7 s ended in the middle of the wait before listening stops. An exception between lock and unlock would have kept a program locked for good, and one in a question to a peer would have kept a resumed stream waiting for ever.

Change: eight writes at once, until a given time; a stop takes over from a flush under way. Listening stops no later than the process ends. A lock is given back also after an exception, and questions to peers have an end.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -141,9 +141,10 @@
   /// Sets the peer addresses of the other serving gateways.
   void SetOthers(std::span<const Address> others) { peers_.SetOthers(others); }
   /// Writes pending spending to the store, returns allowances of programs that
-  /// have been idle for a while and confirms those in use. With `all`, returns
-  /// every token that running turns do not need. Must be called periodically.
-  Task<void> Flush(bool all);
+  /// have been idle for a while and confirms those in use, until `until` at
+  /// most. With `all`, returns every token that running turns do not need. Must
+  /// be called periodically.
+  Task<void> Flush(bool all, Ms until);
 
  private:
   struct Program {
@@ -176,8 +177,15 @@
     Ms expires_at;
   };
 
+  /// Programs that are due, shared by the coroutines that write them.
+  struct FlushRun;
+
   Task<ReserveResult> ReserveHere(std::string name, uint64_t budget,
                                   uint64_t tokens, Ms deadline);
+  /// The same for a program that the caller has locked.
+  Task<ReserveResult> ReserveLocked(std::string name, ProgramPtr program,
+                                    uint64_t budget, uint64_t tokens,
+                                    Ms deadline);
   Task<ReserveResult> ReserveAt(Address home, ReservationTicket ticket,
                                 uint64_t budget, Ms deadline, bool* answered);
   void SettleHere(const std::string& name, uint64_t max_tokens, uint64_t spent);
@@ -189,6 +197,9 @@
   Task<Reservation> Claim(std::string name, ProgramPtr program, uint64_t budget,
                           uint64_t max_tokens, Ms deadline);
   Task<bool> WriteBack(std::string name, ProgramPtr program, bool release);
+  /// The same for a program that the caller has locked.
+  Task<bool> WriteLocked(std::string name, ProgramPtr program, bool release);
+  Task<void> WriteDue(std::shared_ptr<FlushRun> run);
   bool IsIdle(const Program& program) const;
   void DropIdle();
 
@@ -201,6 +212,7 @@
   Peers peers_;
   std::map<std::string, ProgramPtr> programs_;
   std::map<std::string, RemoteTurn> remote_turns_;
+  std::shared_ptr<FlushRun> last_flush_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -1,6 +1,8 @@
 #include "knapweed/gateway/budgets.h"
 
 #include <algorithm>
+#include <deque>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -23,6 +25,9 @@
 /// in the store.
 constexpr Ms kDropIdleAfter{60000};
 constexpr Ms kWriteBackTimeout{2000};
+/// Writes of different programs that are under way at once: a slow store must
+/// not keep allowances unconfirmed until they count as spent.
+constexpr size_t kWritesAtOnce = 8;
 /// A refusal is repeated for this long without reading the row again.
 constexpr Ms kRefusalCacheTtl{200};
 /// An allowance in use is confirmed at this interval. One that has not been
@@ -323,6 +328,23 @@
   const bool locked = co_await Lock(program, deadline);
   if (!locked) co_return ReserveResult{};
   ReserveResult result;
+  std::exception_ptr failure;
+  try {
+    result = co_await ReserveLocked(std::move(name), program, budget, tokens,
+                                    deadline);
+  } catch (...) {
+    // Left locked, the program would wait for ever.
+    failure = std::current_exception();
+  }
+  Unlock(*program);
+  if (failure) std::rethrow_exception(failure);
+  co_return result;
+}
+
+Task<ReserveResult> Budgets::ReserveLocked(std::string name, ProgramPtr program,
+                                           uint64_t budget, uint64_t tokens,
+                                           Ms deadline) {
+  ReserveResult result;
   result.reservation = Reservation::kReserved;
   const bool lapsed =
       clock_.Now() - program->allowed_at > kAllowanceTtl - kConfirmInterval;
@@ -338,7 +360,6 @@
   }
   result.waited = clock_.Now() - program->first_asked_at;
   if (result.reservation == Reservation::kReserved) program->running += tokens;
-  Unlock(*program);
   co_return result;
 }
 
@@ -352,6 +373,20 @@
 Task<bool> Budgets::WriteBack(std::string name, ProgramPtr program,
                               bool release) {
   program->locked = true;
+  bool written = false;
+  std::exception_ptr failure;
+  try {
+    written = co_await WriteLocked(std::move(name), program, release);
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  Unlock(*program);
+  if (failure) std::rethrow_exception(failure);
+  co_return written;
+}
+
+Task<bool> Budgets::WriteLocked(std::string name, ProgramPtr program,
+                                bool release) {
   BudgetClaim claim;
   claim.gateway = gateway_;
   claim.spent = program->spent;
@@ -378,7 +413,6 @@
     program->allowance = claim.running;
     program->allowed_at = clock_.Now();
   }
-  Unlock(*program);
   co_return outcome == UpdateOutcome::kChanged;
 }
 
@@ -388,23 +422,54 @@
   return program.running == 0 && clock_.Now() - program.used_at >= idle_for;
 }
 
-Task<void> Budgets::Flush(bool all) {
+struct Budgets::FlushRun {
+  explicit FlushRun(asio::io_context& loop) : ended(loop) {}
+  std::deque<std::pair<std::string, ProgramPtr>> due;
+  bool all = false;
+  Ms until;
+  size_t writers = 0;
+  Event ended;
+};
+
+Task<void> Budgets::WriteDue(std::shared_ptr<FlushRun> run) {
+  while (!run->due.empty() && clock_.Now() < run->until) {
+    const auto [name, program] = std::move(run->due.front());
+    run->due.pop_front();
+    // What another coroutine writes now may keep more than running turns need.
+    bool is_free = !program->locked;
+    if (!is_free && run->all) {
+      is_free = co_await Lock(program, run->until);
+    }
+    if (!is_free) continue;
+    const bool release = run->all || IsIdle(*program);
+    const bool written = co_await WriteBack(name, program, release);
+    if (!written && !store_.reachable()) run->due.clear();
+  }
+  --run->writers;
+  run->ended.Notify();
+}
+
+Task<void> Budgets::Flush(bool all, Ms until) {
   ExpireRemote();
   const Ms now = clock_.Now();
-  std::vector<std::pair<std::string, ProgramPtr>> due;
+  const auto run = std::make_shared<FlushRun>(loop_);
+  run->all = all;
+  run->until = until;
+  if (all && last_flush_ != nullptr) last_flush_->due.clear();
+  last_flush_ = run;
   for (const auto& [name, program] : programs_) {
-    if (program->locked) continue;
+    if (program->locked && !all) continue;
     const bool idle = all || IsIdle(*program);
     const bool old = now - program->allowed_at >= kConfirmInterval;
     if (program->allowance + program->spent > 0 && (idle || old)) {
-      due.emplace_back(name, program);
+      run->due.emplace_back(name, program);
     }
   }
-  for (const auto& [name, program] : due) {
-    if (program->locked) continue;
-    const bool release = all || IsIdle(*program);
-    const bool written = co_await WriteBack(name, program, release);
-    if (!written && !store_.reachable()) break;
+  run->writers = std::min(kWritesAtOnce, run->due.size());
+  const size_t writers = run->writers;
+  for (size_t i = 0; i < writers; ++i) Spawn(loop_, WriteDue(run));
+  while (run->writers > 0 && clock_.Now() < until) {
+    co_await run->ended.Wait(until - clock_.Now());
   }
   DropIdle();
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,9 +26,12 @@
 /// Path on the metrics address that returns the gateway's state as JSON.
 constexpr std::string_view kStatePath = "/state";
 /// Part of the grace period that is reserved for the last responses and budget
-/// settlements.
+/// settlements, and the part of it that the exit of the process needs.
 constexpr Ms kShutdownMargin{700};
+constexpr Ms kExitTime{100};
 constexpr Ms kMaintenanceInterval{250};
+/// Maintenance goes on after this time, whatever the store keeps waiting.
+constexpr Ms kMaxFlushTime{5000};
 
 Task<bool> ReadRows(Store& store, RowRange range, std::vector<Row>* rows) {
   uint64_t version = 0;
@@ -191,7 +194,7 @@
       UpdateResourceGauges();
       kLog.Info("Counters.", {{"metrics", metrics.ToJson()}});
     }
-    co_await budgets.Flush(false);
+    co_await budgets.Flush(false, clock.Now() + kMaxFlushTime);
     co_await turns.RemoveExpired();
     pool.CloseIdle();
     if (watch.ready()) stream_versions.Update();
@@ -310,7 +313,9 @@
   parts.send_limits.StopGranting();
   kLog.Info("Stopping.", {{"under_way", parts.runner.under_way()}});
   constexpr Ms kPollInterval{50};
-  while (parts.clock.Now() < started_at + kDrainNoticeTime) {
+  const Ms stops_accepting_at =
+      std::min(started_at + kDrainNoticeTime, stop_at);
+  while (parts.clock.Now() < stops_accepting_at) {
     co_await Sleep(parts.loop, kPollInterval);
   }
   // New connections are now refused, so that callers try another gateway.
@@ -319,7 +324,8 @@
     parts.front.CloseIdle();
     co_await Sleep(parts.loop, kPollInterval);
   }
-  co_await parts.budgets.Flush(true);
+  co_await parts.budgets.Flush(true,
+                               started_at + parts.config.grace - kExitTime);
   kLog.Info("Stopped.", {{"under_way", parts.runner.under_way()}});
 }
 
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -148,8 +148,11 @@
   for (const Address& peer : asked) {
     Spawn(loop_, Ask(peer, request_id, search));
   }
+  const Ms until = clock_.Now() + kAskTimeout;
   while (search->unanswered > 0 && !search->origin.has_value()) {
-    co_await search->progress.Wait(kAskTimeout);
+    const Ms left = until - clock_.Now();
+    if (left <= Ms{0}) break;
+    co_await search->progress.Wait(left);
   }
   if (search->origin.has_value()) Remember(request_id, *search->origin);
   co_return search->origin;
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -248,6 +248,9 @@
     co_return response;
   }
   const HttpResponse done = Apply(call.body);
+  if (faults.commit_delay > Ms{0}) {
+    co_await Sleep(loop_, faults.commit_delay);
+  }
   if (done.status == 200 && RandomBool(faults.lost_response_rate))
     co_return response;
   co_return done;
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -29,6 +29,8 @@
   /// `late_commit_delay` later, if their conditions still hold then.
   double late_commit_rate = 0;
   Ms late_commit_delay{300};
+  /// Time until the response to a commit that is applied at once.
+  Ms commit_delay;
   /// Feeds that start before this version get 410.
   uint64_t oldest_feed_version = 0;
   /// Feeds return at once instead of waiting for a change.
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -330,5 +330,51 @@
   }
 }
 
+// Guards against allowances of a stopped gateway that stay taken until they
+// count as spent, because a slow store got them one after the other, and
+// against a stop that lasts longer than its grace.
+TEST_CASE("a stop returns the allowances of its programs within the grace") {
+  struct Row {
+    const char* what;
+    Ms grace;
+    Ms commit_delay;
+    int programs;
+  };
+  const Row rows[] = {
+      {"a slow store", Seconds(4), Ms{120}, 24},
+      {"a grace shorter than the time for which it listens", Seconds(2), Ms{4},
+       8},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    TestCluster cluster(1);
+    cluster.configs[0].grace = row.grace;
+    for (int i = 0; i < row.programs; ++i) {
+      const std::string n = std::to_string(i);
+      CHECK(cluster.Call(TurnCall("t" + n, "prog" + n, 1000, 20)).complete);
+    }
+    cluster.store.faults.commit_delay = row.commit_delay;
+    const Clock clock = Clock::Steady();
+    const Ms began = clock.Now();
+    bool stopped = false;
+    const auto shut_down = [&]() -> gateway::Task<void> {
+      co_await cluster.gateways[0]->Shutdown();
+      stopped = true;
+    };
+    gateway::Spawn(cluster.loop, shut_down());
+    CHECK(cluster.RunUntil([&] { return stopped; }, Seconds(12)));
+    CHECK(clock.Now() - began <= row.grace);
+    int returned = 0;
+    for (int i = 0; i < row.programs; ++i) {
+      const std::string key = "ws1/prog" + std::to_string(i);
+      const auto budget =
+          nlohmann::json::parse(cluster.store.Get("budgets", key));
+      if (budget["state"]["allowances"].empty()) ++returned;
+    }
+    CHECK(returned == row.programs);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
