Exchange the use of rates directly while the store is away

Cause: without the store no gateway learns what the others admit. After 2.5 s each spent a share computed from the others' demand of before the outage and its own of now, so that the shares added up to several times the rate; and a gateway without recent calls had next to nothing. When the store came back after more than 9 s, all announcements counted as expired, and each gateway took itself for the only one until the others had written anew: that no row is fresh does not mean that there are no others.

Change: while the store is away, gateways report their use to one of them, the collector, chosen alike by all, and get that of the others; one that does not report counts by its last announcement. The share of a gateway that reaches nobody is taken from its demand at the last exchange. Just after an outage an announcement counts for as much longer as the outage lasted.

--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -29,6 +29,12 @@
 /// Table with one row a gateway, which holds its announcement.
 inline constexpr char kGatewayTable[] = "gateways";
 
+/// Encodes the use of workspaces as the fields "use" and "admitted" of a
+/// message, and decodes these fields. Skips the use of a workspace that is
+/// malformed.
+nlohmann::json EncodeUse(const UseByWorkspace& use);
+UseByWorkspace DecodeUse(const nlohmann::json& message);
+
 std::string EncodeAnnouncement(const Announcement& announcement);
 
 /// Decodes a row's value. Skips the usage of a workspace and the limit of an
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -10,6 +10,7 @@
 #include "knapweed/gateway/call_runner.h"
 #include "knapweed/gateway/known_rows.h"
 #include "knapweed/gateway/store.h"
+#include "knapweed/gateway/use_exchange.h"
 
 /// Replication of the store's tables to the gateway: configuration, upstreams
 /// and the other gateways.
@@ -29,6 +30,7 @@
   Store& store;
   FleetView& view;
   Quotas& quotas;
+  UseExchange& use_exchange;
   ProgramStarts& starts;
   Budgets& budgets;
   SendLimits& send_limits;
@@ -100,6 +102,8 @@
   /// `now` is the store's time when the rows were read; `age` is the time since
   /// then.
   void ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age);
+  /// Returns the age up to which an announcement shows a running gateway.
+  Ms LongestAnnouncementAge() const;
   /// Takes over what another gateway tells of crashes and limits, and returns
   /// its announcement; nothing if it is this gateway's, too old or malformed.
   std::optional<Announcement> ReadAnnouncement(const Row& row, Ms now, Ms age);
@@ -117,6 +121,7 @@
   Store& store_;
   FleetView& view_;
   Quotas& quotas_;
+  UseExchange& use_exchange_;
   ProgramStarts& starts_;
   Budgets& budgets_;
   SendLimits& send_limits_;
--- a/include/knapweed/gateway/peers.h
+++ b/include/knapweed/gateway/peers.h
@@ -82,6 +82,8 @@
 
   /// Returns whether the peer may be asked, i.e. is not being skipped.
   bool MayAsk(const Address& address) const;
+  /// Returns whether there is another gateway that is not being skipped.
+  bool AnyReachable() const;
   /// Skips a peer for a while because it did not answer.
   void Skip(const Address& address);
   /// Ends the time for which a peer counts as unreachable.
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -23,6 +23,15 @@
 /// The load of each workspace, by name.
 using UseByWorkspace = std::map<std::string, WorkspaceUse>;
 
+/// Adds one gateway's use to a sum.
+void AddUse(const UseByWorkspace& use, UseByWorkspace& sum);
+
+/// The use at all other gateways together, and their number.
+struct UseOfOthers {
+  UseByWorkspace use;
+  uint32_t gateways = 0;
+};
+
 /// Whether a call starts a program, and who decides on that.
 enum class ProgramStart : uint8_t {
   /// The call belongs to a program that has started, or to none.
@@ -70,6 +79,8 @@
   /// Replaces the counts of the other serving gateways by those that were read
   /// from the store `age` ago.
   void SetOthers(std::span<const UseByWorkspace> others, Ms age = Ms{0});
+  /// The same for counts that another gateway has added up.
+  void SetUseOfOthers(UseOfOthers others, Ms age);
 
  private:
   static constexpr size_t kSlotsPerWindow = 20;
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -17,11 +17,11 @@
 /// enough.
 double RoundToTenth(double value) { return std::round(value * 10) / 10; }
 
-/// Returns the object `name` of a row; empty if it is missing.
-const json& ObjectOf(const json& row, const char* name) {
+/// Returns the object `name` of a message; empty if it is missing.
+const json& ObjectOf(const json& message, const char* name) {
   static const json kEmpty = json::object();
-  const auto it = row.find(name);
-  return it != row.end() && it->is_object() ? *it : kEmpty;
+  const json* field = FindField(message, name);
+  return field != nullptr && field->is_object() ? *field : kEmpty;
 }
 
 /// Returns whether a value is a number that can count calls: of at least 0 and
@@ -33,32 +33,6 @@
   return n >= 0 && n <= kMost;
 }
 
-UseByWorkspace DecodeUse(const json& use_json, const json& admitted_json) {
-  constexpr size_t kFieldCount = 4;
-  UseByWorkspace use;
-  for (const auto& [name, item] : use_json.items()) {
-    const bool readable = item.is_array() && item.size() == kFieldCount &&
-                          std::all_of(item.begin(), item.end(), IsRate);
-    if (!readable) {
-      kLog.Warning("A gateway's usage of a workspace can't be decoded.",
-                   {{"workspace", name}});
-      continue;
-    }
-    WorkspaceUse one;
-    one.calls = item[0].get<double>();
-    one.demand_per_s = item[1].get<double>();
-    one.programs = item[2].get<double>();
-    one.program_demand_per_s = item[3].get<double>();
-    const auto admitted = admitted_json.find(name);
-    const bool has_admitted =
-        admitted != admitted_json.end() && IsRate(*admitted);
-    one.admitted_per_s =
-        has_admitted ? admitted->get<double>() : one.demand_per_s;
-    use[name] = one;
-  }
-  return use;
-}
-
 /// A limit is an array: start of the incarnation, requests per second or null,
 /// and the age of the statement in ms.
 json EncodeLimit(const LimitRecord& record, Ms at) {
@@ -90,10 +64,38 @@
 
 }  // namespace
 
-std::string EncodeAnnouncement(const Announcement& announcement) {
+UseByWorkspace DecodeUse(const json& message) {
+  constexpr size_t kFieldCount = 4;
+  const json& use_json = ObjectOf(message, "use");
+  const json& admitted_json = ObjectOf(message, "admitted");
+  UseByWorkspace use;
+  for (const auto& [name, item] : use_json.items()) {
+    const bool readable = item.is_array() && item.size() == kFieldCount &&
+                          std::all_of(item.begin(), item.end(), IsRate);
+    if (!readable) {
+      kLog.Warning("A gateway's usage of a workspace can't be decoded.",
+                   {{"workspace", name}});
+      continue;
+    }
+    WorkspaceUse one;
+    one.calls = item[0].get<double>();
+    one.demand_per_s = item[1].get<double>();
+    one.programs = item[2].get<double>();
+    one.program_demand_per_s = item[3].get<double>();
+    const auto admitted = admitted_json.find(name);
+    const bool has_admitted =
+        admitted != admitted_json.end() && IsRate(*admitted);
+    one.admitted_per_s =
+        has_admitted ? admitted->get<double>() : one.demand_per_s;
+    use[name] = one;
+  }
+  return use;
+}
+
+json EncodeUse(const UseByWorkspace& uses) {
   json use = json::object();
   json admitted = json::object();
-  for (const auto& [name, item] : announcement.use) {
+  for (const auto& [name, item] : uses) {
     use[name] = {std::lround(item.calls), RoundToTenth(item.demand_per_s),
                  std::lround(item.programs),
                  RoundToTenth(item.program_demand_per_s)};
@@ -102,16 +104,20 @@
       admitted[name] = RoundToTenth(item.admitted_per_s);
     }
   }
+  return {{"use", std::move(use)}, {"admitted", std::move(admitted)}};
+}
+
+std::string EncodeAnnouncement(const Announcement& announcement) {
   json limits = json::object();
   for (const LimitRecord& record : announcement.limits) {
     limits[record.upstream] = EncodeLimit(record, announcement.at);
   }
-  return DumpJson({{"address", announcement.peer_address.ToString()},
-                   {"at_ms", announcement.at.count},
-                   {"use", std::move(use)},
-                   {"admitted", std::move(admitted)},
-                   {"crashes", announcement.crashes},
-                   {"limits", std::move(limits)}});
+  json row = EncodeUse(announcement.use);
+  row["address"] = announcement.peer_address.ToString();
+  row["at_ms"] = announcement.at.count;
+  row["crashes"] = announcement.crashes;
+  row["limits"] = std::move(limits);
+  return DumpJson(row);
 }
 
 absl::StatusOr<Announcement> DecodeAnnouncement(std::string_view bytes) {
@@ -124,7 +130,7 @@
   const std::optional<Ms> at = MsField(row, "at_ms");
   if (!at.has_value()) return absl::InvalidArgumentError("no time");
   announcement.at = *at;
-  announcement.use = DecodeUse(ObjectOf(row, "use"), ObjectOf(row, "admitted"));
+  announcement.use = DecodeUse(row);
   const auto crashes = row.find("crashes");
   if (crashes != row.end()) announcement.crashes = *crashes;
   announcement.limits = DecodeLimits(ObjectOf(row, "limits"), announcement.at);
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -17,6 +17,9 @@
 /// Longer than the rate window, so that the calls it admitted stay counted for
 /// the whole window.
 constexpr Ms kAnnouncementTtl{9000};
+/// After an outage of the store all gateways announce themselves anew within
+/// this time.
+constexpr Ms kReannounceTime{2000};
 
 }  // namespace
 
@@ -51,6 +54,16 @@
   co_return false;
 }
 
+Ms FleetWatch::LongestAnnouncementAge() const {
+  // An announcement that could not be renewed does not mean that its gateway is
+  // gone.
+  const Ms regained_at = store_.regained_at();
+  const bool has_just_returned =
+      regained_at > Ms{0} && clock_.Now() - regained_at < kReannounceTime;
+  const Ms outage = has_just_returned ? regained_at - store_.lost_at() : Ms{0};
+  return kAnnouncementTtl + std::max(outage, Ms{0});
+}
+
 std::optional<Announcement> FleetWatch::ReadAnnouncement(const Row& row, Ms now,
                                                          Ms age) {
   absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
@@ -60,7 +73,8 @@
     return std::nullopt;
   }
   const bool is_other = row.key.key != self_.name;
-  if (!is_other || now - told->at > kAnnouncementTtl) return std::nullopt;
+  if (!is_other || now - told->at > LongestAnnouncementAge())
+    return std::nullopt;
   crashes_.MergeRecords(told->crashes);
   for (LimitRecord& record : told->limits) {
     // From the store's clock to that of this process.
@@ -72,18 +86,22 @@
 
 void FleetWatch::ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age) {
   std::vector<Address> peers;
-  std::vector<UseByWorkspace> uses;
+  std::map<Address, UseByWorkspace> uses;
   gateway_rows_ = rows;
   gateways_read_at_ = clock_.Now() - age;
   for (const Row& row : rows) {
     RunStep("a row of a gateway", [&] {
       std::optional<Announcement> told = ReadAnnouncement(row, now, age);
       if (!told.has_value()) return;
-      uses.push_back(std::move(told->use));
       peers.push_back(told->peer_address);
+      uses[told->peer_address] = std::move(told->use);
     });
   }
-  quotas_.SetOthers(uses, age);
+  UseOfOthers others;
+  for (const auto& [address, use] : uses) AddUse(use, others.use);
+  others.gateways = static_cast<uint32_t>(uses.size());
+  quotas_.SetUseOfOthers(std::move(others), age);
+  use_exchange_.SetStored(std::move(uses));
   budgets_.SetOthers(peers);
   starts_.SetOthers(peers);
   send_limits_.SetOthers(peers);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -71,6 +71,8 @@
         rows(store, clock, incarnation),
         clients(l, clock),
         quotas(clock, c.quota),
+        use_exchange(l, clock, quotas, c.peers, clients.Sender(),
+                     [this] { return store.reachable(); }),
         starts(clock, clients, quotas, c.peers,
                [this](std::string_view name) {
                  return view.config == nullptr
@@ -92,8 +94,9 @@
                               crashes, memory, metrics, c.failure_domain,
                               c.admit_programs, c.order_by_slack}),
         front(l, clock, d, view, memory, runner),
-        watch(FleetWatchDeps{l, clock, d, store, view, quotas, starts, budgets,
-                             send_limits, stream_versions, crashes},
+        watch(FleetWatchDeps{l, clock, d, store, view, quotas, use_exchange,
+                             starts, budgets, send_limits, stream_versions,
+                             crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
         sweeper(l, store, view, {BudgetTable(), TurnTable(), StreamTable()}) {
     view.upstreams.SetPlacement(c.placement);
@@ -120,6 +123,7 @@
   SharedRows rows;
   PeerClients clients;
   Quotas quotas;
+  UseExchange use_exchange;
   ProgramStarts starts;
   Budgets budgets;
   Turns turns;
@@ -157,6 +161,8 @@
     answer = SnapshotForPeer();
   } else if (call.target == kStartPath) {
     answer = starts.AnswerPeer(call);
+  } else if (call.target == kUsePath) {
+    answer = use_exchange.AnswerPeer(call);
   } else if (call.target == kGrantPath) {
     answer = co_await send_limits.AnswerPeer(call);
   } else if (call.target == kStreamBegunPath ||
@@ -294,6 +300,8 @@
                          {"version", kVersionText}});
   parts.store.Start();
   parts.watch.Start();
+  SpawnForever(parts.loop, "exchanging use",
+               [&parts] { return parts.use_exchange.Run(); });
   SpawnForever(parts.loop, "sweeping rows",
                [&parts] { return parts.sweeper.Run(); });
   SpawnForever(parts.loop, "recording streams",
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -114,6 +114,12 @@
   return it == skipped_until_.end() || it->second <= clock_.Now();
 }
 
+bool Peers::AnyReachable() const {
+  return std::any_of(others_.begin(), others_.end(), [this](const Name& other) {
+    return MayAsk(other.address);
+  });
+}
+
 void Peers::Skip(const Address& address) {
   skipped_until_[address] = clock_.Now() + kSkipTime;
   unreachable_since_.try_emplace(address, clock_.Now());
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -205,18 +205,27 @@
   }
 }
 
-void Quotas::SetOthers(std::span<const UseByWorkspace> others, Ms age) {
-  others_.clear();
-  for (const UseByWorkspace& use : others) {
-    for (const auto& [name, item] : use) {
-      others_[name].calls += item.calls;
-      others_[name].admitted_per_s += item.admitted_per_s;
-      others_[name].demand_per_s += item.demand_per_s;
-      others_[name].programs += item.programs;
-      others_[name].program_demand_per_s += item.program_demand_per_s;
-    }
+void AddUse(const UseByWorkspace& use, UseByWorkspace& sum) {
+  for (const auto& [name, item] : use) {
+    WorkspaceUse& all = sum[name];
+    all.calls += item.calls;
+    all.admitted_per_s += item.admitted_per_s;
+    all.demand_per_s += item.demand_per_s;
+    all.programs += item.programs;
+    all.program_demand_per_s += item.program_demand_per_s;
   }
-  gateways_ = static_cast<uint32_t>(others.size()) + 1;
+}
+
+void Quotas::SetOthers(std::span<const UseByWorkspace> others, Ms age) {
+  UseOfOthers sum;
+  for (const UseByWorkspace& use : others) AddUse(use, sum.use);
+  sum.gateways = static_cast<uint32_t>(others.size());
+  SetUseOfOthers(std::move(sum), age);
+}
+
+void Quotas::SetUseOfOthers(UseOfOthers others, Ms age) {
+  others_ = std::move(others.use);
+  gateways_ = others.gateways + 1;
   others_updated_at_ = clock_.Now() - age;
   UpdateCallsPerProgram();
 }
--- a/src/policy/fleet_quota.cc
+++ b/src/policy/fleet_quota.cc
@@ -122,12 +122,16 @@
 }
 
 double ShareOfRate(const QuotaInput& input) {
-  const double all = input.own.demand_per_s + input.others.demand_per_s;
+  // With counts of two times the shares would add up to more than the rate: the
+  // others' demand of before an outage and the own one of after it.
+  const double own = input.others_age > kOthersStaleAfter
+                         ? input.demand_at_update_per_s
+                         : input.own.demand_per_s;
+  const double all = own + input.others.demand_per_s;
   if (all >= input.rate_per_s) {
-    return input.rate_per_s * input.own.demand_per_s / std::max(all, 1e-9);
+    return input.rate_per_s * own / std::max(all, 1e-9);
   }
-  return input.own.demand_per_s +
-         (input.rate_per_s - all) / std::max(input.gateways, uint32_t{1});
+  return own + (input.rate_per_s - all) / std::max(input.gateways, uint32_t{1});
 }
 
 QuotaDecision DecideQuota(const QuotaInput& input) {
