Give a quarantined request two probes over all gateways

Cause: a request that was running at three upstreams when they crashed was shut out for ten minutes, whatever had crashed them: it never ran, so no success could clear it.

What callers saw: 503 'it crashed several upstreams' for ten minutes, also when the upstreams had crashed for another reason.

Change: 10 s after the last crash, and once more 60 s later, it runs at one upstream, without a second attempt; a success clears it everywhere. A probe is a row that can be written once, so the number holds over all gateways. What refuses the call otherwise is checked before the claim.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -12,6 +12,7 @@
 #include "knapweed/base/metrics.h"
 #include "knapweed/gateway/budgets.h"
 #include "knapweed/gateway/channel.h"
+#include "knapweed/gateway/crash_probes.h"
 #include "knapweed/gateway/crash_watch.h"
 #include "knapweed/gateway/event_splitter.h"
 #include "knapweed/gateway/held_memory.h"
@@ -81,6 +82,7 @@
   StreamVersions& stream_versions;
   ConnectionPool& pool;
   CrashWatch& crashes;
+  CrashProbes& probes;
   HeldMemory& memory;
   Metrics& metrics;
   std::string failure_domain;
@@ -120,6 +122,10 @@
   Task<Step> ResolveRoute(StatePtr state);
   /// Refuses or shortens a call that may last longer than this process.
   Task<Step> RefuseIfStopping(StatePtr state);
+  /// Refuses a quarantined call of which no probe may be due.
+  Task<Step> CheckQuarantine(StatePtr state);
+  /// Lets a quarantined call run if it gets the permission for a probe.
+  Task<Step> ClaimProbe(StatePtr state);
   /// Finds the version at which a stream that the caller resumes may go on.
   Task<Step> FindStreamVersion(StatePtr state);
   Task<Step> ReserveBudget(StatePtr state);
--- a/include/knapweed/gateway/crash_watch.h
+++ b/include/knapweed/gateway/crash_watch.h
@@ -39,6 +39,8 @@
   bool HasRecords() const { return quarantine_.size() > 0; }
   /// Whether so many upstreams crashed during the request that it must not run.
   bool IsQuarantined(uint64_t digest) const;
+  /// Returns the time since the last crash during the request.
+  Ms SinceLastCrash(uint64_t digest) const;
   /// Handles an attempt whose connection broke. Checks in the background
   /// whether the upstream still accepts connections; if not, records that it
   /// crashed during this request.
--- a/include/knapweed/policy/quarantine.h
+++ b/include/knapweed/policy/quarantine.h
@@ -52,6 +52,8 @@
   bool Merge(const CrashRecord& record);
   /// Returns the verdict on requests with this digest at time `now`.
   QuarantineVerdict VerdictOf(uint64_t digest, Ms now) const;
+  /// Returns the time of the last crash of a digest; zero if there is none.
+  Ms LastCrashOf(uint64_t digest) const;
   /// Removes digests whose last crash no longer counts at `now`.
   void Expire(Ms now);
   /// Returns all records, to synchronize a new peer.
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -108,14 +108,34 @@
     co_return Step::kDone;
   }
   state->service = &service->second;
-  if (deps_.crashes.HasRecords() &&
-      deps_.crashes.IsQuarantined(DigestOf(*state))) {
-    co_await Refuse(state, 503, Ms{0}, "it crashed several upstreams");
-    co_return Step::kDone;
-  }
   co_return Step::kNext;
 }
 
+Task<CallRunner::Step> CallRunner::CheckQuarantine(StatePtr state) {
+  if (!deps_.crashes.HasRecords()) co_return Step::kNext;
+  const uint64_t digest = DigestOf(*state);
+  if (!deps_.crashes.IsQuarantined(digest)) co_return Step::kNext;
+  state->is_probe =
+      deps_.probes.IsDue(digest, deps_.crashes.SinceLastCrash(digest));
+  if (state->is_probe) co_return Step::kNext;
+  co_await Refuse(state, 503, Ms{0}, "it crashed several upstreams");
+  co_return Step::kDone;
+}
+
+Task<CallRunner::Step> CallRunner::ClaimProbe(StatePtr state) {
+  if (!state->is_probe) co_return Step::kNext;
+  const uint64_t digest = DigestOf(*state);
+  const bool claimed = co_await deps_.probes.Claim(digest);
+  kLog.Info("A quarantined call asked for a probe.",
+            {{"request", state->request.head.request_id},
+             {"digest", digest},
+             {"since_crash_ms", deps_.crashes.SinceLastCrash(digest).count},
+             {"granted", claimed ? 1 : 0}});
+  if (claimed) co_return Step::kNext;
+  co_await Refuse(state, 503, Ms{0}, "it crashed several upstreams");
+  co_return Step::kDone;
+}
+
 Task<CallRunner::Step> CallRunner::RefuseIfStopping(StatePtr state) {
   if (!ends_at_.has_value()) co_return Step::kNext;
   const Ms last_answer_at = *ends_at_ - kLastAnswerTime;
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -89,6 +89,8 @@
   if (step == Step::kDone) co_return;
   step = co_await ResolveRoute(state);
   if (step == Step::kDone) co_return;
+  step = co_await CheckQuarantine(state);
+  if (step == Step::kDone) co_return;
   step = co_await RefuseIfStopping(state);
   if (step == Step::kDone) co_return;
   step = co_await FindStreamVersion(state);
@@ -101,6 +103,9 @@
   if (step == Step::kDone) co_return;
   step = co_await TakeRateToken(state);
   if (step == Step::kDone) co_return;
+  // Last, since what refuses the call must not use up a probe.
+  step = co_await ClaimProbe(state);
+  if (step == Step::kDone) co_return;
   StartDeadlineTimer(state);
   co_await RunAttempts(state);
 }
@@ -295,7 +300,7 @@
 }
 
 bool CallRunner::MayRunAgain(const State& state) const {
-  if (state.body_begun) return false;
+  if (state.body_begun || state.is_probe) return false;
   const bool allowed = state.has_event
                            ? state.route->resumable
                            : state.route->idempotent || state.route->resumable;
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -60,6 +60,9 @@
   bool awaits_prefill = false;
   /// Tokens that arrived since `event_at`.
   uint64_t unsampled_tokens = 0;
+  /// It is quarantined and runs at one upstream only, to find out whether it
+  /// crashes that one too.
+  bool is_probe = false;
   /// Number of attempts that may have run the call.
   uint32_t runs = 0;
   uint32_t refusals = 0;
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -54,6 +54,10 @@
          QuarantineVerdict::kQuarantined;
 }
 
+Ms CrashWatch::SinceLastCrash(uint64_t digest) const {
+  return WallTime() - quarantine_.LastCrashOf(digest);
+}
+
 void CrashWatch::OnBroken(uint64_t digest, const UpstreamPtr& upstream,
                           std::string_view request_id) {
   if (confirming_ >= kMaxConfirming) return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -58,6 +58,14 @@
   return records;
 }
 
+/// `store` must outlive the result.
+CrashProbes::Store ProbeStoreOf(Store& store) {
+  return {
+      [&store](Commit commit) { return ApplyCommit(store, std::move(commit)); },
+      [&store] { return store.reachable(); },
+      [&store] { return store.StoreNow(); }};
+}
+
 }  // namespace
 
 /// The components of one gateway, each after those that it depends on.
@@ -89,16 +97,18 @@
         memory(HeldBytesLimit(c.memory_mb), metrics),
         pool(l, clock, metrics, memory.socket_buffer_bytes()),
         crashes(l),
-        runner(CallRunnerDeps{l, clock, d, view, store, quotas, starts, budgets,
-                              turns, send_limits, stream_versions, pool,
-                              crashes, memory, metrics, c.failure_domain,
-                              c.admit_programs, c.order_by_slack}),
+        probes(clock, ProbeStoreOf(store)),
+        runner(CallRunnerDeps{
+            l, clock, d, view, store, quotas, starts, budgets, turns,
+            send_limits, stream_versions, pool, crashes, probes, memory,
+            metrics, c.failure_domain, c.admit_programs, c.order_by_slack}),
         front(l, clock, d, view, memory, runner),
         watch(FleetWatchDeps{l, clock, d, store, view, quotas, use_exchange,
                              starts, budgets, send_limits, stream_versions,
                              crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
-        sweeper(l, store, view, {BudgetTable(), TurnTable(), StreamTable()}) {
+        sweeper(l, store, view,
+                {BudgetTable(), TurnTable(), StreamTable(), ProbeTable()}) {
     view.upstreams.SetPlacement(c.placement);
   }
 
@@ -133,6 +143,7 @@
   HeldMemory memory;
   ConnectionPool pool;
   CrashWatch crashes;
+  CrashProbes probes;
   CallRunner runner;
   Front front;
   FleetWatch watch;
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -91,6 +91,16 @@
   return counting > 0 ? QuarantineVerdict::kSuspect : QuarantineVerdict::kClear;
 }
 
+Ms Quarantine::LastCrashOf(uint64_t digest) const {
+  const auto it = entries_.find(digest);
+  if (it == entries_.end()) return Ms{0};
+  Ms last;
+  for (uint32_t i = 0; i < it->second.count; ++i) {
+    last = std::max(last, it->second.crashes[i].at);
+  }
+  return last;
+}
+
 void Quarantine::Expire(Ms now) {
   absl::erase_if(entries_, [&](const auto& item) {
     return NewestOf(item.second) + options_.expiry <= now;
--- a/tests/platform/gateways_test.cc
+++ b/tests/platform/gateways_test.cc
@@ -232,6 +232,49 @@
   CHECK(cluster.Call(call, 0).status == 200);
 }
 
+// Guards against an innocent request that is shut out for ten minutes, and
+// against one that crashes upstreams and is tried again and again.
+TEST_CASE("a quarantined request gets one probe, which may clear it") {
+  for (const bool is_innocent : {true, false}) {
+    CAPTURE(is_innocent);
+    TestCluster cluster(2, 4);
+    for (auto& server : cluster.plain) server->crash_on = "suspect";
+    CallerRequest call;
+    call.path = "/safe/x";
+    call.body = "suspect";
+    const auto send = [&](int i) {
+      call.headers["Request-Id"] = "suspect-" + std::to_string(i);
+      return cluster.Call(call, i % 2).status;
+    };
+    int next = 0;
+    for (; next < 4; ++next) {
+      CHECK(send(next) != 200);
+      // Gateways exchange crash records within two intervals of 600 ms.
+      cluster.RunFor(Ms{1400});
+    }
+    CHECK(send(next++) == 503);
+    if (is_innocent) {
+      for (auto& server : cluster.plain) server->crash_on.clear();
+    }
+    const size_t before = cluster.CountPlainRequests();
+    int served = 0;
+    for (int i = 0; i < 30; ++i) {
+      if (send(next++) == 200) ++served;
+      cluster.RunFor(Ms{500});
+    }
+    const size_t reached = cluster.CountPlainRequests() - before;
+    if (is_innocent) {
+      // All of them once the other gateway knows too.
+      CHECK(served >= 3);
+      CHECK(send(next) == 200);
+      CHECK(send(next + 1) == 200);
+    } else {
+      CHECK(served == 0);
+      CHECK(reached == 1);
+    }
+  }
+}
+
 TEST_CASE("a request that also succeeds is not quarantined after crashes") {
   TestCluster cluster(1, 4);
   cluster.plain[0]->crash_on = "unlucky";
