Drop an upstream at once that left while only this gateway was away

Cause: an entry that is missing in the first answers of the store after an outage is kept for 2.3 s, since upstreams whose entries expired register again. That holds too when only this gateway was cut off and the upstream had left meanwhile. And the removal was made with the next answer of the feed, up to 0.7 s after it was due.

Change: the first table read after the return decides. If nine tenths of the entries known before were written meanwhile, the upstreams had the store, and what is missing has left. Just after an outage of the store itself few have been written, as upstreams do so about once a second. The feed waits no longer than until the next removal is due.

--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -72,9 +72,9 @@
   };
 
   /// Reads the whole table if `position` is invalid; otherwise polls the
-  /// feed for changes, which may block for a while.
+  /// feed for changes, which may block for `max_wait`.
   Task<TableChanges> ReadChanges(std::string_view table,
-                                 TablePosition& position);
+                                 TablePosition& position, Ms max_wait);
   Task<void> PauseAfterFailure();
   Task<void> FollowConfig();
   Task<void> FollowUpstreams();
@@ -94,6 +94,12 @@
   void ApplyService(Upstream& upstream) const;
   void RemoveUpstream(const std::string& id);
   void RemoveUnlisted(const std::vector<Row>& rows);
+  /// Decides, when the whole table has been read, whether upstreams that it
+  /// lacks may still register again after an outage of the store.
+  void ExpectRegistrations(const std::vector<Row>& rows);
+  /// Returns the time until a pending removal is due, at most the longest wait
+  /// for a change.
+  Ms UntilNextRemoval() const;
   void RunPendingRemovals();
   Task<void> RestoreOwnUse();
   Task<bool> Announce();
@@ -145,6 +151,8 @@
   /// Upstreams whose entries were missing just after a store outage, with the
   /// time at which to remove them.
   std::map<std::string, Ms> pending_removals_;
+  /// Until then a missing entry does not mean that its upstream is gone.
+  Ms reregister_until_;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -21,12 +21,32 @@
 /// Upstreams whose entries expired during an outage of the store register again
 /// within this time after it.
 constexpr Ms kReregisterGrace{2300};
+/// Share of the upstreams' entries that were written meanwhile from which on
+/// the store was there for them, and only this gateway was away. Just after an
+/// outage few have been written: upstreams do so about once a second.
+constexpr double kWrittenMeanwhile = 0.9;
 /// A gateway that is not ready after this delay requests the rows from its
 /// peers, and repeats that at the retry interval.
 constexpr Ms kBootstrapDelay{300};
 constexpr Ms kBootstrapRetryInterval{200};
 constexpr Ms kBootstrapTimeout{500};
 
+/// Returns whether the upstreams wrote their entries while this gateway did not
+/// read them: `known` are those that it read last.
+bool WroteMeanwhile(const std::map<std::string, Row>& known,
+                    const std::vector<Row>& rows) {
+  size_t listed = 0;
+  size_t written = 0;
+  for (const Row& row : rows) {
+    const auto it = known.find(row.key.key);
+    if (it == known.end()) continue;
+    ++listed;
+    if (row.version != it->second.version) ++written;
+  }
+  return listed > 0 && static_cast<double>(written) >=
+                           kWrittenMeanwhile * static_cast<double>(listed);
+}
+
 }  // namespace
 
 FleetWatch::FleetWatch(const FleetWatchDeps& parts, GatewayEntry self,
@@ -207,8 +227,9 @@
   for (const auto& [id, up] : view_.upstreams.all()) ApplyService(*up);
 }
 
-Task<FleetWatch::TableChanges> FleetWatch::ReadChanges(
-    std::string_view table, TablePosition& position) {
+Task<FleetWatch::TableChanges> FleetWatch::ReadChanges(std::string_view table,
+                                                       TablePosition& position,
+                                                       Ms max_wait) {
   TableChanges changes;
   if (!position.valid) {
     changes.is_whole_table = true;
@@ -217,7 +238,7 @@
     FeedRequest feed;
     feed.table = std::string(table);
     feed.after = position.version;
-    feed.wait = kFeedMaxWait;
+    feed.wait = max_wait;
     StoreAnswer answer = co_await store_.Follow(feed);
     changes.ok = answer.outcome == StoreOutcome::kDone;
     if (changes.ok) {
@@ -238,7 +259,7 @@
   TablePosition position;
   while (true) {
     const TableChanges changes =
-        co_await ReadChanges(dialect_.config_row.table, position);
+        co_await ReadChanges(dialect_.config_row.table, position, kFeedMaxWait);
     // Evacuations first: a gateway serves as soon as it has a configuration.
     if (changes.ok) {
       operator_table_read_ = true;
@@ -315,9 +336,8 @@
   if (!view_.upstreams.all().contains(id)) return;
   // Entries also expire because of a store outage; live upstreams register
   // again.
-  const Ms keep_until = store_.regained_at() + kReregisterGrace;
-  if (store_.regained_at() > Ms{0} && clock_.Now() < keep_until) {
-    pending_removals_.emplace(id, keep_until);
+  if (clock_.Now() < reregister_until_) {
+    pending_removals_.emplace(id, reregister_until_);
     return;
   }
   kLog.Info("Upstream removed.", {{"upstream", id}});
@@ -337,6 +357,28 @@
   }
 }
 
+void FleetWatch::ExpectRegistrations(const std::vector<Row>& rows) {
+  const Ms now = clock_.Now();
+  const Ms until = store_.regained_at() + kReregisterGrace;
+  reregister_until_ = Ms{0};
+  if (store_.regained_at() == Ms{0} || now >= until) return;
+  const bool was_there = WroteMeanwhile(upstream_rows_, rows);
+  kLog.Info("Read the upstreams after an outage.",
+            {{"rows", rows.size()},
+             {"known", upstream_rows_.size()},
+             {"store_was_there", was_there ? 1 : 0}});
+  if (!was_there) reregister_until_ = until;
+}
+
+Ms FleetWatch::UntilNextRemoval() const {
+  Ms wait = kFeedMaxWait;
+  const Ms now = clock_.Now();
+  for (const auto& [id, at] : pending_removals_) {
+    wait = std::min(wait, std::max(at - now, Ms{1}));
+  }
+  return wait;
+}
+
 void FleetWatch::RunPendingRemovals() {
   const Ms now = clock_.Now();
   for (auto it = pending_removals_.begin(); it != pending_removals_.end();) {
@@ -358,9 +400,10 @@
     while (view_.config == nullptr) {
       co_await Sleep(loop_, Ms{20});
     }
-    const TableChanges changes =
-        co_await ReadChanges(dialect_.upstream_table, position);
+    const TableChanges changes = co_await ReadChanges(
+        dialect_.upstream_table, position, UntilNextRemoval());
     if (changes.ok) {
+      if (changes.is_whole_table) ExpectRegistrations(changes.rows);
       for (const Row& row : changes.rows) {
         RunStep("a row of an upstream", [&] { ApplyUpstream(row); });
       }
--- a/tests/platform/outage_test.cc
+++ b/tests/platform/outage_test.cc
@@ -120,5 +120,61 @@
   CHECK(served == sent);
 }
 
+bool IsListed(TestCluster& cluster, const std::string& id) {
+  const std::string state = cluster.Get(cluster.configs[0].metrics, "/state");
+  return nlohmann::json::parse(state)["upstreams"].contains(id);
+}
+
+// Guards against requests to an upstream that left while only this gateway was
+// cut off, and against live upstreams dropped because the store was away.
+TEST_CASE("a missing entry after an outage is judged by the other entries") {
+  struct Row {
+    const char* what;
+    // The upstreams reach the store, which only the gateway does not.
+    bool store_is_there;
+    // When its entry is back, after the gateway has the store back; zero for
+    // never.
+    Ms back_after;
+    Ms checked_after;
+    bool is_listed;
+  };
+  const Row rows[] = {
+      {"left during a cut", true, Ms{0}, Ms{800}, false},
+      {"expired in an outage", false, Ms{0}, Ms{1500}, true},
+      {"expired and back", false, Ms{1500}, Ms{3500}, true},
+      {"left in an outage", false, Ms{0}, Ms{2600}, false},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    TestCluster cluster(1, 4);
+    const std::string id = cluster.plain[3]->id();
+    const auto write_entries = [&](size_t count) {
+      for (size_t i = 0; i < cluster.plain.size(); ++i) {
+        if (i < count) {
+          cluster.store.Put("servers", cluster.plain[i]->id(),
+                            cluster.plain[i]->Entry("plain"));
+        }
+        cluster.store.Put("servers", cluster.engines[i]->id(),
+                          cluster.engines[i]->Entry("engines"));
+      }
+    };
+    cluster.store.faults.unavailable = true;
+    for (int i = 0; i < 4; ++i) {
+      cluster.RunFor(Ms{400});
+      if (row.store_is_there) write_entries(3);
+    }
+    cluster.store.Remove("servers", id);
+    cluster.store.faults.unavailable = false;
+    REQUIRE(cluster.RunUntil([&] { return cluster.gateways[0]->IsReady(); }));
+    if (row.back_after > Ms{0}) {
+      cluster.RunFor(row.back_after);
+      write_entries(4);
+    }
+    cluster.RunFor(row.checked_after - row.back_after);
+    CHECK(IsListed(cluster, id) == row.is_listed);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
