Let groups of gateways in contact use their part of a rate

Cause: the exchange without the store counted gateways that don't answer by what they had published, so two groups that don't reach each other each took the rest of the rate for free. And gateways with the store took one that had not announced itself for 9 s for gone, while it went on with its share.

Change: rate, burst and tolerance are scaled to the part of the demand that the gateways in contact had when all could be asked (PartInContact); the parts of all groups add up to the rate. A gateway counts as silent, not as gone, for 20 s after its last announcement.

--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -110,9 +110,11 @@
   void ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age);
   /// Returns the age up to which an announcement shows a running gateway.
   Ms LongestAnnouncementAge() const;
-  /// Takes over what another gateway tells of crashes and limits, and returns
-  /// its announcement; nothing if it is this gateway's, too old or malformed.
-  std::optional<Announcement> ReadAnnouncement(const Row& row, Ms now, Ms age);
+  /// Returns another gateway's announcement; nothing if it is this gateway's or
+  /// malformed.
+  std::optional<Announcement> ReadAnnouncement(const Row& row) const;
+  /// Takes over what another gateway tells of crashes and limits.
+  void MergeRecords(Announcement& told, Ms now, Ms age);
   void RestoreOwnUseFrom(const std::vector<Row>& rows, Ms now);
   /// Requests the rows from peers until this gateway is ready.
   Task<void> BootstrapFromPeers();
--- a/include/knapweed/gateway/peers.h
+++ b/include/knapweed/gateway/peers.h
@@ -49,9 +49,10 @@
 /// not answer is skipped for a while. Not thread-safe.
 class Peers {
  public:
-  /// `self` is this gateway's peer address.
-  Peers(const Clock& clock, const Address& self)
-      : clock_(clock), self_(NameOf(self)) {}
+  /// `self` is this gateway's peer address; a peer that does not answer is
+  /// skipped for `skip_time`.
+  Peers(const Clock& clock, const Address& self, Ms skip_time = Ms{1500})
+      : clock_(clock), self_(NameOf(self)), skip_time_(skip_time) {}
 
   /// Replaces the peer addresses of the other serving gateways.
   void SetOthers(std::span<const Address> others);
@@ -82,8 +83,6 @@
 
   /// Returns whether the peer may be asked, i.e. is not being skipped.
   bool MayAsk(const Address& address) const;
-  /// Returns whether there is another gateway that is not being skipped.
-  bool AnyReachable() const;
   /// Skips a peer for a while because it did not answer.
   void Skip(const Address& address);
   /// Ends the time for which a peer counts as unreachable.
@@ -112,6 +111,7 @@
 
   const Clock& clock_;
   Name self_;
+  Ms skip_time_;
   std::vector<Name> others_;
   std::map<Address, Ms> skipped_until_;
   std::map<Address, Ms> unreachable_since_;
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -26,12 +26,21 @@
 /// Adds one gateway's use to a sum.
 void AddUse(const UseByWorkspace& use, UseByWorkspace& sum);
 
-/// The use at all other gateways together, and their number.
+/// The use at all other gateways together, and their number, as far as they can
+/// be asked.
 struct UseOfOthers {
   UseByWorkspace use;
   uint32_t gateways = 0;
+  /// Gateways that can't be asked, and the calls per second of each workspace
+  /// at these and at those in contact, this one included, when all could.
+  uint32_t silent_gateways = 0;
+  std::map<std::string, KnownDemand> known;
 };
 
+/// Adds the demand of a gateway in contact, or of one that can't be asked.
+void AddInContact(const UseByWorkspace& use, UseOfOthers& others);
+void AddSilent(const UseByWorkspace& use, UseOfOthers& others);
+
 /// Whether a call starts a program, and who decides on that.
 enum class ProgramStart : uint8_t {
   /// The call belongs to a program that has started, or to none.
@@ -132,7 +141,7 @@
   const Clock& clock_;
   QuotaTolerance tolerance_;
   std::map<std::string, Counts> counts_;
-  UseByWorkspace others_;
+  UseOfOthers others_;
   /// Number of gateways assumed until the first update: more than there are, so
   /// that a gateway that has just started spends little.
   static constexpr uint32_t kAssumedGateways = 32;
--- a/include/knapweed/gateway/use_exchange.h
+++ b/include/knapweed/gateway/use_exchange.h
@@ -18,17 +18,18 @@
 /// Path of reports on a gateway's peer address.
 inline constexpr std::string_view kUsePath = "/rate/use";
 
-/// The use of all gateways, as reported lately or else as last read from the
+/// The use of all gateways, as reported lately, and as last read from the
 /// store. No I/O.
 class UseLedger {
  public:
-  /// Replaces what was read from the store.
+  /// Replaces what was read from the store; `stored` holds this gateway too.
   void SetStored(std::map<Address, UseByWorkspace> stored) {
     stored_ = std::move(stored);
   }
   /// Takes over what a gateway reports of itself at `now`.
   void Report(const Address& gateway, UseByWorkspace use, Ms now);
-  /// Returns the sum over all gateways but one.
+  /// Returns the sum over all gateways but one that have reported lately; the
+  /// others are silent.
   UseOfOthers SumWithout(const Address& gateway, Ms now) const;
 
  private:
@@ -42,8 +43,8 @@
 };
 
 /// Reports to the collector and answers as one. All gateways that know the same
-/// peers choose the same collector; where they don't, each collector counts
-/// those that report elsewhere by what was last read from the store.
+/// peers choose the same collector; where they don't, the gateways of each
+/// collector use their part of the rates.
 class UseExchange {
  public:
   /// `self` is this gateway's peer address. Reports only while
--- a/include/knapweed/policy/fleet_quota.h
+++ b/include/knapweed/policy/fleet_quota.h
@@ -98,6 +98,20 @@
 /// share of the rate.
 QuotaDecision DecideQuota(const QuotaInput& input);
 
+/// The demand of a workspace when all gateways last knew of each other, and how
+/// many of them can be asked now.
+struct KnownDemand {
+  double in_contact_per_s = 0;
+  double silent_per_s = 0;
+  uint32_t gateways_in_contact = 1;
+  uint32_t silent_gateways = 0;
+};
+
+/// Returns the fraction of the rate that the gateways in contact may use
+/// together, whatever the silent ones do: the fractions of all groups of
+/// gateways add up to 1.
+double PartInContact(double rate_per_s, const KnownDemand& known);
+
 /// Returns this gateway's share of the rate, in calls per second. The shares of
 /// all gateways add up to the rate when they have the same counts.
 double ShareOfRate(const QuotaInput& input);
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -17,6 +17,9 @@
 /// Longer than the rate window, so that the calls it admitted stay counted for
 /// the whole window.
 constexpr Ms kAnnouncementTtl{9000};
+/// A gateway that has not announced itself for longer is gone; until then it
+/// may be cut off and admit its part of the rates.
+constexpr Ms kSilentTtl{20000};
 /// After an outage of the store all gateways announce themselves anew within
 /// this time.
 constexpr Ms kReannounceTime{2000};
@@ -64,41 +67,51 @@
   return kAnnouncementTtl + std::max(outage, Ms{0});
 }
 
-std::optional<Announcement> FleetWatch::ReadAnnouncement(const Row& row, Ms now,
-                                                         Ms age) {
+std::optional<Announcement> FleetWatch::ReadAnnouncement(const Row& row) const {
+  if (row.key.key == self_.name) return std::nullopt;
   absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
   if (!told.ok()) {
     kLog.Warning("A gateway's row can't be decoded.",
                  {{"key", row.key.key}, {"error", told.status().ToString()}});
     return std::nullopt;
   }
-  const bool is_other = row.key.key != self_.name;
-  if (!is_other || now - told->at > LongestAnnouncementAge())
-    return std::nullopt;
-  crashes_.MergeRecords(told->crashes);
-  for (LimitRecord& record : told->limits) {
+  return *std::move(told);
+}
+
+void FleetWatch::MergeRecords(Announcement& told, Ms now, Ms age) {
+  crashes_.MergeRecords(told.crashes);
+  for (LimitRecord& record : told.limits) {
     // From the store's clock to that of this process.
     record.limit.observed_at += clock_.Now() - age - now;
   }
-  send_limits_.MergeRecords(told->limits);
-  return *std::move(told);
+  send_limits_.MergeRecords(told.limits);
 }
 
 void FleetWatch::ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age) {
   std::vector<Address> peers;
   std::map<Address, UseByWorkspace> uses;
+  UseOfOthers others;
   gateway_rows_ = rows;
   gateways_read_at_ = clock_.Now() - age;
   for (const Row& row : rows) {
     RunStep("a row of a gateway", [&] {
-      std::optional<Announcement> told = ReadAnnouncement(row, now, age);
+      std::optional<Announcement> told = ReadAnnouncement(row);
       if (!told.has_value()) return;
+      const Ms silence = now - told->at;
+      if (silence > LongestAnnouncementAge()) {
+        if (silence <= kSilentTtl) AddSilent(told->use, others);
+        return;
+      }
+      MergeRecords(*told, now, age);
       peers.push_back(told->peer_address);
       uses[told->peer_address] = std::move(told->use);
     });
   }
-  UseOfOthers others;
-  for (const auto& [address, use] : uses) AddUse(use, others.use);
+  for (const auto& [address, use] : uses) {
+    AddUse(use, others.use);
+    AddInContact(use, others);
+  }
+  if (others.silent_gateways > 0) AddInContact(quotas_.OwnUse(), others);
   others.gateways = static_cast<uint32_t>(uses.size());
   quotas_.SetUseOfOthers(std::move(others), age);
   use_exchange_.SetStored(std::move(uses));
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -7,13 +7,6 @@
 #include "knapweed/base/ids.h"
 
 namespace knapweed::gateway {
-namespace {
-
-/// Time for which a peer that did not answer is skipped.
-constexpr Ms kSkipTime{1500};
-
-}  // namespace
-
 void Peers::SetOthers(std::span<const Address> others) {
   others_.clear();
   for (const Address& address : others) others_.push_back(NameOf(address));
@@ -114,14 +107,8 @@
   return it == skipped_until_.end() || it->second <= clock_.Now();
 }
 
-bool Peers::AnyReachable() const {
-  return std::any_of(others_.begin(), others_.end(), [this](const Name& other) {
-    return MayAsk(other.address);
-  });
-}
-
 void Peers::Skip(const Address& address) {
-  skipped_until_[address] = clock_.Now() + kSkipTime;
+  skipped_until_[address] = clock_.Now() + skip_time_;
   unreachable_since_.try_emplace(address, clock_.Now());
 }
 
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -91,8 +91,19 @@
   input.burst = workspace.burst;
   input.tolerance = tolerance_;
   input.own = UseOf(counts);
-  const auto others = others_.find(workspace.name);
-  if (others != others_.end()) input.others = others->second;
+  const auto others = others_.use.find(workspace.name);
+  if (others != others_.use.end()) input.others = others->second;
+  if (others_.silent_gateways > 0) {
+    KnownDemand known;
+    const auto it = others_.known.find(workspace.name);
+    if (it != others_.known.end()) known = it->second;
+    known.gateways_in_contact = gateways_;
+    known.silent_gateways = others_.silent_gateways;
+    const double part = PartInContact(workspace.rate_per_s, known);
+    input.rate_per_s *= part;
+    input.burst *= part;
+    input.tolerance.slack_calls *= part;
+  }
   input.others_age = clock_.Now() - others_updated_at_;
   input.demand_span = DemandSpan();
   input.gateways = gateways_;
@@ -216,6 +227,19 @@
   }
 }
 
+void AddInContact(const UseByWorkspace& use, UseOfOthers& others) {
+  for (const auto& [name, item] : use) {
+    others.known[name].in_contact_per_s += item.demand_per_s;
+  }
+}
+
+void AddSilent(const UseByWorkspace& use, UseOfOthers& others) {
+  ++others.silent_gateways;
+  for (const auto& [name, item] : use) {
+    others.known[name].silent_per_s += item.demand_per_s;
+  }
+}
+
 void Quotas::SetOthers(std::span<const UseByWorkspace> others, Ms age) {
   UseOfOthers sum;
   for (const UseByWorkspace& use : others) AddUse(use, sum.use);
@@ -224,8 +248,8 @@
 }
 
 void Quotas::SetUseOfOthers(UseOfOthers others, Ms age) {
-  others_ = std::move(others.use);
-  gateways_ = others.gateways + 1;
+  others_ = std::move(others);
+  gateways_ = others_.gateways + 1;
   others_updated_at_ = clock_.Now() - age;
   UpdateCallsPerProgram();
 }
@@ -237,8 +261,8 @@
     counts.begun_since_update = 0;
     counts.admitted_since_update = 0;
     counts.demand_at_update_per_s = all.demand_per_s;
-    const auto others = others_.find(name);
-    if (others != others_.end()) {
+    const auto others = others_.use.find(name);
+    if (others != others_.use.end()) {
       all.calls += others->second.calls;
       all.programs += others->second.programs;
     }
--- a/src/gateway/use_exchange.cc
+++ b/src/gateway/use_exchange.cc
@@ -18,10 +18,36 @@
 /// A report counts for so long; after that its gateway may be cut off.
 constexpr Ms kReportTtl{1500};
 /// Collectors that are tried in one interval, the next if one does not answer.
-constexpr int kMaxCollectors = 2;
+constexpr int kMaxCollectors = 3;
+/// Many gateways may be out of reach at once; each is tried again after a time
+/// in which the others have been.
+constexpr Ms kSkipTime = Seconds(10);
 /// The name by which all gateways choose the collector.
 constexpr std::string_view kCollectorName = "use of rates";
 
+/// The demand of a workspace is an array: in contact, silent.
+nlohmann::json EncodeKnown(const std::map<std::string, KnownDemand>& known) {
+  nlohmann::json json = nlohmann::json::object();
+  for (const auto& [name, demand] : known) {
+    json[name] = {demand.in_contact_per_s, demand.silent_per_s};
+  }
+  return json;
+}
+
+std::map<std::string, KnownDemand> DecodeKnown(const nlohmann::json& message) {
+  std::map<std::string, KnownDemand> known;
+  const nlohmann::json* json = FindField(message, "known");
+  if (json == nullptr || !json->is_object()) return known;
+  for (const auto& [name, item] : json->items()) {
+    const bool readable = item.is_array() && item.size() == 2 &&
+                          item[0].is_number() && item[1].is_number();
+    if (!readable) continue;
+    known[name].in_contact_per_s = item[0].get<double>();
+    known[name].silent_per_s = item[1].get<double>();
+  }
+  return known;
+}
+
 }  // namespace
 
 void UseLedger::Report(const Address& gateway, UseByWorkspace use, Ms now) {
@@ -30,20 +56,22 @@
 
 UseOfOthers UseLedger::SumWithout(const Address& gateway, Ms now) const {
   UseOfOthers others;
-  const auto add = [&others](const UseByWorkspace& use) {
-    AddUse(use, others.use);
-    ++others.gateways;
+  const auto has_reported = [&](const Address& address) {
+    const auto it = reported_.find(address);
+    return it != reported_.end() && now - it->second.at <= kReportTtl;
   };
   for (const auto& [address, reported] : reported_) {
-    if (address != gateway && now - reported.at <= kReportTtl) {
-      add(reported.use);
-    }
+    if (address == gateway || !has_reported(address)) continue;
+    AddUse(reported.use, others.use);
+    ++others.gateways;
   }
   for (const auto& [address, use] : stored_) {
-    const auto it = reported_.find(address);
-    const bool is_added =
-        it != reported_.end() && now - it->second.at <= kReportTtl;
-    if (address != gateway && !is_added) add(use);
+    const bool in_contact = address == gateway || has_reported(address);
+    if (in_contact) {
+      AddInContact(use, others);
+    } else {
+      AddSilent(use, others);
+    }
   }
   return others;
 }
@@ -57,7 +85,7 @@
       self_(self),
       send_(std::move(send)),
       store_reachable_(std::move(store_reachable)),
-      peers_(clock, self) {}
+      peers_(clock, self, kSkipTime) {}
 
 void UseExchange::SetStored(std::map<Address, UseByWorkspace> stored) {
   std::vector<Address> others;
@@ -68,6 +96,7 @@
   }
   others_.gateways = static_cast<uint32_t>(others.size());
   peers_.SetOthers(others);
+  stored[self_] = quotas_.OwnUse();
   ledger_.SetStored(std::move(stored));
 }
 
@@ -84,8 +113,7 @@
   for (int i = 0; i < kMaxCollectors; ++i) {
     const Home collector = peers_.ReachableHomeOf(kCollectorName);
     if (collector.is_self) {
-      // Alone, it knows of no use but that of before the outage.
-      if (!peers_.AnyReachable()) co_return;
+      ledger_.Report(self_, quotas_.OwnUse(), clock_.Now());
       others_ = ledger_.SumWithout(self_, clock_.Now());
       quotas_.SetUseOfOthers(others_, Ms{0});
       co_return;
@@ -113,10 +141,13 @@
   // was told of them does not mean that the others don't use them.
   for (const auto& [name, use] : own) others_.use[name] = told[name];
   others_.gateways = static_cast<uint32_t>(CountField(answer, "gateways"));
+  others_.silent_gateways = static_cast<uint32_t>(CountField(answer, "silent"));
+  others_.known = DecodeKnown(answer);
   quotas_.SetUseOfOthers(others_, clock_.Now() - asked_at);
   kLog.Debug("Read the use of the others from a gateway.",
              {{"collector", collector.ToString()},
               {"gateways", others_.gateways},
+              {"silent", others_.silent_gateways},
               {"workspaces", own.size()}});
   co_return true;
 }
@@ -137,6 +168,8 @@
   });
   nlohmann::json body = EncodeUse(others.use);
   body["gateways"] = others.gateways;
+  body["silent"] = others.silent_gateways;
+  body["known"] = EncodeKnown(others.known);
   answer.status = 200;
   answer.body = DumpJson(body);
   return answer;
--- a/src/policy/fleet_quota.cc
+++ b/src/policy/fleet_quota.cc
@@ -121,6 +121,16 @@
   return FitsPart(input, max_programs);
 }
 
+double PartInContact(double rate_per_s, const KnownDemand& known) {
+  const double all = known.in_contact_per_s + known.silent_per_s;
+  if (rate_per_s <= 0) return 1;
+  if (all >= rate_per_s) return known.in_contact_per_s / all;
+  const uint32_t gateways = known.gateways_in_contact + known.silent_gateways;
+  const double spare = rate_per_s - all;
+  const double spare_part = spare * known.gateways_in_contact / gateways;
+  return (known.in_contact_per_s + spare_part) / rate_per_s;
+}
+
 double ShareOfRate(const QuotaInput& input) {
   // With counts of two times the shares would add up to more than the rate: the
   // others' demand of before an outage and the own one of after it.
--- a/tests/policy__fleet_quota_test.cc
+++ b/tests/policy__fleet_quota_test.cc
@@ -2,6 +2,9 @@
 // time. gateway__rate_load_test plays whole loads.
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 #include "knapweed/policy/fleet_quota.h"
 
 namespace knapweed {
@@ -163,5 +166,39 @@
   }
 }
 
+// Guards against groups of gateways that can't ask each other and together use
+// more than the rate, or leave most of it unused.
+TEST_CASE("the parts of all groups of gateways add up to the rate") {
+  struct Row {
+    const char* what;
+    double rate;
+    std::vector<double> demand_per_s;
+    std::vector<uint32_t> gateways;
+  };
+  const Row rows[] = {
+      {"no demand", 20, {0, 0}, {3, 4}},
+      {"below the rate", 20, {3, 9}, {1, 6}},
+      {"above the rate", 20, {30, 90}, {1, 6}},
+      {"all of it in one group", 20, {0, 90}, {6, 1}},
+      {"three groups", 20, {5, 1, 7}, {1, 2, 3}},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    double sum = 0;
+    for (size_t i = 0; i < row.gateways.size(); ++i) {
+      KnownDemand known{0, 0, 0, 0};
+      for (size_t j = 0; j < row.gateways.size(); ++j) {
+        (i == j ? known.in_contact_per_s : known.silent_per_s) +=
+            row.demand_per_s[j];
+        (i == j ? known.gateways_in_contact : known.silent_gateways) +=
+            row.gateways[j];
+      }
+      sum += PartInContact(row.rate, known);
+    }
+    CHECK(sum == doctest::Approx(1));
+  }
+}
+
 }  // namespace
 }  // namespace knapweed
