Forget reports of use that don't count any more

Cause: the collector kept the last report of each gateway that ever reported, also of those that were replaced at other addresses; they were skipped when adding up, but stayed in memory for the life of the process.

--- a/src/gateway/use_exchange.cc
+++ b/src/gateway/use_exchange.cc
@@ -51,6 +51,10 @@
 }  // namespace
 
 void UseLedger::Report(const Address& gateway, UseByWorkspace use, Ms now) {
+  // Those that don't count any more may never report again.
+  std::erase_if(reported_, [now](const auto& item) {
+    return now - item.second.at > kReportTtl;
+  });
   reported_[gateway] = {std::move(use), now};
 }
 
