Bound the numbers that a collector states

Cause: the counts of gateways in a collector's answer were cut to 32 bits and then added up, and the demands were taken as they came, negative too. A sum of 0 gateways made the part of a rate infinite.

What callers saw: nothing; found when the change was read again. With such an answer a gateway admits 600 of 600 calls where 141 are allowed, or 274.

Change: counts of more than a million count as that; a demand must be able to count calls (IsRate), as in a gateway's row.

Evidence: gateway__use_exchange_test, 20 odd answers; two of them fail without the bounds, with the figures above.

--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -29,6 +29,10 @@
 /// Table with one row a gateway, which holds its announcement.
 inline constexpr char kGatewayTable[] = "gateways";
 
+/// Returns whether a value is a number that can count calls: of at least 0 and
+/// of a size that sums stay finite.
+bool IsRate(const nlohmann::json& value);
+
 /// Encodes the use of workspaces as the fields "use" and "admitted" of a
 /// message, and decodes these fields. Skips the use of a workspace that is
 /// malformed.
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -24,15 +24,6 @@
   return field != nullptr && field->is_object() ? *field : kEmpty;
 }
 
-/// Returns whether a value is a number that can count calls: of at least 0 and
-/// of a size that sums stay finite.
-bool IsRate(const json& value) {
-  constexpr double kMost = 1e12;
-  if (!value.is_number()) return false;
-  const auto n = value.get<double>();
-  return n >= 0 && n <= kMost;
-}
-
 /// A limit is an array: start of the incarnation, requests per second or null,
 /// and the age of the statement in ms.
 json EncodeLimit(const LimitRecord& record, Ms at) {
@@ -64,6 +55,13 @@
 
 }  // namespace
 
+bool IsRate(const json& value) {
+  constexpr double kMost = 1e12;
+  if (!value.is_number()) return false;
+  const auto n = value.get<double>();
+  return n >= 0 && n <= kMost;
+}
+
 UseByWorkspace DecodeUse(const json& message) {
   constexpr size_t kFieldCount = 4;
   const json& use_json = ObjectOf(message, "use");
--- a/src/gateway/use_exchange.cc
+++ b/src/gateway/use_exchange.cc
@@ -1,5 +1,6 @@
 #include "knapweed/gateway/use_exchange.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,13 @@
 /// The name by which all gateways choose the collector.
 constexpr std::string_view kCollectorName = "use of rates";
 
+/// Returns a number of gateways that a message states. Larger ones count as the
+/// most: the number is added to and divided by.
+uint32_t GatewaysField(const nlohmann::json& message, const char* name) {
+  constexpr uint64_t kMost = 1'000'000;
+  return static_cast<uint32_t>(std::min(CountField(message, name), kMost));
+}
+
 /// The demand of a workspace is an array: in contact, silent.
 nlohmann::json EncodeKnown(const std::map<std::string, KnownDemand>& known) {
   nlohmann::json json = nlohmann::json::object();
@@ -40,7 +48,7 @@
   if (json == nullptr || !json->is_object()) return known;
   for (const auto& [name, item] : json->items()) {
     const bool readable = item.is_array() && item.size() == 2 &&
-                          item[0].is_number() && item[1].is_number();
+                          IsRate(item[0]) && IsRate(item[1]);
     if (!readable) continue;
     known[name].in_contact_per_s = item[0].get<double>();
     known[name].silent_per_s = item[1].get<double>();
@@ -144,8 +152,8 @@
   // What was known of workspaces that were not asked for stays: that nothing
   // was told of them does not mean that the others don't use them.
   for (const auto& [name, use] : own) others_.use[name] = told[name];
-  others_.gateways = static_cast<uint32_t>(CountField(answer, "gateways"));
-  others_.silent_gateways = static_cast<uint32_t>(CountField(answer, "silent"));
+  others_.gateways = GatewaysField(answer, "gateways");
+  others_.silent_gateways = GatewaysField(answer, "silent");
   others_.known = DecodeKnown(answer);
   quotas_.SetUseOfOthers(others_, clock_.Now() - asked_at);
   kLog.Debug("Read the use of the others from a gateway.",
