--- a/tests/platform/odd_input_test.cc
+++ b/tests/platform/odd_input_test.cc
@@ -1,9 +1,11 @@
 // Odd inputs: rows of other writers, requests and responses of any bytes. No
 // input may end the gateway, stop it from following a table, or keep others
-// from being served. KNAPWEED_SEEDS sets the number of seeds.
+// from being served. KNAPWEED_SEEDS sets the number of seeds, and
+// KNAPWEED_FIRST_SEED the first, so that several processes can share them.
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <numeric>
 #include <random>
 
 #include "knapweed/base/parse.h"
@@ -14,10 +16,17 @@
 
 using Kind = Script::Kind;
 
-int SeedCount() {
-  int seeds = 1;
-  const char* text = std::getenv("KNAPWEED_SEEDS");
-  if (text != nullptr) ParseNumber(std::string_view(text), &seeds);
+uint64_t NumberInEnvironment(const char* name, uint64_t otherwise) {
+  uint64_t number = otherwise;
+  const char* text = std::getenv(name);
+  if (text != nullptr) ParseNumber(std::string_view(text), &number);
+  return number;
+}
+
+std::vector<uint64_t> Seeds() {
+  std::vector<uint64_t> seeds(NumberInEnvironment("KNAPWEED_SEEDS", 1));
+  std::iota(seeds.begin(), seeds.end(),
+            NumberInEnvironment("KNAPWEED_FIRST_SEED", 1));
   return seeds;
 }
 
@@ -171,8 +180,8 @@
       }
     }
     const std::string good = DocumentOf(table.fields, table.fields.size(), "");
-    for (int seed = 1; seed <= SeedCount(); ++seed) {
-      std::mt19937_64 random(static_cast<uint64_t>(seed));
+    for (const uint64_t seed : Seeds()) {
+      std::mt19937_64 random(seed);
       for (int i = 0; i < 60; ++i) write(table, Mutated(good, random));
     }
     for (const std::string& value : OddValues()) write(table, value);
@@ -255,9 +264,9 @@
                                      "1\n" + deep,
                                      "1\n\x9b\x7f\xff\xff\xff\xff\xff\xff\xff",
                                      "99999999999999999999999\n" + good};
-  std::mt19937_64 random(5);
-  for (int i = 0; i < 60 * SeedCount(); ++i) {
-    values.push_back(Mutated(good, random));
+  for (const uint64_t seed : Seeds()) {
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 60; ++i) values.push_back(Mutated(good, random));
   }
   for (size_t i = 0; i < values.size(); ++i) {
     const std::string id = "odd-" + std::to_string(i);
@@ -274,6 +283,73 @@
   CHECK(gateway::ExceptionsReported() == 0);
 }
 
+struct OddMessage {
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+// Guards against messages of gateways of another version, or of no gateway,
+// that end the one that reads them.
+TEST_CASE("messages to a gateway's peer address harm no gateway") {
+  const OddMessage messages[] = {
+      {"/rate/use",
+       {{"address", "\"127.0.0.1:9\""},
+        {"use", "{\"ws1\":[1,1,0,0]}"},
+        {"admitted", "{\"ws1\":1}"}}},
+      {"/rate/start", {{"workspace", "\"ws1\""}, {"waited_ms", "5"}}},
+      {"/upstreams/grant",
+       {{"upstream", "\"plain-0\""},
+        {"started_at_ms", "0"},
+        {"wants_grant", "true"},
+        {"max_wait_ms", "5"},
+        {"sender", "\"127.0.0.1:9\""},
+        {"forwarded", "false"},
+        {"cold_per_s", "5"},
+        {"cold_left_ms", "5"}}},
+      {"/streams/begun",
+       {{"request", "\"r\""}, {"service", "\"s\""}, {"version", "\"v\""}}},
+      {"/streams/origin", {{"request", "\"r\""}}},
+      {"/budget/reserve",
+       {{"program", "\"ws1/p\""},
+        {"turn", "\"t\""},
+        {"budget", "100"},
+        {"most", "4"},
+        {"time_ms", "50"}}},
+      {"/budget/settle", {{"turn", "\"t\""}, {"spent", "4"}}},
+  };
+  TestCluster cluster(1, 2);
+  // The use of rates counts while the store is away.
+  for (const bool is_store_away : {false, true}) {
+    CAPTURE(is_store_away);
+    cluster.store.faults.unavailable = is_store_away;
+    if (is_store_away) cluster.RunFor(Ms{700});
+    for (const OddMessage& message : messages) {
+      CAPTURE(message.path);
+      const auto post = [&](const std::string& body) {
+        CHECK(cluster.Post(cluster.configs[0].peers, message.path, body) != 0);
+      };
+      const auto& fields = message.fields;
+      for (size_t field = 0; field < fields.size(); ++field) {
+        for (const std::string& value : OddValues()) {
+          post(DocumentOf(fields, field, value));
+        }
+      }
+      for (const std::string& value : OddValues()) post(value);
+      const std::string good = DocumentOf(fields, fields.size(), "");
+      for (const uint64_t seed : Seeds()) {
+        std::mt19937_64 random(seed);
+        for (int i = 0; i < 60; ++i) post(Mutated(good, random));
+      }
+      post(good);
+    }
+    CHECK(cluster.Call(PlainCall("/safe/x", "served")).status == 200);
+  }
+  cluster.store.faults.unavailable = false;
+  cluster.RunFor(Ms{700});
+  CheckServes(cluster, 0);
+  CHECK(gateway::ExceptionsReported() == 0);
+}
+
 // Guards against requests whose bytes end the gateway, and with it all others
 // that it serves.
 TEST_CASE("requests of any bytes harm no other") {
@@ -367,8 +443,8 @@
   const std::string good =
       text_of("POST", "/kept/x",
               "Program-Id: p\r\nToken-Budget: 100\r\nToken-Usage: 10,4\r\n");
-  for (int seed = 1; seed <= SeedCount(); ++seed) {
-    std::mt19937_64 random(static_cast<uint64_t>(seed));
+  for (const uint64_t seed : Seeds()) {
+    std::mt19937_64 random(seed);
     for (int i = 0; i < 200; ++i) send(Mutated(good, random));
   }
   CheckServes(cluster, served);
@@ -442,10 +518,10 @@
       stream + std::string(5000, '\n'),
       stream + "data",
   };
-  std::mt19937_64 random(7);
   const std::string good = stream + "id: 1\ndata: x\n\nid: 2\ndata: y\n\n";
-  for (int i = 0; i < 150 * SeedCount(); ++i) {
-    answers.push_back(Mutated(good, random));
+  for (const uint64_t seed : Seeds()) {
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < 150; ++i) answers.push_back(Mutated(good, random));
   }
   const char* paths[] = {"/safe/x", "/once/x", "/kept/x", "/resume/x"};
   const auto set_all = [&](const Script& script) {
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -222,22 +222,34 @@
   return *out;
 }
 
-std::string TestCluster::Get(const Address& address, const std::string& path) {
+gateway::HttpResponse TestCluster::Ask(const Address& address,
+                                       const gateway::HttpRequest& call) {
   const Clock clock = Clock::Steady();
   gateway::HttpClient client(loop, clock, address);
-  std::string body;
+  gateway::HttpResponse response;
   bool done = false;
   const auto run = [&]() -> Task<void> {
-    gateway::HttpRequest call;
-    call.target = path;
-    const gateway::HttpResponse response =
-        co_await client.Send(call, Seconds(2));
-    body = response.body;
+    response = co_await client.Send(call, Seconds(2));
     done = true;
   };
   gateway::Spawn(loop, run());
   RunUntil([&] { return done; });
-  return body;
+  return response;
+}
+
+std::string TestCluster::Get(const Address& address, const std::string& path) {
+  gateway::HttpRequest call;
+  call.target = path;
+  return Ask(address, call).body;
+}
+
+unsigned TestCluster::Post(const Address& address, const std::string& path,
+                           const std::string& body) {
+  gateway::HttpRequest call;
+  call.method = http::verb::post;
+  call.target = path;
+  call.body = body;
+  return static_cast<unsigned>(Ask(address, call).status);
 }
 
 std::vector<ReceivedRequest> TestCluster::EngineRequests() const {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -75,6 +75,10 @@
                       Ms limit = Seconds(3));
   /// Returns the body of the response to a GET of `path`.
   std::string Get(const Address& address, const std::string& path);
+  /// Sends a message as another gateway does and returns the status of the
+  /// response; zero without one.
+  unsigned Post(const Address& address, const std::string& path,
+                const std::string& body);
   /// Returns the requests that all engines received, grouped by engine.
   std::vector<ReceivedRequest> EngineRequests() const;
   /// Returns the number of requests that all plain servers received.
@@ -94,6 +98,8 @@
   std::function<void(gateway::GatewayConfig&)> edit_settings;
 
  private:
+  gateway::HttpResponse Ask(const Address& address,
+                            const gateway::HttpRequest& call);
   /// Returns a loopback address on whose port nothing listens. The port stays
   /// bound, so that no connection gets it meanwhile.
   Address ReserveAddress();
