Leave the grants of cold upstreams to gateways that know the fleet

Cause: a gateway that starts lists itself and those that have announced themselves; gateways that start together and lose the store before they read of each other each took themselves for the home of one cold upstream, and granted its whole bound from 3 s after their start. "Not listed" was taken for "not there".

Change: a gateway decides as the home once it has read a list 1.5 s younger than its start, and 1.5 s more; until then it asks the next in the order, and grants 0.025 of the bound if it is asked as the last. One that the list names from an earlier run is settled at once.

It works since two exchanges after the start all that started together have read of each other, and a gateway that has not had them decides nothing.

--- a/include/knapweed/gateway/send_limits.h
+++ b/include/knapweed/gateway/send_limits.h
@@ -40,8 +40,11 @@
   bool RecordResponse(const UpstreamPtr& upstream, const LimitInResponse& news);
   /// Handles a request from another gateway; 503 if this one grants no more.
   Task<HttpResponse> AnswerPeer(const HttpRequest& call);
-  /// Sets the peer addresses of the other serving gateways.
-  void SetOthers(std::span<const Address> others) { peers_.SetOthers(others); }
+  /// Sets the peer addresses of the other serving gateways, as read from the
+  /// store at `read_at`.
+  void SetOthers(std::span<const Address> others, Ms read_at);
+  /// The others know this gateway from an earlier run.
+  void SetKnownBefore();
   /// Leaves the granting to others, because this gateway is stopping.
   void StopGranting();
 
@@ -62,6 +65,11 @@
   /// Decides here, as the home or in its place.
   GrantAnswer DecideHere(const GrantRequest& request);
   HomeStatus StatusOfHome(std::string_view upstream) const;
+  /// Returns whether this gateway knows those that started with it, and the
+  /// others know it.
+  bool IsSettled() const;
+  /// Returns the gateway that decides on a request.
+  Home DecidesOn(const GrantRequest& request) const;
   ColdGrantor AsColdGrantor(std::string_view upstream) const;
   bool HasStopped(const Address& peer) const;
   /// Returns the request with the longer of the cold times that its sender and
@@ -87,6 +95,9 @@
   SendToPeer send_;
   Peers peers_;
   Ms started_at_;
+  /// When a list of the others was first read that was long enough after the
+  /// start.
+  std::optional<Ms> all_known_at_;
   GrantLedger ledger_;
   bool has_stopped_ = false;
   /// Peers that answered that they grant no more, and when.
--- a/include/knapweed/policy/send_limit.h
+++ b/include/knapweed/policy/send_limit.h
@@ -103,6 +103,8 @@
   Ms up_for;
   /// It stops, and others grant in its place.
   bool is_stopping = false;
+  /// It knows all gateways that have started, and they know it.
+  bool is_settled = true;
 };
 
 /// Returns the fraction of a cold upstream's bound that the gateway may grant.
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -117,7 +117,7 @@
   use_exchange_.SetStored(std::move(uses));
   budgets_.SetOthers(peers);
   starts_.SetOthers(peers);
-  send_limits_.SetOthers(peers);
+  send_limits_.SetOthers(peers, gateways_read_at_);
   stream_versions_.SetOthers(peers);
   gateways_read_ = true;
   for (const Address& seed : seeds_) {
@@ -134,7 +134,11 @@
     if (row.key.key != self_.name) continue;
     own_row_version_ = row.version;
     const absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
-    if (told.ok()) quotas_.RestoreUse(told->use, now - told->at);
+    if (!told.ok()) continue;
+    quotas_.RestoreUse(told->use, now - told->at);
+    const bool is_listed = told->peer_address == self_.peer_address &&
+                           now - told->at <= LongestAnnouncementAge();
+    if (is_listed) send_limits_.SetKnownBefore();
   }
 }
 
--- a/src/gateway/send_limits.cc
+++ b/src/gateway/send_limits.cc
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 
+#include "knapweed/base/log.h"
+
 namespace knapweed::gateway {
 namespace {
 
+constexpr Logger kLog("limits");
+
 /// A gateway that takes longer to answer is not waited for.
 constexpr Ms kAskTimeout{200};
 /// The same for a request that is passed on, whose sender waits meanwhile.
@@ -18,6 +22,9 @@
 /// Time after which a peer that does not answer at all is not merely slow;
 /// shorter than the time after which a home counts as dead.
 constexpr Ms kProbeTimeout{1500};
+/// Time within which gateways that reach the store have read of one another;
+/// longer than two exchanges of their rows.
+constexpr Ms kExchangeTime{1500};
 
 /// Returns a request that only reports what is known of the limit.
 GrantRequest ReportOf(const Upstream& upstream) {
@@ -52,6 +59,36 @@
       started_at_(clock.Now()),
       ledger_(clock) {}
 
+void SendLimits::SetOthers(std::span<const Address> others, Ms read_at) {
+  peers_.SetOthers(others);
+  const bool knows_all = read_at >= started_at_ + kExchangeTime;
+  if (!knows_all || all_known_at_.has_value()) return;
+  all_known_at_ = clock_.Now();
+  kLog.Info("Knows all gateways; grants of cold upstreams are in full soon.",
+            {{"since_start_ms", (clock_.Now() - started_at_).count},
+             {"in_ms", kExchangeTime.count},
+             {"others", others.size()}});
+}
+
+void SendLimits::SetKnownBefore() {
+  all_known_at_ = started_at_ - kExchangeTime;
+  kLog.Info("The others know this gateway from an earlier run.", {});
+}
+
+bool SendLimits::IsSettled() const {
+  // The others may have read of this gateway only after the store was back.
+  return all_known_at_.has_value() &&
+         clock_.Now() - *all_known_at_ >= kExchangeTime;
+}
+
+Home SendLimits::DecidesOn(const GrantRequest& request) const {
+  // Several gateways that started together may each be the home by what they
+  // know. A cold upstream has room for one.
+  const bool leaves_it = request.cold.left > Ms{0} && !IsSettled();
+  return leaves_it ? peers_.SubstituteOf(request.record.upstream)
+                   : peers_.ReachableHomeOf(request.record.upstream);
+}
+
 void SendLimits::TakeOverTold(Upstream& upstream, const StatedLimit& news) {
   MergeTold(upstream.limit, news);
   OpenIfUnlimited(upstream);
@@ -81,7 +118,7 @@
 
 Task<GrantAnswer> SendLimits::AskAny(GrantRequest request) {
   for (int i = 0; i < kMaxAsked; ++i) {
-    const Home home = peers_.ReachableHomeOf(request.record.upstream);
+    const Home home = DecidesOn(request);
     if (home.is_self) co_return DecideHere(request);
     const MaybeAnswer answer =
         co_await AskPeer(home.address, request, kAskTimeout);
@@ -154,6 +191,7 @@
   grantor.rank = peers_.RankOf(
       upstream, [this](const Address& peer) { return !HasStopped(peer); });
   grantor.up_for = clock_.Now() - started_at_;
+  grantor.is_settled = IsSettled();
   grantor.is_stopping = has_stopped_ && peers_.count() > 0;
   return grantor;
 }
@@ -213,7 +251,7 @@
   peers_.AddOther(request->sender);
   CheckIncarnation(request->record);
   // The sender may not know the home yet, or may not reach it.
-  const Home home = peers_.ReachableHomeOf(request->record.upstream);
+  const Home home = DecidesOn(*request);
   if (!home.is_self && !request->forwarded) {
     request->forwarded = true;
     const MaybeAnswer answer =
--- a/src/policy/send_limit.cc
+++ b/src/policy/send_limit.cc
@@ -27,6 +27,9 @@
 /// in its order grant. A request may be sent 0.15 s after its turn, so that 1.3
 /// of the bound gives 1.495 of it in a second.
 constexpr double kColdShares[] = {1, 0.2, 0.1};
+/// The same of a gateway that may take itself for the home although another is;
+/// small, since many may start at once.
+constexpr double kUnsettledShare = 0.025;
 /// Bursts of the home and of each other one: 4 of the 5 requests allowed.
 constexpr double kColdHomeBurst = 2;
 constexpr double kColdBurst = 1;
@@ -99,6 +102,7 @@
 double ColdShare(const ColdGrantor& grantor) {
   if (grantor.is_stopping || grantor.rank >= std::size(kColdShares)) return 0;
   const double share = kColdShares[grantor.rank];
+  if (!grantor.is_settled) return std::min(share, kUnsettledShare);
   const bool started_lately = grantor.up_for < kColdStartedLately;
   return started_lately ? std::min(share, kColdShares[2]) : share;
 }
--- a/tests/gateway__send_limit_fleet_test.cc
+++ b/tests/gateway__send_limit_fleet_test.cc
@@ -71,6 +71,16 @@
     {"added, 84 gateways", {.gateways = 84, .fault = FleetFault::kGrow}, 0.9},
 };
 
+// Each of the added gateways may take itself for the home.
+FleetScenario AddedBeforeOutage(Ms store_away_after) {
+  return {.gateways = 4,
+          .limit_per_s = 60,
+          .is_demand_even = true,
+          .fault = FleetFault::kGrowAndStoreAway,
+          .added = 8,
+          .store_away_after = store_away_after};
+}
+
 // The home is replaced only in part until it is no longer listed, so less of
 // the bound is used. Other upstreams take the rest.
 const Case kColdCases[] = {
@@ -115,6 +125,11 @@
      {.limit_per_s = 60, .fault = FleetFault::kGrowAndStoreAway},
      0.5},
     {"added, 84 gateways", {.gateways = 84, .fault = FleetFault::kGrow}, 0.5},
+    {"8 added to 4, an outage 0.05 s later", AddedBeforeOutage(Ms{50}), 0.4},
+    {"8 added to 4, an outage 0.15 s later", AddedBeforeOutage(Ms{150}), 0.4},
+    {"8 added to 4, an outage 0.25 s later", AddedBeforeOutage(Ms{250}), 0.4},
+    {"8 added to 4, an outage 0.4 s later", AddedBeforeOutage(Ms{400}), 0.4},
+    {"8 added to 4, an outage 0.7 s later", AddedBeforeOutage(Ms{700}), 0.4},
 };
 
 // More seeds by hand: KNAPWEED_SEEDS=50.
@@ -134,6 +149,8 @@
       FleetScenario scenario = row.scenario;
       scenario.is_cold = true;
       scenario.seed = seed;
+      // Which of the added gateways come before the home differs by upstream.
+      if (scenario.added > 0) scenario.upstream += std::to_string(seed);
       const FleetOutcome outcome = RunFleet(scenario);
       const double most = MostAllowed(scenario.limit_per_s, kColdWindow);
       MESSAGE("cold, " << what << " most " << outcome.most_in_window << " of "
--- a/tests/platform/cold_upstream_test.cc
+++ b/tests/platform/cold_upstream_test.cc
@@ -18,9 +18,9 @@
 // A gateway that has just started grants little for this time.
 constexpr Ms kStartTime{4000};
 
-void ConfigureCold(TestCluster& cluster) {
-  cluster.Configure([](nlohmann::json& config) {
-    config["services"][1]["cold_per_s"] = kColdPerS;
+void ConfigureCold(TestCluster& cluster, double per_s = kColdPerS) {
+  cluster.Configure([per_s](nlohmann::json& config) {
+    config["services"][1]["cold_per_s"] = per_s;
     config["services"][1]["cold_start_s"] = kColdStartS;
   });
   cluster.RunFor(Ms{200});
@@ -141,6 +141,37 @@
   }
 }
 
+// Guards against several gateways that each take themselves for the home: they
+// started together, and the store went away before they read of each other.
+TEST_CASE("gateways added before an outage keep to the bound as well") {
+  constexpr double kPerS = 20;
+  constexpr int kAdded = 8;
+  for (const Ms store_away_after : {Ms{150}, Ms{300}, Ms{600}}) {
+    CAPTURE(store_away_after.count);
+    TestCluster cluster(4, 4);
+    ConfigureCold(cluster, kPerS);
+    cluster.RunFor(kStartTime);
+    for (const auto& server : cluster.plain) {
+      MakeCold(cluster, *server, Seconds(kColdStartS));
+    }
+    for (int i = 0; i < kAdded; ++i) {
+      cluster.AddGateway("added-" + std::to_string(i));
+    }
+    const Ms from = Clock::Steady().Now();
+    cluster.RunFor(store_away_after);
+    cluster.store.faults.unavailable = true;
+    RunLoad(cluster, Ms{3}, Seconds(6));
+    cluster.store.faults.unavailable = false;
+    RunLoad(cluster, Ms{3}, Seconds(4));
+    for (const auto& server : cluster.plain) {
+      MESSAGE("most " << MostInASecond(*server, from) << " reached "
+                      << server->received.size());
+      CHECK(MostInASecond(*server, from) <= 1.5 * kPerS + 5);
+      CHECK(server->received.size() >= 40);
+    }
+  }
+}
+
 TEST_CASE("an upstream is cold until the time that its entry stated") {
   TestCluster cluster(1);
   ConfigureCold(cluster);
--- a/tests/policy__cold_send_test.cc
+++ b/tests/policy__cold_send_test.cc
@@ -39,6 +39,8 @@
       {"next, just started", {1, Ms{500}, false}, 0.1},
       {"far off, just started", {300, Ms{500}, false}, 0},
       {"home, stopping", {0, kLongUp, true}, 0},
+      {"home, not settled", {0, kLongUp, false, false}, 0.025},
+      {"far off, not settled", {3, kLongUp, false, false}, 0},
   };
   for (const Row& row : rows) {
     const std::string what = row.what;
--- a/tests/send_limit_fleet.cc
+++ b/tests/send_limit_fleet.cc
@@ -14,7 +14,6 @@
 using gateway::Task;
 using gateway::UpstreamPtr;
 
-constexpr char kUpstream[] = "i-limited";
 constexpr uint64_t kStartedAtMs = 1;
 constexpr Ms kLimitBegins{2000};
 constexpr Ms kLimitEnds{42000};
@@ -25,6 +24,9 @@
 constexpr Ms kToldBefore{500};
 constexpr Ms kAnnounceInterval{600};
 constexpr Ms kAnnouncementTtl{9000};
+/// Time after an outage of the store in which announcements count for as much
+/// longer as it lasted, as in `FleetWatch`.
+constexpr Ms kReannounceTime{2000};
 constexpr Ms kServiceTime{50};
 
 /// One run of a gateway's process.
@@ -110,7 +112,9 @@
 
   void Start(int n);
   void ExchangeRows(int n);
-  void ReadRows(Node& node);
+  void ReadRows(Node& node, Ms read_at);
+  void StartOutage(Ms span);
+  Ms LongestAnnouncementAge() const;
   void Arrive();
   Task<void> Ask(int n, std::shared_ptr<Process> process);
   Task<HttpResponse> Transport(int from, Address peer, HttpRequest call,
@@ -139,6 +143,7 @@
   /// Ended processes, whose requests may still be in progress.
   std::vector<std::shared_ptr<Process>> ended_;
   std::map<int, NodeRow> rows_;
+  Ms store_away_from_;
   Ms store_away_until_;
   Ms begun_;
   std::vector<Arrival> arrivals_;
@@ -164,10 +169,10 @@
   node.process = std::make_shared<Process>();
   Process& process = *node.process;
   gateway::UpstreamEntry entry;
-  entry.id = kUpstream;
+  entry.id = scenario_.upstream;
   entry.started_at_ms = kStartedAtMs;
   process.upstreams.Put(entry, 0);
-  process.upstream = process.upstreams.all().at(kUpstream);
+  process.upstream = process.upstreams.all().at(scenario_.upstream);
   if (scenario_.is_cold) {
     process.upstream->cold.per_s = scenario_.limit_per_s;
     process.upstream->cold.until = begun_ + kLimitEnds;
@@ -177,32 +182,49 @@
       [this, n](const Address& peer, const HttpRequest& call, Ms timeout) {
         return Transport(n, peer, call, timeout);
       });
+  const auto row = rows_.find(n);
+  if (row != rows_.end() && Now() - row->second.at <= kAnnouncementTtl) {
+    process.limits->SetKnownBefore();
+  }
   process.peers = std::make_unique<Peers>(clock_, node.address);
   node.told_at.reset();
   node.is_up = true;
   ++node.run;
-  ReadRows(node);
+  ReadRows(node, Now());
   OnNode(n, Now() + Ms{static_cast<int64_t>(Uniform() * 600)},
          [this, n] { ExchangeRows(n); });
 }
 
-void Fleet::ReadRows(Node& node) {
+Ms Fleet::LongestAnnouncementAge() const {
+  const bool has_just_returned =
+      Now() >= store_away_until_ && Now() - store_away_until_ < kReannounceTime;
+  const Ms outage =
+      has_just_returned ? store_away_until_ - store_away_from_ : Ms{0};
+  return kAnnouncementTtl + outage;
+}
+
+void Fleet::ReadRows(Node& node, Ms read_at) {
   std::vector<Address> others;
   for (const auto& [i, row] : rows_) {
     const Node& other = nodes_[index(i)];
-    if (&other == &node || Now() - row.at > kAnnouncementTtl) continue;
+    if (&other == &node || Now() - row.at > LongestAnnouncementAge()) continue;
     others.push_back(other.address);
     node.process->limits->MergeRecords(row.limits);
   }
-  node.process->limits->SetOthers(others);
+  node.process->limits->SetOthers(others, read_at);
   node.process->peers->SetOthers(others);
 }
 
+void Fleet::StartOutage(Ms span) {
+  if (Now() >= store_away_until_) store_away_from_ = Now();
+  store_away_until_ = Now() + span;
+}
+
 void Fleet::ExchangeRows(int n) {
   Node& node = nodes_[index(n)];
   if (store_away_until_ <= Now() && !IsCut(n)) {
     rows_[n] = {Now(), node.process->limits->Records()};
-    ReadRows(node);
+    ReadRows(node, Now());
   }
   OnNode(n, Now() + kAnnounceInterval, [this, n] { ExchangeRows(n); });
 }
@@ -291,9 +313,9 @@
 void Fleet::Arrive() {
   const double per_s = scenario_.demand * scenario_.limit_per_s;
   After(Exponential(per_s), [this] { Arrive(); });
-  // Uneven shares: gateways with a low number get more.
   const double u = Uniform();
-  const auto n = static_cast<int>(u * u * static_cast<double>(nodes_.size()));
+  const double place = scenario_.is_demand_even ? u : u * u;
+  const auto n = static_cast<int>(place * static_cast<double>(nodes_.size()));
   OnNode(n, Now(), [this, n] {
     const std::shared_ptr<Process> process = nodes_[index(n)].process;
     if (process->upstream->closed_until > Now()) return;
@@ -330,7 +352,8 @@
   // Some node that is up knows the home, which is struck first.
   for (const Node& node : nodes_) {
     if (!node.is_up) continue;
-    victims.push_back(IndexOf(node.process->peers->HomeOf(kUpstream).address));
+    victims.push_back(
+        IndexOf(node.process->peers->HomeOf(scenario_.upstream).address));
     break;
   }
   while (victims.size() < count) {
@@ -350,7 +373,7 @@
     Node& node = nodes_[index(n)];
     switch (scenario_.fault) {
       case FleetFault::kStoreAwayAndKill:
-        store_away_until_ = Now() + Seconds(10);
+        StartOutage(Seconds(10));
         After(Ms{static_cast<int64_t>(Uniform() * 3000)},
               [this, n] { Kill(n, Seconds(1), true); });
         break;
@@ -389,12 +412,13 @@
   if (scenario_.fault == FleetFault::kGrow || store_fails) {
     At(begun_ + Seconds(15), [this, store_fails] {
       if (store_fails) {
-        const Ms away_at = Now() + Ms{400};
-        At(away_at, [this] { store_away_until_ = Now() + Seconds(15); });
+        const Ms away_at = Now() + scenario_.store_away_after;
+        At(away_at, [this] { StartOutage(Seconds(15)); });
       }
       const auto first = static_cast<int>(nodes_.size());
-      nodes_.resize(nodes_.size() * 3 / 2);
-      for (auto n = first; n < static_cast<int>(nodes_.size()); ++n) Start(n);
+      const int added = scenario_.added > 0 ? scenario_.added : first / 2;
+      nodes_.resize(index(first + added));
+      for (auto n = first; n < first + added; ++n) Start(n);
     });
     return;
   }
@@ -409,7 +433,7 @@
   nodes_.resize(static_cast<size_t>(scenario_.gateways));
   for (int n = 0; n < scenario_.gateways; ++n) rows_[n] = {Now(), {}};
   for (int n = 0; n < scenario_.gateways; ++n) Start(n);
-  for (Node& node : nodes_) ReadRows(node);
+  for (Node& node : nodes_) ReadRows(node, Now());
   After(Ms{1}, [this] { Arrive(); });
   ScheduleFaults();
   while (!events_.empty() && events_.top().at < begun_ + kRunEnds) {
--- a/tests/send_limit_fleet.h
+++ b/tests/send_limit_fleet.h
@@ -34,7 +34,7 @@
   kSlow,
   /// The store is away for ten seconds, and a part is killed meanwhile.
   kStoreAwayAndKill,
-  /// The fleet grows by a half.
+  /// Gateways are added.
   kGrow,
   /// The same, and the store is away before all have read of each other.
   kGrowAndStoreAway,
@@ -46,12 +46,20 @@
   double limit_per_s = 5;
   /// Requests that callers send for this upstream, relative to its limit.
   double demand = 3;
+  /// All gateways get the same share of them; otherwise the first get more.
+  bool is_demand_even = false;
   FleetFault fault = FleetFault::kNone;
   /// Fraction of the gateways that a fault strikes; the home is among them.
   double share = 0.3;
   /// Faults strike at this interval.
   Ms fault_interval{7000};
+  /// Gateways that are added; a half of the fleet if not set.
+  int added = 0;
+  /// Time from their start until the store is away.
+  Ms store_away_after{400};
   uint64_t seed = 1;
+  /// Decides which gateway is the home.
+  std::string upstream = "i-limited";
   /// The upstream states no limit but is cold; `limit_per_s` is its bound.
   bool is_cold = false;
 };
