--- a/tests/send_limit_fleet.cc
+++ b/tests/send_limit_fleet.cc
@@ -112,7 +112,7 @@
 
   void Start(int n);
   void ExchangeRows(int n);
-  void ReadRows(Node& node, Ms read_at);
+  void ReadRows(Node& node);
   void StartOutage(Ms span);
   Ms LongestAnnouncementAge() const;
   void Arrive();
@@ -190,7 +190,7 @@
   node.told_at.reset();
   node.is_up = true;
   ++node.run;
-  ReadRows(node, Now());
+  ReadRows(node);
   OnNode(n, Now() + Ms{static_cast<int64_t>(Uniform() * 600)},
          [this, n] { ExchangeRows(n); });
 }
@@ -203,7 +203,7 @@
   return kAnnouncementTtl + outage;
 }
 
-void Fleet::ReadRows(Node& node, Ms read_at) {
+void Fleet::ReadRows(Node& node) {
   std::vector<Address> others;
   for (const auto& [i, row] : rows_) {
     const Node& other = nodes_[index(i)];
@@ -211,7 +211,7 @@
     others.push_back(other.address);
     node.process->limits->MergeRecords(row.limits);
   }
-  node.process->limits->SetOthers(others, read_at);
+  node.process->limits->SetOthers(others, Now());
   node.process->peers->SetOthers(others);
 }
 
@@ -224,7 +224,7 @@
   Node& node = nodes_[index(n)];
   if (store_away_until_ <= Now() && !IsCut(n)) {
     rows_[n] = {Now(), node.process->limits->Records()};
-    ReadRows(node, Now());
+    ReadRows(node);
   }
   OnNode(n, Now() + kAnnounceInterval, [this, n] { ExchangeRows(n); });
 }
@@ -433,7 +433,7 @@
   nodes_.resize(static_cast<size_t>(scenario_.gateways));
   for (int n = 0; n < scenario_.gateways; ++n) rows_[n] = {Now(), {}};
   for (int n = 0; n < scenario_.gateways; ++n) Start(n);
-  for (Node& node : nodes_) ReadRows(node, Now());
+  for (Node& node : nodes_) ReadRows(node);
   After(Ms{1}, [this] { Arrive(); });
   ScheduleFaults();
   while (!events_.empty() && events_.top().at < begun_ + kRunEnds) {
