--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -194,6 +194,10 @@
   ProgramPtr Find(const std::string& name);
   Task<bool> Lock(ProgramPtr program, Ms deadline);
   static void Unlock(Program& program);
+  /// Runs a step of a locked program and unlocks it, also after an exception:
+  /// left locked, it would keep its calls waiting for ever.
+  template <typename Result>
+  static Task<Result> ThenUnlock(ProgramPtr program, Task<Result> step);
   Task<Reservation> Claim(std::string name, ProgramPtr program, uint64_t budget,
                           uint64_t max_tokens, Ms deadline);
   Task<bool> WriteBack(std::string name, ProgramPtr program, bool release);
--- a/include/knapweed/gateway/crash_probes.h
+++ b/include/knapweed/gateway/crash_probes.h
@@ -18,7 +18,8 @@
 /// holds for all gateways together; without the store there is no probe.
 namespace knapweed::gateway {
 
-/// Probes of one request while its quarantine lasts.
+/// Probes of one request while its quarantine lasts: fewer than the three runs
+/// that the platform tolerates after the third crash.
 inline constexpr size_t kMaxProbes = 2;
 /// Time from the last crash until the first probe: until all gateways know of
 /// the crash and the upstream is back.
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -115,7 +115,8 @@
   std::optional<Announcement> ReadAnnouncement(const Row& row) const;
   /// Takes over what another gateway tells of crashes and limits.
   void MergeRecords(Announcement& told, Ms now, Ms age);
-  void RestoreOwnUseFrom(const std::vector<Row>& rows, Ms now);
+  /// Takes over what an earlier run of this gateway announced.
+  void TakeOverOwnRow(const std::vector<Row>& rows, Ms now);
   /// Requests the rows from peers until this gateway is ready.
   Task<void> BootstrapFromPeers();
   /// `asked_at` is when the peer was asked for the rows.
--- a/include/knapweed/gateway/send_limits.h
+++ b/include/knapweed/gateway/send_limits.h
@@ -43,7 +43,7 @@
   /// Sets the peer addresses of the other serving gateways, as read from the
   /// store at `read_at`.
   void SetOthers(std::span<const Address> others, Ms read_at);
-  /// The others know this gateway from an earlier run.
+  /// Tells that the others still list an earlier run of this gateway.
   void SetKnownBefore();
   /// Leaves the granting to others, because this gateway is stopping.
   void StopGranting();
@@ -68,8 +68,8 @@
   /// Returns whether this gateway knows those that started with it, and the
   /// others know it.
   bool IsSettled() const;
-  /// Returns the gateway that decides on a request.
-  Home DecidesOn(const GrantRequest& request) const;
+  /// Returns the gateway that should decide on a request.
+  Home GrantorOf(const GrantRequest& request) const;
   ColdGrantor AsColdGrantor(std::string_view upstream) const;
   bool HasStopped(const Address& peer) const;
   /// Returns the request with the longer of the cold times that its sender and
@@ -95,8 +95,7 @@
   SendToPeer send_;
   Peers peers_;
   Ms started_at_;
-  /// When a list of the others was first read that was long enough after the
-  /// start.
+  /// When this gateway first knew all that started with it; unset before.
   std::optional<Ms> all_known_at_;
   GrantLedger ledger_;
   bool has_stopped_ = false;
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <exception>
 #include <utility>
 #include <vector>
 
@@ -155,6 +154,19 @@
   program.unlocked.Notify();
 }
 
+template <typename Result>
+Task<Result> Budgets::ThenUnlock(ProgramPtr program, Task<Result> step) {
+  Result result{};
+  try {
+    result = co_await std::move(step);
+  } catch (...) {
+    Unlock(*program);
+    throw;
+  }
+  Unlock(*program);
+  co_return result;
+}
+
 Task<Reservation> Budgets::Claim(std::string name, ProgramPtr program,
                                  uint64_t budget, uint64_t max_tokens,
                                  Ms deadline) {
@@ -327,18 +339,9 @@
   const ProgramPtr program = Find(name);
   const bool locked = co_await Lock(program, deadline);
   if (!locked) co_return ReserveResult{};
-  ReserveResult result;
-  std::exception_ptr failure;
-  try {
-    result = co_await ReserveLocked(std::move(name), program, budget, tokens,
-                                    deadline);
-  } catch (...) {
-    // Left locked, the program would wait for ever.
-    failure = std::current_exception();
-  }
-  Unlock(*program);
-  if (failure) std::rethrow_exception(failure);
-  co_return result;
+  Task<ReserveResult> step =
+      ReserveLocked(std::move(name), program, budget, tokens, deadline);
+  co_return co_await ThenUnlock(program, std::move(step));
 }
 
 Task<ReserveResult> Budgets::ReserveLocked(std::string name, ProgramPtr program,
@@ -373,16 +376,8 @@
 Task<bool> Budgets::WriteBack(std::string name, ProgramPtr program,
                               bool release) {
   program->locked = true;
-  bool written = false;
-  std::exception_ptr failure;
-  try {
-    written = co_await WriteLocked(std::move(name), program, release);
-  } catch (...) {
-    failure = std::current_exception();
-  }
-  Unlock(*program);
-  if (failure) std::rethrow_exception(failure);
-  co_return written;
+  Task<bool> step = WriteLocked(std::move(name), program, release);
+  co_return co_await ThenUnlock(program, std::move(step));
 }
 
 Task<bool> Budgets::WriteLocked(std::string name, ProgramPtr program,
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -157,7 +157,7 @@
   if (gateways_read_) return;
   store_.SeedClock(known.store_now);
   const Ms read_at = known.store_now - known.gateways_age;
-  RestoreOwnUseFrom(gateways, known.store_now);
+  TakeOverOwnRow(gateways, known.store_now);
   ApplyGateways(gateways, read_at, known.gateways_age);
 }
 
@@ -363,12 +363,12 @@
   const Ms until = store_.regained_at() + kReregisterGrace;
   reregister_until_ = Ms{0};
   if (store_.regained_at() == Ms{0} || now >= until) return;
-  const bool was_there = WroteMeanwhile(upstream_rows_, rows);
+  const bool wrote_meanwhile = WroteMeanwhile(upstream_rows_, rows);
   kLog.Info("Read the upstreams after an outage.",
             {{"rows", rows.size()},
              {"known", upstream_rows_.size()},
-             {"store_was_there", was_there ? 1 : 0}});
-  if (!was_there) reregister_until_ = until;
+             {"written_meanwhile", wrote_meanwhile ? 1 : 0}});
+  if (!wrote_meanwhile) reregister_until_ = until;
 }
 
 Ms FleetWatch::UntilNextRemoval() const {
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -128,7 +128,7 @@
   store_.SetPeers(std::move(peers));
 }
 
-void FleetWatch::RestoreOwnUseFrom(const std::vector<Row>& rows, Ms now) {
+void FleetWatch::TakeOverOwnRow(const std::vector<Row>& rows, Ms now) {
   own_use_restored_ = true;
   for (const Row& row : rows) {
     if (row.key.key != self_.name) continue;
@@ -148,7 +148,7 @@
   uint64_t version = 0;
   while (!own_use_restored_) {
     const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
-    if (read && !own_use_restored_) RestoreOwnUseFrom(rows, store_.StoreNow());
+    if (read && !own_use_restored_) TakeOverOwnRow(rows, store_.StoreNow());
     if (!read) {
       co_await Sleep(loop_, kRetry);
     }
--- a/src/gateway/send_limits.cc
+++ b/src/gateway/send_limits.cc
@@ -64,15 +64,15 @@
   const bool knows_all = read_at >= started_at_ + kExchangeTime;
   if (!knows_all || all_known_at_.has_value()) return;
   all_known_at_ = clock_.Now();
-  kLog.Info("Knows all gateways; grants of cold upstreams are in full soon.",
+  kLog.Info("Has read of all gateways that started with this one.",
             {{"since_start_ms", (clock_.Now() - started_at_).count},
-             {"in_ms", kExchangeTime.count},
+             {"decides_in_ms", kExchangeTime.count},
              {"others", others.size()}});
 }
 
 void SendLimits::SetKnownBefore() {
   all_known_at_ = started_at_ - kExchangeTime;
-  kLog.Info("The others know this gateway from an earlier run.", {});
+  kLog.Info("The list of gateways names an earlier run of this one.", {});
 }
 
 bool SendLimits::IsSettled() const {
@@ -81,7 +81,7 @@
          clock_.Now() - *all_known_at_ >= kExchangeTime;
 }
 
-Home SendLimits::DecidesOn(const GrantRequest& request) const {
+Home SendLimits::GrantorOf(const GrantRequest& request) const {
   // Several gateways that started together may each be the home by what they
   // know. A cold upstream has room for one.
   const bool leaves_it = request.cold.left > Ms{0} && !IsSettled();
@@ -118,7 +118,7 @@
 
 Task<GrantAnswer> SendLimits::AskAny(GrantRequest request) {
   for (int i = 0; i < kMaxAsked; ++i) {
-    const Home home = DecidesOn(request);
+    const Home home = GrantorOf(request);
     if (home.is_self) co_return DecideHere(request);
     const MaybeAnswer answer =
         co_await AskPeer(home.address, request, kAskTimeout);
@@ -251,7 +251,7 @@
   peers_.AddOther(request->sender);
   CheckIncarnation(request->record);
   // The sender may not know the home yet, or may not reach it.
-  const Home home = DecidesOn(*request);
+  const Home home = GrantorOf(*request);
   if (!home.is_self && !request->forwarded) {
     request->forwarded = true;
     const MaybeAnswer answer =
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -19,17 +19,13 @@
   auto* it = std::find_if(begin, end, [&](const Crash& known) {
     return IsSameCrash(known, crash);
   });
-  if (it != end && options_.crash_span > Ms{0}) {
-    // The first report tells when it crashed; a later one would move the time
-    // from which the next crash is told apart.
-    if (it->at <= crash.at) return false;
-    it->at = crash.at;
-    return true;
-  }
   if (it != end) {
-    if (it->at >= crash.at) return false;
-    it->at = crash.at;
-    return true;
+    // With a span the first report counts: a later one would move the time from
+    // which the next crash is told apart.
+    const bool counts =
+        options_.crash_span > Ms{0} ? crash.at < it->at : crash.at > it->at;
+    if (counts) it->at = crash.at;
+    return counts;
   }
   if (entry.count < kMaxCrashes) {
     *end = crash;
--- a/src/policy/send_limit.cc
+++ b/src/policy/send_limit.cc
@@ -27,8 +27,8 @@
 /// in its order grant. A request may be sent 0.15 s after its turn, so that 1.3
 /// of the bound gives 1.495 of it in a second.
 constexpr double kColdShares[] = {1, 0.2, 0.1};
-/// The same of a gateway that may take itself for the home although another is;
-/// small, since many may start at once.
+/// The same fraction for a gateway that may not know the home: many of them may
+/// start at once, and each adds to what the home grants.
 constexpr double kUnsettledShare = 0.025;
 /// Bursts of the home and of each other one: 4 of the 5 requests allowed.
 constexpr double kColdHomeBurst = 2;
