Log what a request without an answer waited for

Change: 'Call ended.' tells whether the answer was written whole, how many attempts were passed on, how the caller's end was noticed, the request's position on its connection and the time since SIGTERM. The end of the process logs and counts each call that it cuts off with what it waited for (calls_cut_total). Refused continuations of a turn name the turn and the cause, and a connection closed with unread bytes is logged. No decision changes.

--- a/benchmarks/base__log_bench.cc
+++ b/benchmarks/base__log_bench.cc
@@ -69,12 +69,16 @@
                                       {"first_ms", 41},
                                       {"budget", 1300},
                                       {"most", 136},
+                                      {"sent", 1},
                                       {"runs", 1},
                                       {"refusals", 0},
                                       {"events", 8},
                                       {"upstream", "i-548abbc237"},
-                                      {"gone", 0},
+                                      {"answered", 1},
+                                      {"gone", "no"},
                                       {"broken_off", 0},
+                                      {"on_connection", 3},
+                                      {"stopping_ms", 0},
                                       {"config", 12},
                                       {"reason", ""}});
     if (i % kFlushEvery == 0) FlushLog();
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,20 @@
   std::shared_ptr<const std::string> body;
   CallHead head;
   Ms received;
+  /// Its position among the requests of its connection; 1 for the first.
+  uint32_t number_on_connection = 1;
+};
+
+/// How it was noticed that a caller is gone.
+enum class CallerGone : uint8_t {
+  /// It is not.
+  kNo,
+  /// It closed its side of the connection, perhaps only for sending.
+  kClosed,
+  /// The connection was reset.
+  kReset,
+  /// A write failed or took too long.
+  kWriteFailed,
 };
 
 /// Sends the response to a caller. The front's session implements it. Writes
@@ -55,7 +70,7 @@
   virtual void AbortStream() = 0;
   /// Sets a callback that is called once if the caller disconnects before its
   /// response is complete.
-  virtual void OnDisconnect(std::function<void()> callback) = 0;
+  virtual void OnDisconnect(std::function<void(CallerGone)> callback) = 0;
 };
 
 /// The gateway's local copy of the configuration and the list of upstreams.
@@ -104,9 +119,12 @@
   /// From now on takes only calls that end before `at`, when the process ends:
   /// refuses those with a later deadline as not run, and shortens the deadline
   /// of idempotent ones.
-  void EndAt(Ms at) { ends_at_ = at; }
+  void EndAt(Ms at);
   /// Returns the number of calls that are in progress.
-  uint32_t under_way() const { return under_way_; }
+  size_t under_way() const { return calls_.size(); }
+  /// Logs and counts each call that the end of the process cuts off. To be
+  /// called last of all.
+  void ReportCut() const;
 
  private:
   struct State;
@@ -202,6 +220,8 @@
   static uint64_t DigestOf(const State& state);
   void StartDeadlineTimer(const StatePtr& state);
   void Report(const State& state);
+  /// Time since the process began to stop; zero if it does not.
+  Ms StoppingFor() const;
   static void LogOverRate(const State& state, const QuotaVerdict& verdict);
 
   /// Calls that wait for their first event at one service.
@@ -215,9 +235,11 @@
   std::map<std::string, Waiting, std::less<>> waiting_;
   std::map<std::string, ProgramPace, std::less<>> paces_;
   std::mt19937_64 random_;
-  uint32_t under_way_ = 0;
-  /// When the process ends, if it is stopping.
+  /// Calls in progress.
+  std::set<const State*> calls_;
+  /// When the process ends, and when it began to stop, if it is stopping.
   std::optional<Ms> ends_at_;
+  Ms stopping_since_;
 };
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -59,6 +59,8 @@
 /// The text of a chain of turns, oldest first.
 struct History {
   HistoryOutcome outcome = HistoryOutcome::kUnavailable;
+  /// Why it was not found, or can't be read; for the log.
+  std::string_view cause = "chain is too long";
   std::string text;
   /// All rows of the chain stay in the store until then, on the store's clock.
   Ms rows_until;
@@ -101,6 +103,7 @@
   };
   struct TurnRead {
     HistoryOutcome outcome = HistoryOutcome::kUnavailable;
+    std::string_view cause;
     TurnPtr turn;
   };
   struct Expiring {
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -224,9 +224,14 @@
   }
   const std::string workspace =
       state->workspace != nullptr ? state->workspace->name : std::string();
+  state->phase = CallPhase::kHistory;
   History history =
       co_await deps_.turns.HistoryOf(request.head.previous_turn, workspace);
   if (history.outcome == HistoryOutcome::kNotFound) {
+    kLog.Info("A call continues a turn that is not there.",
+              {{"request", request.head.request_id},
+               {"turn", request.head.previous_turn},
+               {"cause", history.cause}});
     co_await Refuse(state, 404, Ms{0}, "no such turn");
     co_return Step::kDone;
   }
@@ -235,6 +240,10 @@
     co_return Step::kDone;
   }
   if (history.outcome == HistoryOutcome::kUnavailable) {
+    kLog.Info("The history of a call can't be read.",
+              {{"request", request.head.request_id},
+               {"turn", request.head.previous_turn},
+               {"cause", history.cause}});
     co_await Refuse(state, 503, StoreRetryAfter(), "history out of reach");
     co_return Step::kDone;
   }
@@ -268,6 +277,7 @@
   }
   state->ticket.turn = head.request_id;
   state->ticket.max_tokens = head.max_output_tokens;
+  state->phase = CallPhase::kBudget;
   const ReserveResult result = co_await deps_.budgets.Reserve(
       state->ticket, *head.token_budget, state->deadline);
   if (result.reservation == Reservation::kExhausted) {
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -121,8 +121,9 @@
   if (state->request.method == "HEAD" && length != attempt.header().end()) {
     fields.set(http::field::content_length, length->value());
   }
+  state->phase = CallPhase::kCaller;
   const bool sent = co_await state->link.WriteResponse(status, fields, body);
-  if (!sent) state->caller_disconnected = true;
+  state->EndAnswer(sent);
   co_return Step::kDone;
 }
 
@@ -153,14 +154,15 @@
     }
     co_return co_await OnBroken(state, upstream, "answer broke off");
   }
-  if (!sent) state->caller_disconnected = true;
+  if (!sent) state->SetGone(CallerGone::kWriteFailed);
   if (state->caller_disconnected) {
     attempt.Abort();
     co_return Step::kDone;
   }
   RecordSuccess(upstream->breaker);
+  state->phase = CallPhase::kCaller;
   sent = co_await state->link.EndStream();
-  if (!sent) state->caller_disconnected = true;
+  state->EndAnswer(sent);
   co_return Step::kDone;
 }
 
@@ -210,7 +212,7 @@
     state->status = attempt.status();
     const http::fields fields = WithoutHopFields(attempt.header());
     const bool ok = co_await state->link.BeginStream(state->status, fields);
-    if (!ok) state->caller_disconnected = true;
+    if (!ok) state->SetGone(CallerGone::kWriteFailed);
   }
   EventSplitter splitter;
   std::string piece;
@@ -240,7 +242,7 @@
       const Ms write_began = deps_.clock.Now();
       const bool sent = co_await state->link.WriteChunk(out);
       SkipCallerWait(*state, write_began);
-      if (!sent) state->caller_disconnected = true;
+      if (!sent) state->SetGone(CallerGone::kWriteFailed);
     }
     if (piece.empty()) break;
   }
@@ -278,14 +280,16 @@
         (outlives ? state->body->size() : turn->input.size()) +
         turn->output.size();
     state->held_answer.Set(kCopiesOfStoredTurn * text_bytes);
+    state->phase = CallPhase::kStoring;
     const bool kept = co_await deps_.turns.Save(turn, ttl, state->deadline);
     if (!kept) {
       co_await Refuse(state, 503, Ms{0}, "turn was not kept");
       co_return Step::kDone;
     }
   }
+  state->phase = CallPhase::kCaller;
   const bool ended = co_await state->link.EndStream();
-  if (!ended) state->caller_disconnected = true;
+  state->EndAnswer(ended);
   co_return Step::kDone;
 }
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -35,14 +35,15 @@
     : deps_(std::move(deps)), random_(HashBytes(RandomHexId())) {}
 
 Task<void> CallRunner::Run(CallerRequest& request, CallerLink& link) {
-  ++under_way_;
   auto state = std::make_shared<State>(deps_.loop, deps_.memory, request, link);
-  state->link.OnDisconnect([weak = std::weak_ptr<State>(state)] {
-    const StatePtr locked = weak.lock();
-    if (locked == nullptr) return;
-    locked->caller_disconnected = true;
-    if (locked->attempt != nullptr) locked->attempt->Abort();
-  });
+  calls_.insert(state.get());
+  state->link.OnDisconnect(
+      [weak = std::weak_ptr<State>(state)](CallerGone gone) {
+        const StatePtr locked = weak.lock();
+        if (locked == nullptr) return;
+        locked->SetGone(gone);
+        if (locked->attempt != nullptr) locked->attempt->Abort();
+      });
   std::exception_ptr failure;
   try {
     co_await RunChecked(state);
@@ -69,7 +70,7 @@
     deps_.crashes.OnSuccess(DigestOf(*state));
   }
   Report(*state);
-  --under_way_;
+  calls_.erase(state.get());
 }
 
 Task<void> CallRunner::RefuseAfterException(StatePtr state) {
@@ -130,6 +131,7 @@
                       "deadline passed");
       co_return;
     }
+    state->phase = CallPhase::kPlacement;
     UpstreamPtr upstream = co_await ChooseWithGrant(state);
     if (upstream == nullptr) co_return;
     if (BeginsStream(*state)) {
@@ -182,6 +184,7 @@
                                               UpstreamPtr upstream) {
   const Ms timeout =
       std::min(kConnectTimeout, state->deadline - deps_.clock.Now());
+  state->phase = CallPhase::kConnection;
   std::unique_ptr<UpstreamConnection> conn =
       co_await deps_.pool.Get(upstream, timeout);
   if (state->caller_disconnected || state->timed_out) co_return Step::kNext;
@@ -224,6 +227,8 @@
   state->holds_rate_token = false;
   const CallHead& head = state->request.head;
   if (IsLimited(*upstream)) ++upstream->sent_under_limit;
+  ++state->sent;
+  state->phase = CallPhase::kResponse;
   const AttemptOutcome outcome =
       co_await attempt->Begin(std::move(conn), request, head.request_id);
   EndPrefill(*state, *upstream);
@@ -243,6 +248,7 @@
   } else {
     ++state->runs;
     upstream->cache.Record(head.prompt, deps_.clock.Now());
+    state->phase = CallPhase::kBody;
     step = co_await OnResponse(state, upstream);
   }
   EndLoad(*state, *upstream);
@@ -347,41 +353,18 @@
   }
   std::string body = "{\"error\":\"";
   body.append(reason).append("\"}");
+  state->phase = CallPhase::kCaller;
   const bool sent = co_await state->link.WriteResponse(status, fields, body);
-  if (!sent) state->caller_disconnected = true;
+  state->EndAnswer(sent);
 }
 
-void CallRunner::Report(const State& state) {
-  const CallHead& head = state.request.head;
-  const Ms took = deps_.clock.Now() - state.request.received;
-  deps_.metrics.GetLatency("call_ms").Record(static_cast<double>(took.count));
-  deps_.metrics
-      .GetCounter("calls_total{status=\"" + std::to_string(state.status) +
-                  "\"}")
-      .Add();
-  kLog.Info(
-      "Call ended.",
-      {{"request", head.request_id},
-       {"route", state.route != nullptr ? state.route->name : ""},
-       {"workspace", state.workspace != nullptr ? state.workspace->name : ""},
-       {"program", head.program},
-       {"status", state.status},
-       {"ms", took.count},
-       {"first_ms",
-        state.first_event_at == Ms{0}
-            ? 0
-            : (state.first_event_at - state.request.received).count},
-       {"budget", head.token_budget.value_or(0)},
-       {"most", head.max_output_tokens},
-       {"runs", state.runs},
-       {"refusals", state.refusals},
-       {"events", state.events_sent},
-       {"upstream",
-        state.last_upstream != nullptr ? state.last_upstream->entry.id : ""},
-       {"gone", state.caller_disconnected ? 1 : 0},
-       {"broken_off", state.stream_aborted ? 1 : 0},
-       {"config", state.config != nullptr ? state.config->version : 0},
-       {"reason", state.reason}});
+void CallRunner::EndAt(Ms at) {
+  ends_at_ = at;
+  stopping_since_ = deps_.clock.Now();
+}
+
+Ms CallRunner::StoppingFor() const {
+  return ends_at_.has_value() ? deps_.clock.Now() - stopping_since_ : Ms{0};
 }
 
 }  // namespace knapweed::gateway
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -17,6 +17,21 @@
 /// Retry-After if every upstream tried was full.
 inline constexpr Ms kRetryFull{150};
 
+/// What a call waits for.
+enum class CallPhase : uint8_t {
+  /// The checks before it is placed.
+  kAdmission,
+  kHistory,
+  kBudget,
+  kPlacement,
+  kConnection,
+  kResponse,
+  kBody,
+  kStoring,
+  /// Its caller reads the rest of the answer.
+  kCaller,
+};
+
 /// One call in progress.
 struct CallRunner::State {
   State(asio::io_context& loop, const HeldMemory& memory, CallerRequest& r,
@@ -27,6 +42,16 @@
         held_history(memory),
         held_answer(memory) {}
 
+  void SetGone(CallerGone how) {
+    caller_disconnected = true;
+    if (gone == CallerGone::kNo) gone = how;
+  }
+  /// Takes the result of the write that ends the answer.
+  void EndAnswer(bool sent) {
+    is_answered = sent;
+    if (!sent) SetGone(CallerGone::kWriteFailed);
+  }
+
   CallerRequest& request;
   CallerLink& link;
   asio::steady_timer timer;
@@ -77,7 +102,13 @@
   /// Time since the program's first request.
   Ms waited;
   ReservationTicket ticket;
+  CallPhase phase = CallPhase::kAdmission;
+  /// Attempts that were sent to an upstream.
+  uint32_t sent = 0;
+  CallerGone gone = CallerGone::kNo;
   // The response so far.
+  /// All of it was written.
+  bool is_answered = false;
   unsigned status = 0;
   std::string reason;
   bool stream_begun = false;
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -76,7 +76,7 @@
     stream_aborted_ = true;
     stream_.close();
   }
-  void OnDisconnect(std::function<void()> callback) override {
+  void OnDisconnect(std::function<void(CallerGone)> callback) override {
     on_disconnect_ = std::move(callback);
   }
 
@@ -115,10 +115,12 @@
   uint64_t acknowledged_bytes_ = 0;
   Ms progress_at_;
   beast::flat_buffer buf_;
-  std::function<void()> on_disconnect_;
+  std::function<void(CallerGone)> on_disconnect_;
   Ms opened_at_;
   bool idle_ = true;
   bool has_served_ = false;
+  /// Requests that were read.
+  uint32_t requests_ = 0;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
   bool stream_aborted_ = false;
@@ -259,13 +261,14 @@
       asio::redirect_error(asio::use_awaitable, ec));
   if (*answered) co_return;
   char byte = 0;
-  const ssize_t n = ec ? 0
+  const ssize_t n = ec ? -1
                        : recv(stream_.socket().native_handle(), &byte, 1,
                               MSG_PEEK | MSG_DONTWAIT);
   // Bytes of the next request show that the caller is still connected.
   if (n > 0) co_return;
-  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) co_return;
-  if (on_disconnect_) on_disconnect_();
+  if (!ec && n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) co_return;
+  const CallerGone gone = n == 0 ? CallerGone::kClosed : CallerGone::kReset;
+  if (on_disconnect_) on_disconnect_(gone);
 }
 
 Task<void> Front::Session::Run() {
@@ -289,6 +292,7 @@
     CallerRequest request;
     auto& message = parser.get();
     request.received = front_.clock_.Now();
+    request.number_on_connection = ++requests_;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.body =
@@ -310,6 +314,14 @@
     stream_.socket().cancel(ec);
   }
   if (!stream_aborted_) {
+    const size_t unread = buf_.size() + stream_.socket().available(ec);
+    if (unread > 0) {
+      // Those in the kernel reset the connection.
+      kLog.Info("Closing a connection with bytes unread.",
+                {{"bytes", unread},
+                 {"requests", requests_},
+                 {"stopping", front_.draining_ ? 1 : 0}});
+    }
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     stream_.close();
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -346,7 +346,9 @@
   }
   co_await parts.budgets.Flush(true,
                                started_at + parts.config.grace - kExitTime);
-  kLog.Info("Stopped.", {{"under_way", parts.runner.under_way()}});
+  parts.runner.ReportCut();
+  kLog.Info("Stopped.", {{"under_way", parts.runner.under_way()},
+                         {"connections", parts.front.connections()}});
 }
 
 namespace {
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -197,12 +197,17 @@
     co_return read;
   }
   const StoreAnswer answer = co_await ReadRows(id);
-  if (answer.outcome != StoreOutcome::kDone || answer.more) co_return read;
+  read.cause = "store did not answer";
+  if (answer.outcome != StoreOutcome::kDone) co_return read;
+  read.cause = "rows do not fit in one answer";
+  if (answer.more) co_return read;
   const absl::StatusOr<std::string> bytes = JoinRows(id, answer.rows);
   if (absl::IsNotFound(bytes.status())) {
     read.outcome = HistoryOutcome::kNotFound;
+    read.cause = "no such row";
     co_return read;
   }
+  read.cause = "row can't be decoded";
   if (bytes.ok()) read.turn = Decode(id, *bytes);
   if (read.turn == nullptr) {
     kLog.Error("A stored turn cannot be decoded.",
@@ -225,13 +230,17 @@
       // A loss of data, not the caller's error.
       kLog.Error("A stored chain lacks a turn.",
                  {{"turn", previous}, {"continued_by", chain.back()->id}});
+      history.cause = "chain lacks a turn";
       co_return history;
     }
     history.outcome = read.outcome;
+    history.cause = read.cause;
     if (read.outcome != HistoryOutcome::kFound) co_return history;
     const TurnPtr& turn = read.turn;
     if (turn->workspace != workspace || (named && turn->is_section)) {
       history.outcome = HistoryOutcome::kNotFound;
+      history.cause =
+          turn->is_section ? "a section" : "turn of another workspace";
       co_return history;
     }
     if (turn->lacks_start) {
@@ -239,6 +248,7 @@
       co_return history;
     }
     history.outcome = HistoryOutcome::kUnavailable;
+    history.cause = "chain is too long";
     history.rows_until = named ? turn->rows_until
                                : std::min(history.rows_until, turn->rows_until);
     previous = turn->previous;
