Take what a caller still sends before its connection closes

Callers saw: an answer with 'Connection: close' that broke off in its middle, if bytes had come after the request; at a stop this is the last answer of each kept connection whose caller had sent more.

Cause: the connection was closed with bytes unread. The kernel then resets it and drops what it has not yet delivered of the answer.

Change: after the last answer of a connection the gateway ends its own side and reads what still comes, up to 256 KB and 2 s, as it did for requests that it refuses.

Why it works: a close without unread bytes delivers what was written.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -22,8 +22,11 @@
 constexpr Ms kWriteTimeout{8000};
 /// Maximum time for reading the body of a request.
 constexpr Ms kBodyTimeout{15000};
-/// Maximum time for which the body of a refused request is dropped.
+/// Maximum time for which the body of a refused request is dropped, and for
+/// which a caller may go on sending after the last answer on its connection.
 constexpr Ms kDropTimeout{2000};
+/// Most reads, of up to 4 KB each, that drop what comes after the last answer.
+constexpr int kMaxDropReads = 64;
 /// How often a call's connection is checked for what its caller has read.
 constexpr Ms kSendCheckInterval{500};
 /// The kernel closes a caller's connection if sent data stays unacknowledged
@@ -153,9 +156,8 @@
   kLog.Info("Rejected a malformed request.",
             {{"status", status}, {"error", ec.message()}});
   co_await WriteResponse(status, fields, "{\"error\":\"unreadable request\"}");
-  constexpr int kMaxReads = 64;
   constexpr Ms kTimeout{500};
-  co_await DropRest(kMaxReads, kTimeout);
+  co_await DropRest(kMaxDropReads, kTimeout);
 }
 
 Task<void> Front::Session::RefuseForMemory(Parser& parser,
@@ -312,6 +314,7 @@
     on_disconnect_ = nullptr;
     if (stream_aborted_) break;
     stream_.socket().cancel(ec);
+    if (!keep_alive_) co_await DropRest(kMaxDropReads, kDropTimeout);
   }
   if (!stream_aborted_) {
     const size_t unread = buf_.size() + stream_.socket().available(ec);
