Answer the requests that a stopping gateway has read behind another

Callers saw: of several requests sent at once on a connection, a gateway that was told to stop answered the first and closed; the others got no answer, and their caller can't tell whether they ran.

Cause: the first response said 'Connection: close' although the gateway had already read the next requests into its buffer.

Change: while stopping, a response keeps its connection if bytes of another request are here.

Why it works: the connection says close only when nothing unanswered is left on it.

--- a/include/knapweed/gateway/front.h
+++ b/include/knapweed/gateway/front.h
@@ -27,7 +27,8 @@
   /// address.
   bool Listen(const Address& address);
   /// From now on closes each connection after its next response, so that
-  /// callers reconnect to another gateway.
+  /// callers reconnect to another gateway; after the last one, if it holds more
+  /// requests already.
   void BeginDraining() { draining_ = true; }
   /// Closes the listening socket.
   void StopAccepting();
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -97,6 +97,8 @@
   /// Reads and drops what the caller still sends.
   Task<void> DropRest(int max_reads, Ms timeout);
   Task<void> WatchForDisconnect(std::shared_ptr<bool> answered);
+  /// Returns whether bytes of another request have arrived.
+  bool HasMoreBytes();
   template <typename Message>
   void SetConnectionFields(Message& message);
   /// Writes all of `buffers`, which must outlive the write.
@@ -317,11 +319,10 @@
     if (!keep_alive_) co_await DropRest(kMaxDropReads, kDropTimeout);
   }
   if (!stream_aborted_) {
-    const size_t unread = buf_.size() + stream_.socket().available(ec);
-    if (unread > 0) {
+    if (HasMoreBytes()) {
       // Those in the kernel reset the connection.
       kLog.Info("Closing a connection with bytes unread.",
-                {{"bytes", unread},
+                {{"bytes", buf_.size() + stream_.socket().available(ec)},
                  {"requests", requests_},
                  {"stopping", front_.draining_ ? 1 : 0}});
     }
@@ -330,9 +331,15 @@
   }
 }
 
+bool Front::Session::HasMoreBytes() {
+  NetErrorCode ignored;
+  return buf_.size() > 0 || stream_.socket().available(ignored) > 0;
+}
+
 template <typename Message>
 void Front::Session::SetConnectionFields(Message& message) {
-  if (front_.draining_) keep_alive_ = false;
+  // A request that is here already is answered too.
+  if (front_.draining_ && !HasMoreBytes()) keep_alive_ = false;
   message.keep_alive(keep_alive_);
   if (keep_alive_) {
     const auto idle_s = front_.Limits().idle_timeout.count / 1000;
--- a/tests/platform/connection_close_test.cc
+++ b/tests/platform/connection_close_test.cc
@@ -81,5 +81,47 @@
   }
 }
 
+// Guards against requests that a stopping gateway has read behind another one
+// on the same connection and drops without an answer.
+TEST_CASE("a stopping gateway answers each request that it has read") {
+  struct Row {
+    const char* path;
+    size_t requests;
+  };
+  const Row rows[] = {
+      {"/safe/x", 2}, {"/safe/x", 8}, {"/once/x", 3}, {"/turn/x", 3}};
+  for (const Row& row : rows) {
+    const std::string path = row.path;
+    CAPTURE(path);
+    CAPTURE(row.requests);
+    TestCluster cluster(1);
+    for (auto* servers : {&cluster.plain, &cluster.engines}) {
+      for (auto& server : *servers) server->default_script.pause = Ms{100};
+    }
+    bool stopped = false;
+    const auto shut_down = [&]() -> gateway::Task<void> {
+      co_await gateway::Sleep(cluster.loop, Ms{50});
+      co_await cluster.gateways[0]->Shutdown();
+      stopped = true;
+    };
+    gateway::Spawn(cluster.loop, shut_down());
+    std::string text;
+    for (size_t i = 0; i < row.requests; ++i) {
+      text += TextOf(path, "r" + std::to_string(i));
+    }
+    Answers answers;
+    gateway::Spawn(cluster.loop,
+                   SendAtOnce(cluster, text, Ms{0}, row.requests, answers));
+    REQUIRE(cluster.RunUntil([&] { return answers.done; }));
+    REQUIRE(answers.ids.size() == row.requests);
+    for (size_t i = 0; i < row.requests; ++i) {
+      CHECK(answers.ids[i] == "r" + std::to_string(i));
+      CHECK(answers.statuses[i] == 200);
+    }
+    CHECK(answers.last_closes);
+    CHECK(cluster.RunUntil([&] { return stopped; }, Seconds(12)));
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
