Return the tokens of other gateways' turns in a planned stop

Callers saw: after a planned restart of a program's home gateway, turns of a program with a tight budget were refused with 503 'budget held elsewhere' on every gateway for up to 12 s.

Cause: the process ended as soon as its own connections were gone. A turn of another gateway whose tokens it had reserved was then never settled, and neither was a turn of its own whose settlement was still on its way to another home. The allowance stayed in the row until it counted as crashed, and then as spent in full.

Change: a stopping gateway refuses new reservations of other gateways (503: they claim from the row themselves), returns allowances as soon as no turn needs them, and ends when what is reserved between it and others is settled, within the grace as before.

Why it works: at its end no turn depends on it any more.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -135,6 +135,13 @@
   /// Ends the reservation of a turn of which `spent` tokens reached the caller.
   /// Does not block: a home at another gateway is notified in the background.
   void Settle(const ReservationTicket& ticket, uint64_t spent);
+  /// From now on refuses reservations for turns of other gateways, which then
+  /// claim from the rows themselves, and returns each allowance as soon as no
+  /// turn needs it.
+  void BeginHandover() { hands_over_ = true; }
+  /// Returns whether a reservation between this gateway and another one is not
+  /// settled yet.
+  bool HasUnsettled() const { return !remote_turns_.empty() || settling_ > 0; }
   /// Handles a reserve or settle request from another gateway that chose this
   /// one as a program's home.
   Task<HttpResponse> AnswerPeer(const HttpRequest& call);
@@ -186,8 +193,16 @@
   Task<ReserveResult> ReserveLocked(std::string name, ProgramPtr program,
                                     uint64_t budget, uint64_t tokens,
                                     Ms deadline);
-  Task<ReserveResult> ReserveAt(Address home, ReservationTicket ticket,
-                                uint64_t budget, Ms deadline, bool* answered);
+  enum class HomeReply : uint8_t {
+    kDecided,
+    /// It reserved nothing, since it is stopping.
+    kRefused,
+    /// It may have made the reservation.
+    kNone,
+  };
+  Task<HomeReply> ReserveAt(Address home, ReservationTicket ticket,
+                            uint64_t budget, Ms deadline,
+                            ReserveResult* result);
   void SettleHere(const std::string& name, uint64_t max_tokens, uint64_t spent);
   Task<void> SettleAt(ReservationTicket ticket, uint64_t spent);
   void ExpireRemote();
@@ -216,6 +231,9 @@
   Peers peers_;
   std::map<std::string, ProgramPtr> programs_;
   std::map<std::string, RemoteTurn> remote_turns_;
+  /// Turns whose settlement is on its way to their home.
+  size_t settling_ = 0;
+  bool hands_over_ = false;
   std::shared_ptr<FlushRun> last_flush_;
 };
 
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -213,28 +213,29 @@
   const Home home = peers_.HomeOf(ticket.program);
   const bool ask_home = !home.is_self && peers_.MayAsk(home.address);
   if (ask_home) {
-    bool answered = false;
-    const ReserveResult result =
-        co_await ReserveAt(home.address, ticket, budget, deadline, &answered);
-    if (answered) {
+    ReserveResult result;
+    const HomeReply reply =
+        co_await ReserveAt(home.address, ticket, budget, deadline, &result);
+    if (reply == HomeReply::kDecided) {
       ticket.home = home.address;
       co_return result;
     }
     peers_.Skip(home.address);
-    // The home may have made the reservation although no answer arrived.
-    ReservationTicket unused = ticket;
-    unused.home = home.address;
-    Settle(unused, 0);
+    if (reply == HomeReply::kNone) {
+      ReservationTicket unused = ticket;
+      unused.home = home.address;
+      Settle(unused, 0);
+    }
   }
   const ReserveResult result =
       co_await ReserveHere(ticket.program, budget, ticket.max_tokens, deadline);
   co_return result;
 }
 
-Task<ReserveResult> Budgets::ReserveAt(Address home, ReservationTicket ticket,
-                                       uint64_t budget, Ms deadline,
-                                       bool* answered) {
-  ReserveResult result;
+Task<Budgets::HomeReply> Budgets::ReserveAt(Address home,
+                                            ReservationTicket ticket,
+                                            uint64_t budget, Ms deadline,
+                                            ReserveResult* result) {
   const nlohmann::json body = {
       {"program", ticket.program},
       {"turn", ticket.turn},
@@ -248,14 +249,15 @@
   const HttpResponse raw = co_await clients_.At(home).Send(call, kPeerTimeout);
   const nlohmann::json json = ParseJson(raw.body);
   const nlohmann::json* reservation = FindField(json, "reservation");
-  *answered = raw.status == 200 && reservation != nullptr &&
-              reservation->is_number_unsigned() &&
-              *reservation <= static_cast<uint64_t>(kLastReservation);
-  if (!*answered) co_return result;
-  result.reservation = static_cast<Reservation>(reservation->get<uint64_t>());
-  result.begins_program = FlagField(json, "begins");
-  result.waited = MsField(json, "waited_ms").value_or(Ms{0});
-  co_return result;
+  if (raw.status == 503) co_return HomeReply::kRefused;
+  const bool decided = raw.status == 200 && reservation != nullptr &&
+                       reservation->is_number_unsigned() &&
+                       *reservation <= static_cast<uint64_t>(kLastReservation);
+  if (!decided) co_return HomeReply::kNone;
+  result->reservation = static_cast<Reservation>(reservation->get<uint64_t>());
+  result->begins_program = FlagField(json, "begins");
+  result->waited = MsField(json, "waited_ms").value_or(Ms{0});
+  co_return HomeReply::kDecided;
 }
 
 void Budgets::Settle(const ReservationTicket& ticket, uint64_t spent) {
@@ -263,6 +265,7 @@
     SettleHere(ticket.program, ticket.max_tokens, spent);
     return;
   }
+  ++settling_;
   Spawn(loop_, SettleAt(ticket, spent));
 }
 
@@ -275,9 +278,13 @@
   for (int i = 0; i < kSettleAttempts; ++i) {
     const HttpResponse raw =
         co_await clients_.At(ticket.home).Send(call, kPeerTimeout);
-    if (raw.status == 200) co_return;
+    if (raw.status == 200) {
+      --settling_;
+      co_return;
+    }
     co_await Sleep(loop_, kSettlePause);
   }
+  --settling_;
   // The reservation expires at the home, which then counts it as spent in full.
   kLog.Info("Failed to settle a turn at its program's home gateway.",
             {{"program", ticket.program}, {"home", ticket.home.ToString()}});
@@ -301,6 +308,10 @@
     answer.status = 200;
     co_return answer;
   }
+  if (hands_over_) {
+    answer.status = 503;
+    co_return answer;
+  }
   const std::string program = TextField(json, "program");
   const uint64_t max_tokens = CountField(json, "most");
   const Ms deadline = clock_.Now() + MsField(json, "time_ms").value_or(Ms{0});
@@ -436,7 +447,7 @@
       is_free = co_await Lock(program, run->until);
     }
     if (!is_free) continue;
-    const bool release = run->all || IsIdle(*program);
+    const bool release = run->all || hands_over_ || IsIdle(*program);
     const bool written = co_await WriteBack(name, program, release);
     if (!written && !store_.reachable()) run->due.clear();
   }
@@ -454,7 +465,7 @@
   last_flush_ = run;
   for (const auto& [name, program] : programs_) {
     if (program->locked && !all) continue;
-    const bool idle = all || IsIdle(*program);
+    const bool idle = all || hands_over_ || IsIdle(*program);
     const bool old = now - program->allowed_at >= kConfirmInterval;
     if (program->allowance + program->spent > 0 && (idle || old)) {
       run->due.emplace_back(name, program);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -331,6 +331,7 @@
   parts.front.BeginDraining();
   parts.runner.EndAt(stop_at);
   parts.send_limits.StopGranting();
+  parts.budgets.BeginHandover();
   kLog.Info("Stopping.", {{"under_way", parts.runner.under_way()}});
   constexpr Ms kPollInterval{50};
   const Ms stops_accepting_at =
@@ -340,7 +341,8 @@
   }
   // New connections are now refused, so that callers try another gateway.
   parts.front.StopAccepting();
-  while (parts.clock.Now() < stop_at && parts.front.connections() > 0) {
+  while (parts.clock.Now() < stop_at &&
+         (parts.front.connections() > 0 || parts.budgets.HasUnsettled())) {
     parts.front.CloseIdle();
     co_await Sleep(parts.loop, kPollInterval);
   }
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <deque>
 
+#include "knapweed/gateway/peers.h"
 #include "tests/platform/world.h"
 
 namespace knapweed::testing {
@@ -376,5 +377,60 @@
   }
 }
 
+// Returns a name of a program of "ws1" whose home is gateway 0.
+std::string ProgramAtFirst(const TestCluster& cluster) {
+  const Clock clock = Clock::Steady();
+  gateway::Peers peers(clock, cluster.configs[0].peers);
+  peers.SetOthers(std::vector<Address>{cluster.configs[1].peers});
+  for (int i = 0;; ++i) {
+    const std::string name = "prog" + std::to_string(i);
+    if (peers.HomeOf("ws1/" + name).is_self) return name;
+  }
+}
+
+// Guards against tokens of a program that stay taken after a planned stop of
+// its home, so that its next turns are refused on every gateway.
+TEST_CASE("a stopping home leaves no tokens of other gateways' turns taken") {
+  struct Row {
+    const char* what;
+    // When the turn is sent, relative to the stop, and how long it takes.
+    Ms sent_after;
+    Ms lasts;
+  };
+  const Row rows[] = {{"begun before the stop", Ms{-200}, Ms{3700}},
+                      {"begun in the stop", Ms{1500}, Ms{2500}},
+                      {"over before the stop", Ms{-200}, Ms{10}}};
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    TestCluster cluster(2);
+    cluster.RunFor(Ms{1500});
+    const std::string program = ProgramAtFirst(cluster);
+    for (auto& engine : cluster.engines) {
+      engine->default_script.pause = row.lasts;
+    }
+    const Ms before = std::max(Ms{0} - row.sent_after, Ms{0});
+    bool stopped = false;
+    std::string at_stop;
+    const auto shut_down = [&]() -> gateway::Task<void> {
+      co_await gateway::Sleep(cluster.loop, before);
+      co_await cluster.gateways[0]->Shutdown();
+      at_stop = cluster.store.Get("budgets", "ws1/" + program);
+      stopped = true;
+    };
+    gateway::Spawn(cluster.loop, shut_down());
+    cluster.RunFor(row.sent_after + before);
+    const auto turn = cluster.StartCall(TurnCall("t1", program, 40, 20), 1);
+    REQUIRE(cluster.RunUntil([&] { return stopped && turn->done; }));
+    CHECK(turn->complete);
+    REQUIRE(!at_stop.empty());
+    const auto state = nlohmann::json::parse(at_stop)["state"];
+    CAPTURE(at_stop);
+    for (const auto& [holder, allowance] : state["allowances"].items()) {
+      CHECK_FALSE(holder.starts_with(cluster.configs[0].name));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
