Take signals from the first step of a gateway's process on

Callers saw nothing yet: a gateway that got a SIGHUP or SIGTERM while it read its settings ended by the signal's default action. After a change of settings that comes with a restart a VM was then missing.

Cause: the handlers were set after the settings were read.

Change: the signals are taken over before; they wait for their handlers. A reload that comes in between reads the settings again, a stop shuts down as usual.

Why it works: no step between the start of main and the loop leaves the default action in place. What lies before main is not covered.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -381,18 +381,26 @@
 
 }  // namespace
 
-int RunGateway(const GatewayConfig& config, const std::string& path,
-               const Dialect& dialect) {
-  std::signal(SIGPIPE, SIG_IGN);
-  asio::io_context loop(1);
+namespace {
+
+/// The loop of a process, and the signals that it handles. From its
+/// construction on they wait for their handlers in place of ending the process.
+struct SignalledLoop {
+  SignalledLoop() { std::signal(SIGPIPE, SIG_IGN); }
+  asio::io_context loop{1};
+  asio::signal_set stop{loop, SIGTERM, SIGINT};
+  asio::signal_set hangup{loop, SIGHUP};
+};
+
+int RunGatewayOn(SignalledLoop& process, const GatewayConfig& config,
+                 const std::string& path, const Dialect& dialect) {
+  asio::io_context& loop = process.loop;
   Gateway gateway(loop, config, dialect);
-  asio::signal_set signals(loop, SIGTERM, SIGINT);
-  signals.async_wait([&](const NetErrorCode& ec, int) {
+  process.stop.async_wait([&](const NetErrorCode& ec, int) {
     if (!ec) Spawn(loop, ShutdownAndStopLoop(loop, gateway));
   });
-  asio::signal_set hangup(loop, SIGHUP);
   SpawnForever(loop, "reloading settings",
-               [&] { return ReloadOnHangup(gateway, hangup, path); });
+               [&] { return ReloadOnHangup(gateway, process.hangup, path); });
   if (!gateway.Start()) return kExitFailed;
   // What escapes a completion handler ends `run`, which can be called again.
   while (!loop.stopped()) RunStep("the loop", [&] { loop.run(); });
@@ -400,10 +408,19 @@
   return kExitOk;
 }
 
+}  // namespace
+
+int RunGateway(const GatewayConfig& config, const std::string& path,
+               const Dialect& dialect) {
+  SignalledLoop process;
+  return RunGatewayOn(process, config, path, dialect);
+}
+
 int GatewayMain(int argc, const char** argv, const Dialect& dialect) {
   const DaemonArgs args =
       ParseDaemonArgs(argc, argv, "serves callers over the platform's store");
   if (args.exit_now) return args.exit_code;
+  SignalledLoop process;
   const absl::StatusOr<GatewayConfig> config =
       ReadGatewayConfig(args.config_path);
   if (!config.ok()) {
@@ -412,7 +429,7 @@
   }
   if (args.check_only) return kExitOk;
   StartStructuredLog(config->log_level);
-  return RunGateway(*config, args.config_path, dialect);
+  return RunGatewayOn(process, *config, args.config_path, dialect);
 }
 
 }  // namespace knapweed::gateway
