--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -316,7 +316,9 @@
     on_disconnect_ = nullptr;
     if (stream_aborted_) break;
     stream_.socket().cancel(ec);
-    if (!keep_alive_) co_await DropRest(kMaxDropReads, kDropTimeout);
+    if (!keep_alive_) {
+      co_await DropRest(kMaxDropReads, kDropTimeout);
+    }
   }
   if (!stream_aborted_) {
     if (HasMoreBytes()) {
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -383,7 +383,7 @@
   gateway::Peers peers(clock, cluster.configs[0].peers);
   peers.SetOthers(std::vector<Address>{cluster.configs[1].peers});
   for (int i = 0;; ++i) {
-    const std::string name = "prog" + std::to_string(i);
+    std::string name = "prog" + std::to_string(i);
     if (peers.HomeOf("ws1/" + name).is_self) return name;
   }
 }
