End answers of unknown length with the connection for HTTP/1.0

Callers of HTTP/1.0 got streams and long bodies in chunks, which their protocol doesn't have: sizes of chunks stood inside the body, and the end was not told in a way that they know. An answer on a connection that they asked to keep did not say that it stays open.

Such a body now ends with the connection. While it is open, any close of the socket resets it (SO_LINGER 0): a broken answer would look whole after a plain close. This holds for a failed upstream, a caller that reads nothing for 8 s and the end of the process alike, since the kernel does it. The option is taken back when the body has ended. The status line stays HTTP/1.1, as a server may answer; a kept connection is stated.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -101,6 +101,12 @@
   bool HasMoreBytes();
   template <typename Message>
   void SetConnectionFields(Message& message);
+  /// Sets the status line and the fields of an answer's head.
+  template <typename Message>
+  void SetHead(Message& message, unsigned status, const http::fields& fields);
+  /// While `resets`, any close of the connection resets it, also one at the end
+  /// of the process.
+  void SetResetAtClose(bool resets);
   /// Writes all of `buffers`, which must outlive the write.
   template <typename Buffers>
   Task<bool> Write(Buffers buffers);
@@ -128,6 +134,10 @@
   uint32_t requests_ = 0;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
+  /// The caller speaks HTTP/1.0, which has no chunks.
+  bool is_http10_ = false;
+  /// The body of the present answer ends with the connection.
+  bool ends_with_connection_ = false;
   bool stream_aborted_ = false;
 };
 
@@ -169,6 +179,7 @@
   // A body that was not read ends the connection; the response tells so.
   keep_alive_ = parser.is_done() && parser.keep_alive();
   is_head_request_ = parser.get().method() == http::verb::head;
+  is_http10_ = parser.get().version() < 11;
   http::fields fields;
   front_.dialect_.encode_gateway_response(head, fields);
   fields.set(http::field::content_type, "application/json");
@@ -305,6 +316,7 @@
     request.head = front_.dialect_.decode_call(request.fields);
     keep_alive_ = message.keep_alive();
     is_head_request_ = message.method() == http::verb::head;
+    is_http10_ = message.version() < 11;
     stream_.expires_never();
     auto answered = std::make_shared<bool>(false);
     Spawn(front_.loop_, WatchForDisconnect(answered));
@@ -347,13 +359,30 @@
   }
 }
 
+template <typename Message>
+void Front::Session::SetHead(Message& message, unsigned status,
+                             const http::fields& fields) {
+  static_cast<http::fields&>(message) = fields;
+  message.version(11);
+  message.result(status);
+  SetConnectionFields(message);
+  // A caller of HTTP/1.0 takes a connection as closing if nothing is stated.
+  if (is_http10_ && keep_alive_) {
+    message.set(http::field::connection, "keep-alive");
+  }
+}
+
+void Front::Session::SetResetAtClose(bool resets) {
+  NetErrorCode ec;
+  stream_.socket().set_option(asio::socket_base::linger(resets, 0), ec);
+  if (ec) kLog.Warning("Can't set how a connection closes.");
+}
+
 Task<bool> Front::Session::WriteResponse(unsigned status,
                                          const http::fields& fields,
                                          std::string_view body) {
   http::response<http::span_body<const char>> message;
-  static_cast<http::fields&>(message) = fields;
-  message.version(11);
-  message.result(status);
+  SetHead(message, status, fields);
   message.body() = {body.data(), body.size()};
   const bool has_body = status != 204 && status != 304;
   const bool states_length =
@@ -362,7 +391,6 @@
     message.set(http::field::content_length, std::to_string(body.size()));
   }
   if (!has_body || is_head_request_) message.body() = {};
-  SetConnectionFields(message);
   StartWriteTimeout();
   NetErrorCode ec;
   co_await http::async_write(stream_, message,
@@ -374,11 +402,13 @@
 Task<bool> Front::Session::BeginStream(unsigned status,
                                        const http::fields& fields) {
   http::response<http::empty_body> message;
-  static_cast<http::fields&>(message) = fields;
-  message.version(11);
-  message.result(status);
-  message.chunked(true);
-  SetConnectionFields(message);
+  ends_with_connection_ = is_http10_;
+  if (ends_with_connection_) {
+    keep_alive_ = false;
+    SetResetAtClose(true);
+  }
+  SetHead(message, status, fields);
+  message.chunked(!ends_with_connection_);
   http::response_serializer<http::empty_body> serializer(message);
   StartWriteTimeout();
   NetErrorCode ec;
@@ -399,6 +429,9 @@
 }
 
 Task<bool> Front::Session::WriteChunk(std::string_view bytes) {
+  if (ends_with_connection_) {
+    co_return co_await Write(asio::buffer(bytes.data(), bytes.size()));
+  }
   char head[24];
   const int n = snprintf(head, sizeof(head), "%zx\r\n", bytes.size());
   const std::array<asio::const_buffer, 3> chunk = {
@@ -409,6 +442,10 @@
 }
 
 Task<bool> Front::Session::EndStream() {
+  if (ends_with_connection_) {
+    SetResetAtClose(false);
+    co_return true;
+  }
   const bool ok = co_await Write(asio::buffer("0\r\n\r\n", 5));
   co_return ok;
 }
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -79,6 +79,19 @@
       .dump();
 }
 
+Script FakeServer::TakeScript() {
+  if (scripts.empty()) return default_script;
+  Script script = std::move(scripts.front());
+  scripts.pop_front();
+  return script;
+}
+
+bool FakeServer::LeavesBodyUnread() const {
+  const Script& next = scripts.empty() ? default_script : scripts.front();
+  return ignores_bodies || refuses_early ||
+         next.kind == Script::Kind::kEarlyRaw;
+}
+
 Task<void> FakeServer::Accept() {
   while (true) {
     gateway::NetErrorCode ec;
@@ -111,6 +124,11 @@
 Task<void> FakeServer::RunHeaderOnly(beast::tcp_stream& stream,
                                      const ReceivedRequest& request) {
   ++headers_only;
+  const bool is_scripted = !ignores_bodies && !refuses_early;
+  if (is_scripted) {
+    co_await SendRaw(stream, request.Get("Request-Id"), TakeScript());
+    co_return;
+  }
   if (refuses_early) {
     co_await WriteText(stream, Head(request, 503,
                                     "Not-Executed: 1\r\nConnection: close\r\n"
@@ -128,7 +146,7 @@
     gateway::NetErrorCode ec;
     co_await http::async_read_header(
         stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
-    if (!ec && (ignores_bodies || refuses_early)) {
+    if (!ec && LeavesBodyUnread()) {
       ReceivedRequest request;
       request.fields = parser.get();
       co_await RunHeaderOnly(stream, request);
@@ -146,11 +164,7 @@
     request.body = parser.get().body();
     request.at = clock_.Now();
     const bool is_expected_instance = request.Get("Expect-Instance") == id_;
-    Script script = default_script;
-    if (!scripts.empty()) {
-      script = scripts.front();
-      scripts.pop_front();
-    }
+    Script script = TakeScript();
     if (!is_expected_instance) script.kind = Script::Kind::kWrongInstance;
     received.push_back(request);
     if (!crash_on.empty() && request.body.find(crash_on) != std::string::npos) {
@@ -263,6 +277,23 @@
   co_return true;
 }
 
+Task<void> FakeServer::SendRaw(beast::tcp_stream& stream,
+                               const std::string& request_id,
+                               const Script& script) {
+  co_await WriteText(stream, RawText(script.raw, request_id));
+  if (script.raw_end == RawEnd::kClose) co_return;
+  if (script.raw_end == RawEnd::kSilence) {
+    co_await gateway::Sleep(loop_, Seconds(20));
+    co_return;
+  }
+  if (script.raw_end == RawEnd::kReset) {
+    co_await gateway::Sleep(loop_, Ms{20});
+  }
+  gateway::NetErrorCode ec;
+  stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+  stream.close();
+}
+
 Task<bool> FakeServer::RunScript(beast::tcp_stream& stream,
                                  const ReceivedRequest& request,
                                  const Script& script) {
@@ -276,6 +307,10 @@
   if (was_endless) co_return false;
   std::string text;
   bool keep_open = true;
+  if (script.kind == Script::Kind::kRaw) {
+    co_await SendRaw(stream, request.Get("Request-Id"), script);
+    co_return false;
+  }
   if (request.method == "HEAD") {
     text = Head(request, 200, signature + "Content-Length: 4\r\n\r\n");
     const bool written = co_await WriteText(stream, text);
@@ -326,10 +361,6 @@
     case Script::Kind::kMisdirectionWithoutId:
       text = StrayRefusal(script.kind) + Head(request, 200, signature + plain);
       break;
-    case Script::Kind::kRaw:
-      text = RawText(script.raw, request.Get("Request-Id"));
-      keep_open = false;
-      break;
     case Script::Kind::kReset: {
       const std::string partial_response =
           Head(request, 200, signature + "\r\nbod");
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -11,6 +11,18 @@
 /// responds as a test scripts it.
 namespace knapweed::testing {
 
+/// What follows the bytes of a raw response.
+enum class RawEnd {
+  /// The connection closes.
+  kClose,
+  /// The connection is reset, 20 ms later.
+  kReset,
+  /// The connection is reset at once.
+  kResetAtOnce,
+  /// Nothing for 20 s.
+  kSilence,
+};
+
 /// How the server responds to one request.
 struct Script {
   enum class Kind {
@@ -43,8 +55,10 @@
     kRefusalWithoutId,
     /// The same with a 421.
     kMisdirectionWithoutId,
-    /// The bytes in `raw`; then closes the connection.
+    /// The bytes in `raw`; then ends as `raw_end` states.
     kRaw,
+    /// Like `kRaw`, but before the request's body is read, which stays unread.
+    kEarlyRaw,
     /// A response without a length that is cut off by a TCP reset.
     kReset,
     /// No response; closes the connection after 20 s.
@@ -89,6 +103,7 @@
   Ms pause;
   /// The bytes of `kRaw`; "@ID" in them stands for the request's ID.
   std::string raw = {};
+  RawEnd raw_end = RawEnd::kClose;
 };
 
 /// A request as the server received it.
@@ -159,6 +174,10 @@
   uint64_t endless_bytes = 0;
 
  private:
+  /// Removes the script of the next request and returns it.
+  Script TakeScript();
+  /// Returns whether the next request's body is left unread.
+  bool LeavesBodyUnread() const;
   gateway::Task<void> Accept();
   gateway::Task<void> Crash();
   /// Handles a request whose body is not read.
@@ -166,6 +185,10 @@
                                     const ReceivedRequest& request);
   gateway::Task<void> Serve(gateway::beast::tcp_stream stream);
   gateway::Task<void> ServeRequests(gateway::beast::tcp_stream& stream);
+  /// Sends `raw` for the request and ends as the script states.
+  gateway::Task<void> SendRaw(gateway::beast::tcp_stream& stream,
+                              const std::string& request_id,
+                              const Script& script);
   /// Returns whether the connection stays open.
   gateway::Task<bool> RunScript(gateway::beast::tcp_stream& stream,
                                 const ReceivedRequest& request,
