Close a connection whose answer has begun and not ended

Callers that sent several requests at once and then closed their sending side got the next answer, with its whole head, in the middle of a stream.

Cause: the gateway takes such a caller for one that has left and ends the call without ending its answer; the connection's loop then went on with the next request that it had read already.

Change: a connection whose answer has begun and has not ended when its call ends is closed as after any broken answer.

Why it works: nothing is written behind an open body, whatever ended the call. Measured with the new test: the second answer's head stood at byte 159 of the connection in both rows before, and both rows pass now.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -136,7 +136,9 @@
   bool is_head_request_ = false;
   /// The caller speaks HTTP/1.0, which has no chunks.
   bool is_http10_ = false;
-  /// The body of the present answer ends with the connection.
+  /// A body of unknown length has begun and not ended.
+  bool body_is_open_ = false;
+  /// That body ends with the connection.
   bool ends_with_connection_ = false;
   bool stream_aborted_ = false;
 };
@@ -326,6 +328,7 @@
     *answered = true;
     has_served_ = true;
     on_disconnect_ = nullptr;
+    if (body_is_open_) AbortStream();
     if (stream_aborted_) break;
     stream_.socket().cancel(ec);
     if (!keep_alive_) co_await DropRest(kMaxDropReads, kDropTimeout);
@@ -402,6 +405,7 @@
 Task<bool> Front::Session::BeginStream(unsigned status,
                                        const http::fields& fields) {
   http::response<http::empty_body> message;
+  body_is_open_ = true;
   ends_with_connection_ = is_http10_;
   if (ends_with_connection_) {
     keep_alive_ = false;
@@ -442,6 +446,7 @@
 }
 
 Task<bool> Front::Session::EndStream() {
+  body_is_open_ = false;
   if (ends_with_connection_) {
     SetResetAtClose(false);
     co_return true;
--- a/tests/platform/framing_test.cc
+++ b/tests/platform/framing_test.cc
@@ -131,5 +131,27 @@
   CHECK(raw.end == ConnectionEnd::kReset);
 }
 
+// Guards against the next answer inside a body that has not ended.
+TEST_CASE("no answer follows one that has not ended") {
+  for (const std::string version : {"1.0", "1.1"}) {
+    CAPTURE(version);
+    TestCluster cluster;
+    SetAll(cluster, RawScript(std::string(kSignedHead) +
+                                  "Content-Type: text/event-stream\r\n\r\n"
+                                  "id: 1\ndata: word1\n\n",
+                              RawEnd::kSilence));
+    const std::string fields = "Connection: keep-alive\r\n";
+    const RawBytes raw =
+        SendAndRead(cluster,
+                    RequestBytes("GET", "/turn/x", version, fields) +
+                        RequestBytes("GET", "/none/x", version, fields),
+                    {.limit = Seconds(1), .stops_sending_after = Ms{200}});
+    const RawAnswer answer = ParseAnswer(raw, "GET");
+    CHECK_FALSE(answer.is_whole);
+    CHECK(raw.bytes.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(raw.end != ConnectionEnd::kOpen);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
