Send no body after the head of an answer that has none

Callers that sent HEAD on a streaming route got an empty chunk behind the head, and so did those whose server answered 204 with the content type of a stream: bytes of no answer on a kept connection, with which the next answer began. A HEAD whose server stated no length was told one of 0.

Cause: whatever was signed and had the content type of a stream was passed on as one.

Change: only a 200 to a request other than HEAD is a stream; all else takes the way of plain answers, which sends no body here. Its answer states a length only if the server did.

--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -72,7 +72,11 @@
   if (success && (!attempt.head().is_signed || attempt.head().is_encoded)) {
     co_return co_await OnBroken(state, upstream, "answer is not the service's");
   }
-  if (success && state->route->streaming && attempt.head().is_event_stream) {
+  // Answers to HEAD and those with another status have no events.
+  const bool has_events = attempt.head().is_event_stream &&
+                          attempt.status() == 200 &&
+                          state->request.method != "HEAD";
+  if (has_events && state->route->streaming) {
     co_return co_await OnStream(state, upstream);
   }
   co_return co_await OnUnaryResponse(state, upstream);
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -388,9 +388,9 @@
   SetHead(message, status, fields);
   message.body() = {body.data(), body.size()};
   const bool has_body = status != 204 && status != 304;
-  const bool states_length =
-      is_head_request_ && fields.count(http::field::content_length) > 0;
-  if (has_body && !states_length) {
+  // An answer to HEAD without a body here states the upstream's length, if any.
+  const bool is_length_known = !is_head_request_ || !body.empty();
+  if (has_body && is_length_known) {
     message.set(http::field::content_length, std::to_string(body.size()));
   }
   if (!has_body || is_head_request_) message.body() = {};
--- a/tests/platform/framing_test.cc
+++ b/tests/platform/framing_test.cc
@@ -153,5 +153,59 @@
   }
 }
 
+// Guards against bytes after an answer that has no body, which the next answer
+// on the connection would begin with.
+TEST_CASE("an answer without a body is followed by the next answer") {
+  struct Row {
+    const char* what;
+    const char* method;
+    const char* path;
+    std::string raw;
+  };
+  const std::string events = "Content-Type: text/event-stream\r\n";
+  const std::string no_content =
+      "HTTP/1.1 204 X\r\nRequest-Id: @ID\r\nServer-Seal: s\r\n";
+  const std::string head = kSignedHead;
+  const Row rows[] = {
+      {"HEAD, chunked stream", "HEAD", "/turn/x",
+       head + events + "Transfer-Encoding: chunked\r\n\r\n"},
+      {"HEAD, stream to the end of the connection", "HEAD", "/turn/x",
+       head + events + "\r\n"},
+      {"HEAD, resumable stream", "HEAD", "/resume/x",
+       head + events + "Transfer-Encoding: chunked\r\n\r\n"},
+      {"HEAD, kept stream", "HEAD", "/kept/x",
+       head + events + "Transfer-Encoding: chunked\r\n\r\n"},
+      {"HEAD, length", "HEAD", "/safe/x", head + "Content-Length: 900\r\n\r\n"},
+      {"HEAD, large length", "HEAD", "/safe/x",
+       head + "Content-Length: 9000000\r\n\r\n"},
+      {"204", "GET", "/safe/x", no_content + "\r\n"},
+      {"204 on a streaming route", "GET", "/turn/x", no_content + "\r\n"},
+      {"204 that states a stream", "GET", "/turn/x",
+       no_content + events + "\r\n"},
+  };
+  for (const std::string version : {"1.0", "1.1"}) {
+    for (const Row& row : rows) {
+      const std::string what = row.what;
+      CAPTURE(what);
+      CAPTURE(version);
+      TestCluster cluster;
+      SetAll(cluster, RawScript(row.raw));
+      const std::string request = RequestBytes(row.method, row.path, version,
+                                               "Connection: keep-alive\r\n");
+      const RawBytes raw = SendAndRead(
+          cluster, request + RequestBytes("GET", "/none/x", version),
+          {.limit = Ms{500}});
+      const RawAnswer first = ParseAnswer(raw, "HEAD");
+      CHECK(first.is_whole);
+      CHECK((first.status == 200 || first.status == 204));
+      CHECK(first.fields["Content-Length"] != "0");
+      const RawAnswer second = ParseAnswer({first.rest, raw.end}, "GET");
+      CHECK(second.status == 404);
+      CHECK(second.is_whole);
+      CHECK(second.rest.empty());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
