Read the rows of one turn without those stored next to them

Callers saw: 503 'history out of reach' for a kept turn, on every gateway that didn't have it in memory and on each try, although the store could be reached.

Cause: a read covered all keys that begin with the turn's id, and an answer that the store cut off at 1 MB counted as a failure. In that range lie the sections of a turn of more than 680 KB whose hash gives the same part (1 of 256 for each section), and turns whose ids begin with this id.

Change: a turn's first row is read by its exact key. Only if it can't be decoded alone are the rows that follow it read, in a range that holds no section, page by page. The fake store keeps to the limits of the protocol: 500 rows or 1 MB an answer, 100 entries a commit.

Why it works: no other id lies in the first range, a further page is followed in the second. Turns of one row take one read as before, longer ones two.

--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -115,7 +115,8 @@
 
   TurnPtr FindInCache(const std::string& id);
   void AddToCache(TurnPtr turn);
-  Task<StoreAnswer> ReadRows(const std::string& id);
+  /// Adds all rows of a range to `rows`. Returns false if a call failed.
+  Task<bool> ReadRows(RowRange range, std::vector<Row>* rows);
   /// Reads a turn from the cache or the store.
   Task<TurnRead> Read(std::string id);
   /// Moves the start of a text that is too long for one commit into sections.
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -1,6 +1,7 @@
 #include "knapweed/gateway/turns.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -34,6 +35,19 @@
   return key;
 }
 
+/// Returns the range of the first row of a turn. Ids consist of characters from
+/// '!' on, so it holds no row of an id that begins with this one.
+RowRange FirstRow(const std::string& id) {
+  const RowKey key = KeyOf(id, 0);
+  return {key.table, key.part, id, id + '\x01'};
+}
+
+/// Returns the range of the rows "ID~N", which holds no row of a section.
+RowRange FurtherRows(const std::string& id) {
+  const RowKey key = KeyOf(id, 0);
+  return {key.table, key.part, id + "~1", id + "~:"};
+}
+
 /// The value starts with the time until which the rows stay (decimal ms on the
 /// store's clock) and a line feed, so that the expiry of a turn with several
 /// pieces can be read from its first one.
@@ -148,15 +162,19 @@
   }
 }
 
-Task<StoreAnswer> Turns::ReadRows(const std::string& id) {
-  RowRange range;
-  const RowKey key = KeyOf(id, 0);
-  range.table = key.table;
-  range.part = key.part;
-  range.from = key.key;
-  // Further pieces of a long turn follow under "ID~N".
-  range.to = key.key + "~~";
-  co_return co_await store_.Read(range);
+Task<bool> Turns::ReadRows(RowRange range, std::vector<Row>* rows) {
+  while (true) {
+    StoreAnswer answer = co_await store_.Read(range);
+    if (answer.outcome != StoreOutcome::kDone) co_return false;
+    std::string last;
+    if (!answer.rows.empty()) last = answer.rows.back().key.key;
+    std::move(answer.rows.begin(), answer.rows.end(),
+              std::back_inserter(*rows));
+    if (!answer.more) co_return true;
+    // Pages that don't advance would be read without end.
+    if (last < range.from) co_return false;
+    range.from = last + '\x01';
+  }
 }
 
 absl::StatusOr<std::string> JoinRows(const std::string& id,
@@ -196,19 +214,25 @@
     read.outcome = HistoryOutcome::kFound;
     co_return read;
   }
-  const StoreAnswer answer = co_await ReadRows(id);
+  std::vector<Row> rows;
+  bool is_read = co_await ReadRows(FirstRow(id), &rows);
   read.cause = "store did not answer";
-  if (answer.outcome != StoreOutcome::kDone) co_return read;
-  read.cause = "rows do not fit in one answer";
-  if (answer.more) co_return read;
-  const absl::StatusOr<std::string> bytes = JoinRows(id, answer.rows);
+  if (!is_read) co_return read;
+  absl::StatusOr<std::string> bytes = JoinRows(id, rows);
   if (absl::IsNotFound(bytes.status())) {
     read.outcome = HistoryOutcome::kNotFound;
     read.cause = "no such row";
     co_return read;
   }
-  read.cause = "row can't be decoded";
   if (bytes.ok()) read.turn = Decode(id, *bytes);
+  if (read.turn == nullptr) {
+    // The start of a turn of several rows can't be decoded.
+    is_read = co_await ReadRows(FurtherRows(id), &rows);
+    if (!is_read) co_return read;
+    bytes = JoinRows(id, rows);
+    if (bytes.ok()) read.turn = Decode(id, *bytes);
+  }
+  read.cause = "row can't be decoded";
   if (read.turn == nullptr) {
     kLog.Error("A stored turn cannot be decoded.",
                {{"turn", id}, {"error", bytes.status().ToString()}});
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/escaping.h>
 
+#include <algorithm>
+
 #include "knapweed/base/ids.h"
 #include "knapweed/base/parse.h"
 #include "knapweed/base/percent.h"
@@ -18,6 +20,10 @@
 
 /// A commit holds at most so much.
 constexpr size_t kMaxCommitBytes = 1'000'000;
+constexpr size_t kMaxCommitEntries = 100;
+/// An answer to a read holds at most so much.
+constexpr size_t kMaxRangeRows = 500;
+constexpr size_t kMaxRangeBytes = 1'000'000;
 
 std::string ToBase64(const std::string& bytes) {
   return absl::Base64Escape(bytes);
@@ -141,6 +147,9 @@
   ++commits;
   if (body.size() > kMaxCommitBytes) return MakeResponse(413, json::object());
   const json call = json::parse(body);
+  const size_t entries = call["expected_rev"].size() + call["writes"].size() +
+                         call["remove"].size();
+  if (entries > kMaxCommitEntries) return MakeResponse(413, json::object());
   const auto key_of = [](const json& item) {
     return Key{item["table"], item["part"], item["key"]};
   };
@@ -169,8 +178,11 @@
   const std::string part = QueryParam(target, "part");
   const std::string from = QueryParam(target, "from");
   const std::string to = QueryParam(target, "to");
-  const uint64_t limit = QueryParamNumber(target, "limit");
+  const uint64_t asked = QueryParamNumber(target, "limit");
+  const size_t limit =
+      asked > 0 ? std::min<size_t>(asked, kMaxRangeRows) : kMaxRangeRows;
   json rows = json::array();
+  size_t bytes = 0;
   bool more = false;
   for (const auto& [key, value] : rows_) {
     const std::string& name = std::get<2>(key);
@@ -178,11 +190,11 @@
                         name >= from && (to.empty() || name < to) &&
                         !value.deleted;
     if (!inside) continue;
-    if (limit > 0 && rows.size() >= limit) {
-      more = true;
-      break;
-    }
-    rows.push_back(RowJson(key, value));
+    json row = RowJson(key, value);
+    bytes += row.dump().size() + 1;
+    more = rows.size() >= limit || bytes > kMaxRangeBytes;
+    if (more) break;
+    rows.push_back(std::move(row));
   }
   return MakeResponse(200, {{"rows", rows}, {"more_pages", more}});
 }
--- a/tests/platform/turns_test.cc
+++ b/tests/platform/turns_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "knapweed/base/ids.h"
 #include "knapweed/base/parse.h"
 #include "tests/platform/world.h"
 
@@ -177,5 +178,67 @@
   }
 }
 
+// Returns the part of the table of turns that holds the rows of an id.
+uint64_t PartOf(const std::string& id) {
+  constexpr uint64_t kParts = 256;
+  return HashBytes(id) % kParts;
+}
+
+// Returns the first id "PREFIXn" that fulfils the condition.
+std::string FindId(const std::string& prefix,
+                   const std::function<bool(const std::string&)>& matches) {
+  int n = 0;
+  while (!matches(prefix + std::to_string(n))) ++n;
+  return prefix + std::to_string(n);
+}
+
+// Guards against a turn that no gateway can read because rows of other turns
+// are stored next to its own: those of its sections, or of ids that begin with
+// its own.
+TEST_CASE("a turn is read back whatever is stored next to it") {
+  constexpr size_t kLong = 690000;
+  struct Row {
+    const char* what;
+    size_t size;
+    bool shares_part_with_section;
+    int neighbours;
+  };
+  const Row rows[] = {
+      {"short, alone", 100, false, 0},
+      {"its section elsewhere", 1300000, false, 0},
+      {"its section in its part", 1300000, true, 0},
+      {"short, next to longer ids", 100, false, 2},
+      {"several rows, next to longer ids", 200000, false, 2},
+      {"as long as fits in a commit, next to longer ids", kLong, false, 1},
+  };
+  TestCluster cluster(1, 2);
+  KeepTurnsFor(cluster, Seconds(60));
+  const int fresh = cluster.AddGateway("fresh");
+  cluster.RunUntil([&] { return cluster.gateways.back()->IsReady(); });
+  int n = 0;
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    const std::string id =
+        FindId("turn-" + std::to_string(n++) + "-", [&](const auto& name) {
+          return (PartOf(name) == PartOf(name + "^0")) ==
+                 row.shares_part_with_section;
+        });
+    std::string next_to = id;
+    for (int i = 0; i < row.neighbours; ++i) {
+      next_to = FindId(next_to + "-", [&](const auto& name) {
+        return PartOf(name) == PartOf(id);
+      });
+      CHECK(RunTurn(cluster, next_to, "", std::string(kLong, 'n'), 0).complete);
+    }
+    const std::string input(row.size, 'i');
+    CHECK(RunTurn(cluster, id, "", input, 0).complete);
+    const std::string next = "after-" + id;
+    CHECK(RunTurn(cluster, next, id, "more;", fresh).status == 200);
+    const bool is_whole = BodyOf(cluster, next) == TextOf(input) + "more;";
+    CHECK(is_whole);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
