Send no interim answer to callers of HTTP/1.0

Callers of HTTP/1.0 that sent Expect: 100-continue got a 100, which they take for the answer, as their protocol has no interim ones.

Change: the field is ignored for them.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -262,7 +262,10 @@
     co_return RequestRead::kRefused;
   }
   held.Set(BytesToSetAside(declared));
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+  const bool awaits_go_ahead =
+      parser.get().version() >= 11 &&
+      beast::iequals(parser.get()[http::field::expect], "100-continue");
+  if (awaits_go_ahead) {
     const bool sent =
         co_await Write(asio::buffer(kContinue.data(), kContinue.size()));
     if (!sent) co_return RequestRead::kFailed;
--- a/tests/platform/framing_test.cc
+++ b/tests/platform/framing_test.cc
@@ -178,6 +178,7 @@
       {"HEAD, length", "HEAD", "/safe/x", head + "Content-Length: 900\r\n\r\n"},
       {"HEAD, large length", "HEAD", "/safe/x",
        head + "Content-Length: 9000000\r\n\r\n"},
+      {"HEAD, no length", "HEAD", "/safe/x", head + "\r\n"},
       {"204", "GET", "/safe/x", no_content + "\r\n"},
       {"204 on a streaming route", "GET", "/turn/x", no_content + "\r\n"},
       {"204 that states a stream", "GET", "/turn/x",
@@ -207,5 +208,18 @@
   }
 }
 
+// Guards against an interim answer to a caller that takes it for the answer.
+TEST_CASE("only a caller of HTTP/1.1 is told to go on with its body") {
+  for (const bool is_new : {false, true}) {
+    CAPTURE(is_new);
+    TestCluster cluster;
+    const std::string request = RequestBytes(
+        "POST", "/safe/x", is_new ? "1.1" : "1.0",
+        "Expect: 100-continue\r\nConnection: close\r\nContent-Length: 4\r\n");
+    const RawBytes raw = SendAndRead(cluster, request + "text");
+    CHECK(raw.bytes.starts_with("HTTP/1.1 100 ") == is_new);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
