Give no turn as whole that is not a stream of events

Callers of a route that keeps its turns got any signed 2xx as the whole answer of their turn.

Cause: only a stream of events is stored; everything else took the way of plain answers.

Change: on such a route a 2xx that is not a stream counts as an answer that broke off, so the caller gets 502, or another attempt where the route may be resumed. Errors are passed on as before, and so are all answers of routes that keep nothing. HEAD makes no turn.

--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -73,12 +73,18 @@
     co_return co_await OnBroken(state, upstream, "answer is not the service's");
   }
   // Answers to HEAD and those with another status have no events.
-  const bool has_events = attempt.head().is_event_stream &&
-                          attempt.status() == 200 &&
-                          state->request.method != "HEAD";
+  const bool is_head = state->request.method == "HEAD";
+  const bool has_events =
+      attempt.head().is_event_stream && attempt.status() == 200 && !is_head;
   if (has_events && state->route->streaming) {
     co_return co_await OnStream(state, upstream);
   }
+  const bool is_turn =
+      state->route->streaming && state->route->keeps_history && !is_head;
+  if (success && is_turn) {
+    // The next turn could not continue it.
+    co_return co_await OnBroken(state, upstream, "answer is not a stream");
+  }
   co_return co_await OnUnaryResponse(state, upstream);
 }
 
--- a/tests/platform/kept_answer_test.cc
+++ b/tests/platform/kept_answer_test.cc
@@ -53,6 +53,22 @@
       {"stream, space before the parameter",
        RawScript("200", typed("text/event-stream ;charset=utf-8"), events),
        true},
+      {"a longer type", RawScript("200", typed("text/event-streams"), events),
+       false},
+      {"no type", RawScript("200", "", events), false},
+      {"another type", RawScript("200", typed("application/json"), "{}"),
+       false},
+      {"length", RawScript("200", "Content-Length: 4\r\n", "body"), false},
+      {"no body", RawScript("200", "Content-Length: 0\r\n", ""), false},
+      {"chunks",
+       RawScript("200", "Transfer-Encoding: chunked\r\n",
+                 "4\r\nbody\r\n0\r\n\r\n"),
+       false},
+      {"over the buffer", RawScript("200", "", std::string(600000, 'x')),
+       false},
+      {"204", RawScript("204", "", ""), false},
+      {"201 that states a stream",
+       RawScript("201", typed("text/event-stream"), events), false},
   };
 }
 
@@ -80,5 +96,23 @@
   }
 }
 
+// Guards against refusals of what no turn is to be built on.
+TEST_CASE("an answer that isn't a stream is passed on where none is kept") {
+  for (const Row& row : Rows()) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    TestCluster cluster;
+    for (auto& engine : cluster.engines) engine->default_script = row.script;
+    const CallerResponse answer = cluster.Call(PlainCall("/turn/x"));
+    CHECK(answer.complete);
+    CHECK(answer.status / 100 == 2);
+    const std::string& raw = row.script.raw;
+    const bool has_chunks = raw.find("chunked") != std::string::npos;
+    const std::string body =
+        has_chunks ? "body" : raw.substr(raw.find("\r\n\r\n") + 4);
+    CHECK(answer.body == body);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
