Take a turn for missing only if the store's answer says so

Callers saw: 404 'no such turn' for a kept turn whose row is in the store, after an answer that didn't say that it isn't.

Cause: what could not be decoded was left out. An answer without a list of rows, one whose rows are no objects, and one whose row had a key of another type or of another turn looked like an answer without rows. Rows of another table or part were even taken for the turn's. It holds for answers of the store and for those that another gateway passes on.

Change: an answer states whether it lists rows that could all be decoded. A turn counts as missing only if each page did and held no row outside the range that was asked for; otherwise the call gets 503.

Why it works: 404 needs an answer that is whole and lists no such row.

--- a/include/knapweed/gateway/records.h
+++ b/include/knapweed/gateway/records.h
@@ -72,6 +72,9 @@
 struct StoreAnswer {
   StoreOutcome outcome = StoreOutcome::kUnknown;
   std::vector<Row> rows;
+  /// The answer has a list of rows, and each of them could be decoded. Without
+  /// it, a row that `rows` lacks may exist.
+  bool lists_rows = false;
   bool more = false;
   uint64_t version = 0;
   /// Time on the store's monotonic clock.
--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -106,6 +106,8 @@
     std::string_view cause;
     TurnPtr turn;
   };
+  /// `kInPart`: the store answered, but the range may hold further rows.
+  enum class RowsRead : uint8_t { kWhole, kInPart, kFailed };
   struct Expiring {
     /// On the store's clock.
     Ms at;
@@ -115,8 +117,8 @@
 
   TurnPtr FindInCache(const std::string& id);
   void AddToCache(TurnPtr turn);
-  /// Adds all rows of a range to `rows`. Returns false if a call failed.
-  Task<bool> ReadRows(RowRange range, std::vector<Row>* rows);
+  /// Adds the rows of a range to `rows`.
+  Task<RowsRead> ReadRows(RowRange range, std::vector<Row>* rows);
   /// Reads a turn from the cache or the store.
   Task<TurnRead> Read(std::string id);
   /// Moves the start of a text that is too long for one commit into sections.
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -48,6 +48,11 @@
   return {key.table, key.part, id + "~1", id + "~:"};
 }
 
+bool IsInRange(const RowRange& range, const RowKey& key) {
+  return key.table == range.table && key.part == range.part &&
+         key.key >= range.from && key.key < range.to;
+}
+
 /// The value starts with the time until which the rows stay (decimal ms on the
 /// store's clock) and a line feed, so that the expiry of a turn with several
 /// pieces can be read from its first one.
@@ -162,17 +167,22 @@
   }
 }
 
-Task<bool> Turns::ReadRows(RowRange range, std::vector<Row>* rows) {
+Task<Turns::RowsRead> Turns::ReadRows(RowRange range, std::vector<Row>* rows) {
+  RowsRead read = RowsRead::kWhole;
   while (true) {
     StoreAnswer answer = co_await store_.Read(range);
-    if (answer.outcome != StoreOutcome::kDone) co_return false;
+    if (answer.outcome != StoreOutcome::kDone) co_return RowsRead::kFailed;
     std::string last;
     if (!answer.rows.empty()) last = answer.rows.back().key.key;
+    const size_t foreign = std::erase_if(answer.rows, [&](const Row& row) {
+      return !IsInRange(range, row.key);
+    });
+    if (!answer.lists_rows || foreign > 0) read = RowsRead::kInPart;
     std::move(answer.rows.begin(), answer.rows.end(),
               std::back_inserter(*rows));
-    if (!answer.more) co_return true;
+    if (!answer.more) co_return read;
     // Pages that don't advance would be read without end.
-    if (last < range.from) co_return false;
+    if (last < range.from) co_return RowsRead::kInPart;
     range.from = last + '\x01';
   }
 }
@@ -215,11 +225,13 @@
     co_return read;
   }
   std::vector<Row> rows;
-  bool is_read = co_await ReadRows(FirstRow(id), &rows);
+  const RowsRead first = co_await ReadRows(FirstRow(id), &rows);
   read.cause = "store did not answer";
-  if (!is_read) co_return read;
+  if (first == RowsRead::kFailed) co_return read;
   absl::StatusOr<std::string> bytes = JoinRows(id, rows);
   if (absl::IsNotFound(bytes.status())) {
+    read.cause = "store's answer can't be decoded";
+    if (first != RowsRead::kWhole) co_return read;
     read.outcome = HistoryOutcome::kNotFound;
     read.cause = "no such row";
     co_return read;
@@ -227,8 +239,8 @@
   if (bytes.ok()) read.turn = Decode(id, *bytes);
   if (read.turn == nullptr) {
     // The start of a turn of several rows can't be decoded.
-    is_read = co_await ReadRows(FurtherRows(id), &rows);
-    if (!is_read) co_return read;
+    const RowsRead further = co_await ReadRows(FurtherRows(id), &rows);
+    if (further == RowsRead::kFailed) co_return read;
     bytes = JoinRows(id, rows);
     if (bytes.ok()) read.turn = Decode(id, *bytes);
   }
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -196,7 +196,10 @@
     if (more) break;
     rows.push_back(std::move(row));
   }
-  return MakeResponse(200, {{"rows", rows}, {"more_pages", more}});
+  json answer = {{"rows", rows}, {"more_pages", more}};
+  const bool is_edited = faults.edit_turns_read && table == "turns";
+  if (is_edited) faults.edit_turns_read(answer);
+  return MakeResponse(200, std::move(answer));
 }
 
 Task<HttpResponse> FakeStore::Feed(const std::string& target) {
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -33,6 +33,8 @@
   Ms commit_delay;
   /// Feeds that start before this version get 410.
   uint64_t oldest_feed_version = 0;
+  /// Edits the answers to reads of the table of turns. Unset for none.
+  std::function<void(nlohmann::json&)> edit_turns_read;
   /// Feeds return at once instead of waiting for a change.
   bool end_feeds_at_once = false;
 };
--- a/tests/platform/turns_test.cc
+++ b/tests/platform/turns_test.cc
@@ -240,5 +240,65 @@
   }
 }
 
+// Guards against a 404 for a turn that is there, from an answer of the store
+// that doesn't say that it isn't.
+TEST_CASE("an answer without readable rows doesn't say that a turn is gone") {
+  using nlohmann::json;
+  const auto with_row = [](const char* field, json value) {
+    return [field, value](json& answer) { answer["rows"][0][field] = value; };
+  };
+  struct Row {
+    const char* what;
+    std::function<void(json&)> edit;
+  };
+  const Row rows[] = {
+      {"another message",
+       [](json& it) {
+         it = {{"ok", true}};
+       }},
+      {"no list", [](json& it) { it.erase("rows"); }},
+      {"rows are null", [](json& it) { it["rows"] = nullptr; }},
+      {"rows are an object", [](json& it) { it["rows"] = json::object(); }},
+      {"a row is null", [](json& it) { it["rows"] = {nullptr}; }},
+      {"a row is a text", [](json& it) { it["rows"] = {"row"}; }},
+      {"a row is empty", [](json& it) { it["rows"] = {json::object()}; }},
+      {"another table", with_row("table", "budgets")},
+      {"another part", with_row("part", "t999")},
+      {"another key", with_row("key", "other")},
+      {"a key that is a number", with_row("key", 5)},
+      {"a key that is null", with_row("key", nullptr)},
+      {"an empty value", with_row("value", "")},
+      {"a value that is a number", with_row("value", 5)},
+      {"a value that is not base64", with_row("value", "?")},
+      {"more pages, but no row",
+       [](json& it) {
+         it = {{"rows", json::array()}, {"more_pages", true}};
+       }},
+  };
+  constexpr int kDirect = 1;
+  constexpr int kRelayed = 2;
+  TestCluster cluster(3, 2, 1);
+  KeepTurnsFor(cluster, Seconds(60));
+  int n = 0;
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    const std::string id = "turn-" + std::to_string(n++);
+    CHECK(RunTurn(cluster, id, "", "one;", 0).complete);
+    for (const int gateway : {kDirect, kRelayed}) {
+      CAPTURE(gateway);
+      const std::string next = id + "-" + std::to_string(gateway);
+      cluster.store.faults.edit_turns_read = row.edit;
+      CHECK(RunTurn(cluster, next, id, "two;", gateway).status == 503);
+      cluster.store.faults.edit_turns_read = nullptr;
+      CHECK(RunTurn(cluster, next, id, "two;", gateway).status == 200);
+      CHECK(BodyOf(cluster, next) == TextOf("one;") + "two;");
+    }
+  }
+  for (const int gateway : {kDirect, kRelayed}) {
+    CHECK(RunTurn(cluster, "none", "never", "two;", gateway).status == 404);
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
