Don't take the route of a stored turn for unknown by an old configuration

Callers saw: 404 'no such route' for a turn that continues one which another gateway had answered, just after the operator added the route.

Cause: a gateway said 404 by its copy of the configuration as long as that was at most 2.6 s old. Another gateway may already have the next.

Change: a call that names a previous turn and whose route isn't known waits until the configuration was read by a call to the store that was sent after the request arrived, at most 1.6 s. Then 404 is certain; 503 without such a read, if the store is out of reach or the gateway stops. Calls that name no turn get 404 at once as before.

Why it works: a read that was sent later shows each configuration under which an earlier turn can have run. The waiting calls share the reads by which the configuration is followed anyway: 200 calls at once lead to none of their own.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -79,6 +79,8 @@
   ConfigPtr config;
   /// Time of the last successful read that showed the configuration current.
   Ms config_confirmed_at;
+  /// When that read was sent: the configuration is at least as new as this.
+  Ms config_asked_at;
   UpstreamSet upstreams;
 };
 
@@ -138,6 +140,11 @@
   /// another gateway.
   Task<Step> CheckFields(StatePtr state);
   Task<Step> ResolveRoute(StatePtr state);
+  /// Waits until the configuration has the call's route, or was read after the
+  /// call arrived, for as long as the store is reachable and a read takes.
+  Task<void> WaitForRoute(StatePtr state);
+  /// Returns whether the configuration is newer than the call.
+  bool ConfigCovers(const State& state) const;
   /// Refuses or shortens a call that may last longer than this process.
   Task<Step> RefuseIfStopping(StatePtr state);
   /// Refuses a quarantined call of which no probe may be due.
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -17,6 +17,10 @@
 /// A configuration that was not confirmed for this long may be outdated: a
 /// route or key that it lacks may exist, so the call is refused with 503.
 constexpr Ms kConfigStaleAfter{2600};
+/// Two reads of the configuration, one that was under way and the next, end
+/// within this time unless the store is slow.
+constexpr Ms kMaxRouteWait{1600};
+constexpr Ms kRouteWaitStep{20};
 /// Retry-After of a gateway that has just started, and of one that has just
 /// lost the store.
 constexpr Ms kRetryStarting{300};
@@ -82,8 +86,11 @@
   const bool stale = now - deps_.view.config_confirmed_at > kConfigStaleAfter;
   state->route =
       FindRoute(*state->config, head.host, PathOf(state->request.target));
+  const bool names_turn = !head.previous_turn.empty();
+  if (state->route == nullptr && names_turn) co_await WaitForRoute(state);
   if (state->route == nullptr) {
-    co_await Refuse(state, stale ? 503 : 404, StoreRetryAfter(),
+    const bool unsure = stale || (names_turn && !ConfigCovers(*state));
+    co_await Refuse(state, unsure ? 503 : 404, StoreRetryAfter(),
                     "no such route");
     co_return Step::kDone;
   }
@@ -111,6 +118,29 @@
   co_return Step::kNext;
 }
 
+bool CallRunner::ConfigCovers(const State& state) const {
+  return deps_.view.config_asked_at >= state.request.received;
+}
+
+// The configuration is followed anyway, so waiting costs the store nothing,
+// however many calls wait.
+Task<void> CallRunner::WaitForRoute(StatePtr state) {
+  const CallHead& head = state->request.head;
+  const Ms longest =
+      std::min(head.deadline.value_or(kMaxRouteWait), kMaxRouteWait);
+  const Ms until = state->request.received + longest;
+  while (state->route == nullptr && !ConfigCovers(*state)) {
+    const bool may_wait = deps_.clock.Now() < until &&
+                          deps_.store.reachable() && !ends_at_.has_value() &&
+                          !state->caller_disconnected;
+    if (!may_wait) break;
+    co_await Sleep(deps_.loop, kRouteWaitStep);
+    state->config = deps_.view.config;
+    state->route =
+        FindRoute(*state->config, head.host, PathOf(state->request.target));
+  }
+}
+
 Task<CallRunner::Step> CallRunner::CheckQuarantine(StatePtr state) {
   if (!deps_.crashes.HasRecords()) co_return Step::kNext;
   const uint64_t digest = DigestOf(*state);
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -259,6 +259,7 @@
 Task<void> FleetWatch::FollowConfig() {
   TablePosition position;
   while (true) {
+    const Ms asked_at = clock_.Now();
     const TableChanges changes =
         co_await ReadChanges(dialect_.config_row.table, position, kFeedMaxWait);
     // Evacuations first: a gateway serves as soon as it has a configuration.
@@ -269,6 +270,7 @@
         RunStep("a row of the configuration", [&] { ApplyConfig(row); });
       }
       view_.config_confirmed_at = clock_.Now();
+      view_.config_asked_at = asked_at;
       RecordStreamPlaces();
     } else {
       co_await PauseAfterFailure();
--- a/tests/platform/turns_test.cc
+++ b/tests/platform/turns_test.cc
@@ -300,5 +300,71 @@
   }
 }
 
+// Adds a route whose turns are kept and waits until the gateway knows it.
+void AddKeptRoute(TestCluster& cluster, const std::string& prefix,
+                  const std::string& id, int gateway) {
+  cluster.Configure([&](nlohmann::json& config) {
+    nlohmann::json route = config["routes"][1];
+    route["name"] = prefix;
+    route["prefix"] = prefix;
+    config["routes"].push_back(std::move(route));
+  });
+  CallerResponse response;
+  while (response.status != 200) {
+    response = cluster.Call(PlainCall(prefix + "x", id), gateway);
+  }
+  CHECK(response.complete);
+}
+
+// Guards against a 404 for a turn of a route that another gateway already knows
+// and this one doesn't yet.
+TEST_CASE("a turn of a route that is not known yet is not refused with 404") {
+  TestCluster cluster(2, 2, 1);
+  constexpr int kDirect = 0;
+  constexpr int kRelayed = 1;
+  constexpr int kRounds = 6;
+  for (int i = 0; i < kRounds; ++i) {
+    CAPTURE(i);
+    const std::string prefix = "/new" + std::to_string(i) + "/";
+    const std::string id = "turn-" + std::to_string(i);
+    AddKeptRoute(cluster, prefix, id, kDirect);
+    CallerRequest next = PlainCall(prefix + "x", "after-" + id);
+    next.headers["Previous-Turn"] = id;
+    const int status = cluster.Call(next, kRelayed).status;
+    CHECK(status != 404);
+    CHECK((status == 200 || status == 503));
+    if (status == 200) continue;
+    cluster.RunFor(Ms{500});
+    CHECK(cluster.Call(next, kRelayed).status == 200);
+  }
+}
+
+// Guards against unknown routes that cost the store calls, or hold up calls
+// that name no turn.
+TEST_CASE("calls of unknown routes stay cheap") {
+  TestCluster cluster(1, 1);
+  const CallerResponse plain = cluster.Call(PlainCall("/none/x"));
+  CHECK(plain.status == 404);
+  CHECK(plain.elapsed < Ms{100});
+  CallerRequest turn = PlainCall("/none/x");
+  turn.headers["Previous-Turn"] = "turn";
+  constexpr int kCalls = 200;
+  const uint64_t calls_before = cluster.store.calls;
+  std::vector<std::shared_ptr<CallerResponse>> responses;
+  for (int i = 0; i < kCalls; ++i) {
+    responses.push_back(cluster.StartCall(turn));
+  }
+  for (const auto& response : responses) {
+    cluster.RunUntil([&] { return response->done; });
+    CHECK(response->status == 404);
+    CHECK(response->elapsed < Seconds(2));
+  }
+  // What following the tables takes in two seconds, with a margin.
+  CHECK(cluster.store.calls - calls_before < 40);
+  cluster.store.faults.unavailable = true;
+  cluster.RunFor(Ms{700});
+  CHECK(cluster.Call(turn).status == 503);
+}
+
 }  // namespace
 }  // namespace knapweed::testing
