--- a/tests/platform/turns_test.cc
+++ b/tests/platform/turns_test.cc
@@ -240,5 +240,131 @@
   }
 }
 
+// Guards against a 404 for a turn that is there, from an answer of the store
+// that doesn't say that it isn't.
+TEST_CASE("an answer without readable rows doesn't say that a turn is gone") {
+  using nlohmann::json;
+  const auto with_row = [](const char* field, json value) {
+    return [field, value](json& answer) { answer["rows"][0][field] = value; };
+  };
+  struct Row {
+    const char* what;
+    std::function<void(json&)> edit;
+  };
+  const Row rows[] = {
+      {"another message",
+       [](json& it) {
+         it = {{"ok", true}};
+       }},
+      {"no list", [](json& it) { it.erase("rows"); }},
+      {"rows are null", [](json& it) { it["rows"] = nullptr; }},
+      {"rows are an object", [](json& it) { it["rows"] = json::object(); }},
+      {"a row is null", [](json& it) { it["rows"] = {nullptr}; }},
+      {"a row is a text", [](json& it) { it["rows"] = {"row"}; }},
+      {"a row is empty", [](json& it) { it["rows"] = {json::object()}; }},
+      {"another table", with_row("table", "budgets")},
+      {"another part", with_row("part", "t999")},
+      {"another key", with_row("key", "other")},
+      {"a key that is a number", with_row("key", 5)},
+      {"a key that is null", with_row("key", nullptr)},
+      {"an empty value", with_row("value", "")},
+      {"a value that is a number", with_row("value", 5)},
+      {"a value that is not base64", with_row("value", "?")},
+      {"more pages, but no row",
+       [](json& it) {
+         it = {{"rows", json::array()}, {"more_pages", true}};
+       }},
+  };
+  constexpr int kDirect = 1;
+  constexpr int kRelayed = 2;
+  TestCluster cluster(3, 2, 1);
+  KeepTurnsFor(cluster, Seconds(60));
+  int n = 0;
+  for (const Row& row : rows) {
+    const std::string what = row.what;
+    CAPTURE(what);
+    const std::string id = "turn-" + std::to_string(n++);
+    CHECK(RunTurn(cluster, id, "", "one;", 0).complete);
+    for (const int gateway : {kDirect, kRelayed}) {
+      CAPTURE(gateway);
+      const std::string next = id + "-" + std::to_string(gateway);
+      cluster.store.faults.edit_turns_read = row.edit;
+      CHECK(RunTurn(cluster, next, id, "two;", gateway).status == 503);
+      cluster.store.faults.edit_turns_read = nullptr;
+      CHECK(RunTurn(cluster, next, id, "two;", gateway).status == 200);
+      CHECK(BodyOf(cluster, next) == TextOf("one;") + "two;");
+    }
+  }
+  for (const int gateway : {kDirect, kRelayed}) {
+    CHECK(RunTurn(cluster, "none", "never", "two;", gateway).status == 404);
+  }
+}
+
+// Adds a route whose turns are kept and waits until the gateway knows it.
+void AddKeptRoute(TestCluster& cluster, const std::string& prefix,
+                  const std::string& id, int gateway) {
+  cluster.Configure([&](nlohmann::json& config) {
+    nlohmann::json route = config["routes"][1];
+    route["name"] = prefix;
+    route["prefix"] = prefix;
+    config["routes"].push_back(std::move(route));
+  });
+  CallerResponse response;
+  while (response.status != 200) {
+    response = cluster.Call(PlainCall(prefix + "x", id), gateway);
+  }
+  CHECK(response.complete);
+}
+
+// Guards against a 404 for a turn of a route that another gateway already knows
+// and this one doesn't yet.
+TEST_CASE("a turn of a route that is not known yet is not refused with 404") {
+  TestCluster cluster(2, 2, 1);
+  constexpr int kDirect = 0;
+  constexpr int kRelayed = 1;
+  constexpr int kRounds = 6;
+  for (int i = 0; i < kRounds; ++i) {
+    CAPTURE(i);
+    const std::string prefix = "/new" + std::to_string(i) + "/";
+    const std::string id = "turn-" + std::to_string(i);
+    AddKeptRoute(cluster, prefix, id, kDirect);
+    CallerRequest next = PlainCall(prefix + "x", "after-" + id);
+    next.headers["Previous-Turn"] = id;
+    const int status = cluster.Call(next, kRelayed).status;
+    CHECK(status != 404);
+    CHECK((status == 200 || status == 503));
+    if (status == 200) continue;
+    cluster.RunFor(Ms{500});
+    CHECK(cluster.Call(next, kRelayed).status == 200);
+  }
+}
+
+// Guards against unknown routes that cost the store calls, or hold up calls
+// that name no turn.
+TEST_CASE("calls of unknown routes stay cheap") {
+  TestCluster cluster(1, 1);
+  const CallerResponse plain = cluster.Call(PlainCall("/none/x"));
+  CHECK(plain.status == 404);
+  CHECK(plain.elapsed < Ms{100});
+  CallerRequest turn = PlainCall("/none/x");
+  turn.headers["Previous-Turn"] = "turn";
+  constexpr int kCalls = 200;
+  const uint64_t calls_before = cluster.store.calls;
+  std::vector<std::shared_ptr<CallerResponse>> responses;
+  for (int i = 0; i < kCalls; ++i) {
+    responses.push_back(cluster.StartCall(turn));
+  }
+  for (const auto& response : responses) {
+    cluster.RunUntil([&] { return response->done; });
+    CHECK(response->status == 404);
+    CHECK(response->elapsed < Seconds(2));
+  }
+  // What following the tables takes in two seconds, with a margin.
+  CHECK(cluster.store.calls - calls_before < 40);
+  cluster.store.faults.unavailable = true;
+  cluster.RunFor(Ms{700});
+  CHECK(cluster.Call(turn).status == 503);
+}
+
 }  // namespace
 }  // namespace knapweed::testing
