Close the test's descriptors in the processes that it starts

Callers of a test saw nothing yet; a test that plays callers and starts gateways would see wrong ends. A child process inherited all sockets of the test, so that a connection that a caller closed stayed open in a gateway started later, and a gateway could hold the other end of its own connection.

The child closes all descriptors but the standard ones before it executes its program. It also keeps how it ended, so that a test can tell an exit from an end by a signal.

--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -39,6 +39,8 @@
       open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2(fd, STDOUT_FILENO);
   dup2(fd, STDERR_FILENO);
+  // A connection of the test stays open while a child holds it too.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
@@ -48,7 +50,7 @@
 
 void ChildProcess::Reap() {
   if (pid_ <= 0) return;
-  waitpid(pid_, nullptr, 0);
+  waitpid(pid_, &wait_status_, 0);
   pid_ = -1;
 }
 
@@ -62,6 +64,10 @@
   if (pid_ > 0) kill(pid_, SIGSTOP);
 }
 
+void ChildProcess::Signal(int number) {
+  if (pid_ > 0) kill(pid_, number);
+}
+
 void ChildProcess::Resume() {
   if (pid_ > 0) kill(pid_, SIGCONT);
 }
@@ -85,7 +91,7 @@
 
 bool ChildProcess::Running() {
   if (pid_ <= 0) return false;
-  if (waitpid(pid_, nullptr, WNOHANG) != pid_) return true;
+  if (waitpid(pid_, &wait_status_, WNOHANG) != pid_) return true;
   pid_ = -1;
   return false;
 }
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -34,6 +34,10 @@
   /// Starts the same command again. The process must have exited.
   void Restart();
 
+  /// Sends a signal, if the process runs.
+  void Signal(int number);
+  /// How the process ended last, as waitpid() tells it. Not set by `Stop`.
+  int wait_status() const { return wait_status_; }
   pid_t pid() const { return pid_; }
 
  private:
@@ -43,6 +47,7 @@
   std::vector<std::string> command_;
   std::string log_path_;
   pid_t pid_ = -1;
+  int wait_status_ = 0;
 };
 
 }  // namespace knapweed
