--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -71,7 +71,7 @@
                         {"address", address_.ToString()},
                         {"zone", failure_domain},
                         {"version", version},
-                        {"slots", 4},
+                        {"slots", slots},
                         {"state", draining ? "draining" : "ready"},
                         {"cold_remaining_ms", cold_remaining.count},
                         {"born", started_at_ms},
@@ -151,6 +151,7 @@
       script = scripts.front();
       scripts.pop_front();
     }
+    if (choose_script) script = choose_script(request);
     if (!is_expected_instance) script.kind = Script::Kind::kWrongInstance;
     received.push_back(request);
     if (!crash_on.empty() && request.body.find(crash_on) != std::string::npos) {
@@ -263,6 +264,25 @@
   co_return true;
 }
 
+Task<bool> FakeServer::SendPacedEvents(beast::tcp_stream& stream,
+                                       std::string text, int first,
+                                       const Script& script) {
+  bool open = true;
+  for (int i = first; open && i <= script.events; ++i) {
+    if (i > first) co_await gateway::Sleep(loop_, script.event_gap);
+    const bool breaks = script.break_after >= 0 && i > script.break_after;
+    if (breaks) {
+      co_await WriteText(stream, text + Chunk(EventText(i).substr(0, 9)));
+      co_return false;
+    }
+    text += Chunk(EventText(i));
+    open = co_await WriteText(stream, text);
+    text.clear();
+  }
+  if (open) open = co_await WriteText(stream, text + "0\r\n\r\n");
+  co_return open;
+}
+
 Task<bool> FakeServer::RunScript(beast::tcp_stream& stream,
                                  const ReceivedRequest& request,
                                  const Script& script) {
@@ -357,6 +377,11 @@
                        &first)) {
         first = 0;
       }
+      if (script.event_gap > Ms{0}) {
+        const bool sent =
+            co_await SendPacedEvents(stream, text, first + 1, script);
+        co_return sent;
+      }
       for (int i = first + 1; i <= script.events; ++i) {
         if (script.break_after >= 0 && i > script.break_after) {
           text += Chunk(EventText(i).substr(0, 9));
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -2,6 +2,7 @@
 #define KNAPWEED_TESTS_PLATFORM_FAKE_SERVER_H_
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,8 @@
   Ms pause;
   /// The bytes of `kRaw`; "@ID" in them stands for the request's ID.
   std::string raw = {};
+  /// Time before each event but the first of `kEvents`.
+  Ms event_gap = {};
 };
 
 /// A request as the server received it.
@@ -128,6 +131,8 @@
   /// `default_script`. Requests for another instance always get 421.
   std::deque<Script> scripts;
   Script default_script;
+  /// Chooses the script of each request in place of the two above.
+  std::function<Script(const ReceivedRequest&)> choose_script;
   /// A request whose body contains this closes the listener for
   /// `restart_delay`, as a crash would. Empty for none.
   std::string crash_on;
@@ -148,6 +153,8 @@
   std::string failure_domain = "a";
   /// How much longer it is cold, as its entry states it.
   Ms cold_remaining;
+  /// Places that its entry states.
+  int slots = 4;
   /// Version of its software, as its entry states it.
   std::string version = "v1";
   std::vector<ReceivedRequest> received;
@@ -173,6 +180,11 @@
   /// Sends `first` and then `unit` repeatedly until the peer closes.
   gateway::Task<void> SendEndlessly(gateway::beast::tcp_stream& stream,
                                     std::string first, std::string unit);
+  /// Writes the rest of a stream whose head and first events are `text`, from
+  /// event `first` on, with a pause before each event.
+  gateway::Task<bool> SendPacedEvents(gateway::beast::tcp_stream& stream,
+                                      std::string text, int first,
+                                      const Script& script);
   /// Returns whether `kind` was an endless script, after it has ended.
   gateway::Task<bool> RunEndlessScript(gateway::beast::tcp_stream& stream,
                                        const ReceivedRequest& request,
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -200,9 +200,10 @@
       co_return response;
     }
     json rows = json::array();
-    for (const auto& [key, value] : rows_) {
-      if (std::get<0>(key) == table && value.version > after) {
-        rows.push_back(RowJson(key, value));
+    for (auto it = rows_.lower_bound({table, "", ""});
+         it != rows_.end() && std::get<0>(it->first) == table; ++it) {
+      if (it->second.version > after) {
+        rows.push_back(RowJson(it->first, it->second));
       }
     }
     const bool unavailable = faults.unavailable || faults.end_feeds_at_once;
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -11,48 +11,6 @@
 
 constexpr char kLoopback[] = "127.0.0.1";
 
-/// Two services and a route of each kind; two workspaces, "ws2" without a rate.
-json DefaultConfig() {
-  const auto route = [](const char* name, const char* prefix, const char* kind,
-                        const char* service) {
-    return json{{"name", name},       {"host", kHost},
-                {"prefix", prefix},   {"kind", kind},
-                {"timeout_ms", 4000}, {"target_latency_ms", 250},
-                {"priority", 1},      {"service", service},
-                {"max_attempts", 2},  {"keeps_history", false},
-                {"keep_s", 60.0},     {"public", false},
-                {"sticky", true},     {"resumable", false},
-                {"gap_aim_ms", 200}};
-  };
-  json config = {{"version", 1}};
-  config["routes"] = {route("turn", "/turn/", "streaming", "engines"),
-                      route("kept", "/kept/", "streaming", "engines"),
-                      route("resume", "/resume/", "streaming", "engines"),
-                      route("safe", "/safe/", "safe", "plain"),
-                      route("once", "/once/", "unsafe", "plain")};
-  config["routes"][1]["keeps_history"] = true;
-  config["routes"][2]["resumable"] = true;
-  config["services"] = {
-      {{"name", "engines"},
-       {"health_path", "/health"},
-       {"max_connections", 150},
-       {"engine", {{"slots", 4}, {"kv_tokens", 100000}, {"stride", 4}}}},
-      {{"name", "plain"},
-       {"health_path", "/health"},
-       {"max_connections", 100}}};
-  config["limits"] = {{"max_header_bytes", 4096},
-                      {"max_body_bytes", 65536},
-                      {"header_timeout_ms", 1000},
-                      {"idle_timeout_ms", 3000}};
-  config["tenants"] = {{{"name", "ws1"},
-                        {"api_keys", {"key1"}},
-                        {"priority", 1},
-                        {"rate_per_s", 1000},
-                        {"burst", 1000}},
-                       {{"name", "ws2"}, {"api_keys", {"key2"}}}};
-  return config;
-}
-
 std::string RequestText(const CallerRequest& call) {
   std::string text =
       call.method + " " + call.path + " HTTP/1.1\r\nHost: " + kHost + "\r\n";
@@ -117,6 +75,47 @@
 
 }  // namespace
 
+json DefaultConfig() {
+  const auto route = [](const char* name, const char* prefix, const char* kind,
+                        const char* service) {
+    return json{{"name", name},       {"host", kHost},
+                {"prefix", prefix},   {"kind", kind},
+                {"timeout_ms", 4000}, {"target_latency_ms", 250},
+                {"priority", 1},      {"service", service},
+                {"max_attempts", 2},  {"keeps_history", false},
+                {"keep_s", 60.0},     {"public", false},
+                {"sticky", true},     {"resumable", false},
+                {"gap_aim_ms", 200}};
+  };
+  json config = {{"version", 1}};
+  config["routes"] = {route("turn", "/turn/", "streaming", "engines"),
+                      route("kept", "/kept/", "streaming", "engines"),
+                      route("resume", "/resume/", "streaming", "engines"),
+                      route("safe", "/safe/", "safe", "plain"),
+                      route("once", "/once/", "unsafe", "plain")};
+  config["routes"][1]["keeps_history"] = true;
+  config["routes"][2]["resumable"] = true;
+  config["services"] = {
+      {{"name", "engines"},
+       {"health_path", "/health"},
+       {"max_connections", 150},
+       {"engine", {{"slots", 4}, {"kv_tokens", 100000}, {"stride", 4}}}},
+      {{"name", "plain"},
+       {"health_path", "/health"},
+       {"max_connections", 100}}};
+  config["limits"] = {{"max_header_bytes", 4096},
+                      {"max_body_bytes", 65536},
+                      {"header_timeout_ms", 1000},
+                      {"idle_timeout_ms", 3000}};
+  config["tenants"] = {{{"name", "ws1"},
+                        {"api_keys", {"key1"}},
+                        {"priority", 1},
+                        {"rate_per_s", 1000},
+                        {"burst", 1000}},
+                       {{"name", "ws2"}, {"api_keys", {"key2"}}}};
+  return config;
+}
+
 TestCluster::TestCluster(int gateway_count, int servers, int partitioned,
                          uint64_t memory_mb)
     : store(loop, 7), memory_mb_(memory_mb) {
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -44,6 +44,10 @@
 /// Host of all routes.
 inline constexpr char kHost[] = "front.example";
 
+/// Returns a configuration of two services and a route of each kind, with two
+/// workspaces, "ws2" without a rate.
+nlohmann::json DefaultConfig();
+
 /// Starts fakes and gateways and sends calls through them. `servers` counts the
 /// upstreams of each of the two services.
 class TestCluster {
