Keep the further rows of a turn that is still kept

Callers saw nothing yet.

Cause: the sweeper took a row 'KEY~N' for a further row only straight behind the row 'KEY' on the same page of the answer. Behind a section, a longer id or the start of a page it was judged by its own bytes, which are a part of the turn's text: a line with a number reads as a time that is long over. A turn whose own id ends in '~N' went with the turn 'KEY'.

Change: the keys of a part that were swept are remembered over its pages, and a further row goes by its first one. A row that states a later time itself always stays.

Why it works: a first row always comes before its further ones.

--- a/include/knapweed/gateway/row_sweeper.h
+++ b/include/knapweed/gateway/row_sweeper.h
@@ -2,8 +2,11 @@
 #define KNAPWEED_GATEWAY_ROW_SWEEPER_H_
 
 #include <cstddef>
+#include <functional>
+#include <map>
 #include <random>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "knapweed/gateway/call_runner.h"
@@ -15,12 +18,17 @@
 /// periodically scans a part of a table.
 namespace knapweed::gateway {
 
+/// Whether the rows of a part have expired, by key, as far as it was swept.
+/// Those of further pieces are left out.
+using SweptKeys = std::map<std::string, bool, std::less<>>;
+
 /// Returns those of `rows` (in key order) that have expired at `now`. A row
-/// with the key "KEY~N" is a further piece of the row "KEY" before it and
-/// expires with that one.
+/// with the key "KEY~N" is a further piece of the row "KEY" and expires with
+/// that one. `swept` holds the keys of earlier pages of the part; those of
+/// `rows` are added.
 std::vector<const Row*> ExpiredRows(const SweptTable& table,
                                     std::span<const Row> rows, Ms now,
-                                    Ms retention);
+                                    Ms retention, SweptKeys& swept);
 
 /// A background task of the gateway that sweeps the given tables.
 class RowSweeper {
--- a/src/gateway/row_sweeper.cc
+++ b/src/gateway/row_sweeper.cc
@@ -5,6 +5,7 @@
 
 #include "knapweed/base/ids.h"
 #include "knapweed/base/log.h"
+#include "knapweed/base/parse.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -20,25 +21,33 @@
 /// A commit holds at most 100 entries, a condition and a removal for each row.
 constexpr size_t kRowsPerCommit = 50;
 
+/// Returns KEY of a key "KEY~N"; empty for others.
+std::string_view FirstKeyOf(std::string_view key) {
+  const size_t end = key.rfind('~');
+  uint64_t number = 0;
+  const bool is_further = end != std::string_view::npos &&
+                          ParseNumber(key.substr(end + 1), &number);
+  return is_further ? key.substr(0, end) : std::string_view();
+}
+
 }  // namespace
 
 std::vector<const Row*> ExpiredRows(const SweptTable& table,
                                     std::span<const Row> rows, Ms now,
-                                    Ms retention) {
+                                    Ms retention, SweptKeys& swept) {
   std::vector<const Row*> expired;
-  std::string_view first_key;
-  bool first_expired = false;
   for (const Row& row : rows) {
-    const std::string_view key = row.key.key;
-    const bool is_further_piece =
-        !first_key.empty() && key.size() > first_key.size() &&
-        key.starts_with(first_key) && key[first_key.size()] == '~';
-    if (!is_further_piece) {
-      const std::optional<Ms> at = table.expires_at(row.value, retention);
-      first_key = key;
-      first_expired = at.has_value() && *at < now;
+    const std::optional<Ms> at = table.expires_at(row.value, retention);
+    const auto first = swept.find(FirstKeyOf(row.key.key));
+    bool is_over = at.has_value() && *at < now;
+    if (first != swept.end()) {
+      // A key may end like that of a further piece and be of its own.
+      const bool is_needed = at.has_value() && !is_over;
+      is_over = first->second && !is_needed;
+    } else {
+      swept.emplace(row.key.key, is_over);
     }
-    if (first_expired) expired.push_back(&row);
+    if (is_over) expired.push_back(&row);
   }
   return expired;
 }
@@ -77,11 +86,12 @@
   range.table = table.table;
   range.part = table.part_prefix + std::to_string(part);
   size_t removed = 0;
+  SweptKeys swept;
   while (true) {
     const StoreAnswer answer = co_await store_.Read(range);
     if (answer.outcome != StoreOutcome::kDone) co_return removed;
     const std::vector<const Row*> expired =
-        ExpiredRows(table, answer.rows, store_.StoreNow(), Retention());
+        ExpiredRows(table, answer.rows, store_.StoreNow(), Retention(), swept);
     removed += co_await Remove(expired);
     if (!answer.more || answer.rows.empty()) co_return removed;
     range.from = answer.rows.back().key.key + '\x01';
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -384,16 +384,33 @@
         turn("ab", "90000\nx"), turn("ab~1", "70000\nx")},
        {"a", "a~1", "a~2"}},
       {"bytes that are not a turn", TurnTable(), {turn("a", "bytes")}, {}},
+      {"a further row, starting like an expired one, behind longer ids",
+       TurnTable(),
+       {turn("a", "90000\nby"), turn("a^0", "90000\nx"), turn("ab", "70000\nx"),
+        turn("a~1", "70000\n")},
+       {"ab"}},
+      {"an id that ends like that of a further row",
+       TurnTable(),
+       {turn("a", "70000\nx"), turn("a~1", "90000\nx")},
+       {"a"}},
   };
   for (const Case& it : cases) {
     const std::string what = it.what;
     CAPTURE(what);
-    std::vector<std::string> expired;
-    for (const Row* row :
-         ExpiredRows(it.table, it.rows, Ms{100000}, Ms{50000})) {
-      expired.push_back(row->key.key);
+    // All rows in one page, and each in a page of its own.
+    for (const size_t page : {it.rows.size(), size_t{1}}) {
+      CAPTURE(page);
+      std::vector<std::string> expired;
+      SweptKeys swept;
+      for (size_t at = 0; at < it.rows.size(); at += page) {
+        const std::span<const Row> rows(&it.rows[at], page);
+        for (const Row* row :
+             ExpiredRows(it.table, rows, Ms{100000}, Ms{50000}, swept)) {
+          expired.push_back(row->key.key);
+        }
+      }
+      CHECK(expired == it.expired);
     }
-    CHECK(expired == it.expired);
   }
 }
 
