Close a connection whose call ended without an answer

Callers saw: of two requests sent at once by a caller that then closed its sending side, the answer to the second in the place of the first, which ended as left and got none.

Cause: only a call whose answer had begun ended its connection; after one without any answer the next request on the connection was served.

Change: a connection goes on only after an answer that was written whole.

Why it works: answers are matched to requests by their order alone, so none may follow a missing one.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -136,8 +136,8 @@
   bool is_head_request_ = false;
   /// The caller speaks HTTP/1.0, which has no chunks.
   bool is_http10_ = false;
-  /// A body of unknown length has begun and not ended.
-  bool body_is_open_ = false;
+  /// The answer to the present request was written whole.
+  bool is_answered_ = false;
   /// That body ends with the connection.
   bool ends_with_connection_ = false;
   bool stream_aborted_ = false;
@@ -323,6 +323,7 @@
     is_head_request_ = message.method() == http::verb::head;
     is_http10_ = message.version() < 11;
     stream_.expires_never();
+    is_answered_ = false;
     auto answered = std::make_shared<bool>(false);
     Spawn(front_.loop_, WatchForDisconnect(answered));
     StartSendWatch();
@@ -331,7 +332,8 @@
     *answered = true;
     has_served_ = true;
     on_disconnect_ = nullptr;
-    if (body_is_open_) AbortStream();
+    // What would follow could be taken for the missing rest.
+    if (!is_answered_) AbortStream();
     if (stream_aborted_) break;
     stream_.socket().cancel(ec);
     if (!keep_alive_) {
@@ -404,13 +406,13 @@
   co_await http::async_write(stream_, message,
                              asio::redirect_error(asio::use_awaitable, ec));
   StopWriteTimeout();
-  co_return !ec;
+  is_answered_ = !ec;
+  co_return is_answered_;
 }
 
 Task<bool> Front::Session::BeginStream(unsigned status,
                                        const http::fields& fields) {
   http::response<http::empty_body> message;
-  body_is_open_ = true;
   ends_with_connection_ = is_http10_;
   if (ends_with_connection_) {
     keep_alive_ = false;
@@ -451,13 +453,13 @@
 }
 
 Task<bool> Front::Session::EndStream() {
-  body_is_open_ = false;
   if (ends_with_connection_) {
     SetResetAtClose(false);
-    co_return true;
+    is_answered_ = true;
+  } else {
+    is_answered_ = co_await Write(asio::buffer("0\r\n\r\n", 5));
   }
-  const bool ok = co_await Write(asio::buffer("0\r\n\r\n", 5));
-  co_return ok;
+  co_return is_answered_;
 }
 
 void Front::Session::StartWriteTimeout() {
