Bound the answers on one connection in a planned stop

Callers saw: a caller that always has more requests on its way was never told to close, got thousands of 503 and kept the stopping gateway until 7.3 s of its 8 s of grace.

Cause: while stopping, a connection stayed open as long as more bytes were there.

Change: at most 16 such answers, then the connection closes, after what still comes was read.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -25,6 +25,9 @@
 /// Maximum time for which the body of a refused request is dropped, and for
 /// which a caller may go on sending after the last answer on its connection.
 constexpr Ms kDropTimeout{2000};
+/// Most answers on one connection while stopping: a caller may send faster than
+/// it is answered.
+constexpr uint32_t kMaxAnswersInStop = 16;
 /// Most reads, of up to 4 KB each, that drop what comes after the last answer.
 constexpr int kMaxDropReads = 64;
 /// How often a call's connection is checked for what its caller has read.
@@ -138,6 +141,8 @@
   bool is_http10_ = false;
   /// The answer to the present request was written whole.
   bool is_answered_ = false;
+  /// Answers in a stop behind which more bytes had arrived.
+  uint32_t answers_in_stop_ = 0;
   /// That body ends with the connection.
   bool ends_with_connection_ = false;
   bool stream_aborted_ = false;
@@ -360,8 +365,12 @@
 
 template <typename Message>
 void Front::Session::SetConnectionFields(Message& message) {
-  // A request that is here already is answered too.
-  if (front_.draining_ && !HasMoreBytes()) keep_alive_ = false;
+  if (front_.draining_) {
+    // Requests that are here already are answered too.
+    const bool goes_on =
+        HasMoreBytes() && ++answers_in_stop_ < kMaxAnswersInStop;
+    keep_alive_ = keep_alive_ && goes_on;
+  }
   message.keep_alive(keep_alive_);
   if (keep_alive_) {
     const auto idle_s = front_.Limits().idle_timeout.count / 1000;
