Hold no memory of a request while its caller's last bytes are read

Callers saw: 503 'held memory is used up' because answered callers were slow to close.

Cause: the request, its body and its part of the held memory lived as long as the reading after the last answer, up to 2 s.

Change: that reading comes after they are gone.

Measured: users_platform__stop_effects_test, 'an answered request holds no memory until its caller closes', failed before the change, passes now.

--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -306,6 +306,7 @@
     setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                &kTcpUserTimeoutMs, sizeof(kTcpUserTimeoutMs));
   }
+  bool was_last_answer = false;
   while (keep_alive_ && !stream_aborted_) {
     const bool arrived = co_await WaitForRequest(front_.Limits().idle_timeout);
     if (!arrived) break;
@@ -341,9 +342,10 @@
     if (!is_answered_) AbortStream();
     if (stream_aborted_) break;
     stream_.socket().cancel(ec);
-    if (!keep_alive_) {
-      co_await DropRest(kMaxDropReads, kDropTimeout);
-    }
+    was_last_answer = !keep_alive_;
+  }
+  if (was_last_answer) {
+    co_await DropRest(kMaxDropReads, kDropTimeout);
   }
   if (!stream_aborted_) {
     if (HasMoreBytes()) {
