Hand a program over in a stop without refusals, and rely on no returned token

Callers saw: 503 'budget held elsewhere' for the next turn of a tight program while its home was stopping, and, after a write of the home whose outcome was not known, 180 tokens of a budget of 160.

Cause: a stopping home refused a reservation before it had returned what it held of the program. It wrote each program with a running turn every 250 ms. After a write without an answer it still relied on tokens that the row might have given back. Its stop waited for turns of gateways that had gone, and not for reservations that were being made.

Change: it returns what it holds, then refuses; writes a program only if it holds more than its turns need; relies on the smaller allowance until a write is confirmed, which is then repeated; and waits for a turn until its deadline.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -135,13 +135,13 @@
   /// Ends the reservation of a turn of which `spent` tokens reached the caller.
   /// Does not block: a home at another gateway is notified in the background.
   void Settle(const ReservationTicket& ticket, uint64_t spent);
-  /// From now on refuses reservations for turns of other gateways, which then
-  /// claim from the rows themselves, and returns each allowance as soon as no
-  /// turn needs it.
+  /// From now on refuses reservations for turns of other gateways, after it has
+  /// returned what it holds of the program, so that they can claim from the row
+  /// themselves. Returns each allowance as soon as no turn needs it.
   void BeginHandover() { hands_over_ = true; }
-  /// Returns whether a reservation between this gateway and another one is not
-  /// settled yet.
-  bool HasUnsettled() const { return !remote_turns_.empty() || settling_ > 0; }
+  /// Returns whether a reservation between this gateway and another one is
+  /// being made or not settled yet, and its turn may still be running.
+  bool HasUnsettled() const;
   /// Handles a reserve or settle request from another gateway that chose this
   /// one as a program's home.
   Task<HttpResponse> AnswerPeer(const HttpRequest& call);
@@ -169,6 +169,8 @@
     uint64_t running = 0;
     Ms first_asked_at;
     Ms used_at;
+    /// The outcome of the last write is not known.
+    bool row_is_unsure = false;
     /// The last claim was granted more tokens than its turns needed.
     bool has_headroom = false;
     bool locked = false;
@@ -219,6 +221,10 @@
   /// The same for a program that the caller has locked.
   Task<bool> WriteLocked(std::string name, ProgramPtr program, bool release);
   Task<void> WriteDue(std::shared_ptr<FlushRun> run);
+  /// Returns a program's tokens that no running turn needs, unless another step
+  /// of it takes too long.
+  Task<void> ReturnAllowance(std::string name);
+  static bool HoldsMoreThanNeeded(const Program& program);
   bool IsIdle(const Program& program) const;
   void DropIdle();
 
@@ -233,6 +239,8 @@
   std::map<std::string, RemoteTurn> remote_turns_;
   /// Turns whose settlement is on its way to their home.
   size_t settling_ = 0;
+  /// Reservations for other gateways that are being made.
+  size_t reserving_ = 0;
   bool hands_over_ = false;
   std::shared_ptr<FlushRun> last_flush_;
 };
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -1,5 +1,7 @@
 #include "knapweed/gateway/budgets.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <deque>
 #include <utility>
@@ -194,6 +196,7 @@
       key, program->row, change, deadline, kRefusalCacheTtl);
   if (outcome == UpdateOutcome::kChanged) {
     program->spent -= claim.spent;
+    program->row_is_unsure = false;
     program->allowance = allowance;
     program->has_headroom = allowance > program->running + max_tokens;
     program->allowed_at = clock_.Now();
@@ -265,11 +268,22 @@
     SettleHere(ticket.program, ticket.max_tokens, spent);
     return;
   }
-  ++settling_;
   Spawn(loop_, SettleAt(ticket, spent));
 }
 
+bool Budgets::HasUnsettled() const {
+  // A turn that is not settled after its deadline is one of a gateway that has
+  // gone.
+  const Ms expires_after = clock_.Now() + kSettleGrace;
+  const bool has_running = std::any_of(
+      remote_turns_.begin(), remote_turns_.end(),
+      [&](const auto& item) { return item.second.expires_at > expires_after; });
+  return has_running || settling_ > 0 || reserving_ > 0;
+}
+
 Task<void> Budgets::SettleAt(ReservationTicket ticket, uint64_t spent) {
+  ++settling_;
+  const absl::Cleanup end = [this] { --settling_; };
   const nlohmann::json body = {{"turn", ticket.turn}, {"spent", spent}};
   HttpRequest call;
   call.method = http::verb::post;
@@ -278,13 +292,9 @@
   for (int i = 0; i < kSettleAttempts; ++i) {
     const HttpResponse raw =
         co_await clients_.At(ticket.home).Send(call, kPeerTimeout);
-    if (raw.status == 200) {
-      --settling_;
-      co_return;
-    }
+    if (raw.status == 200) co_return;
     co_await Sleep(loop_, kSettlePause);
   }
-  --settling_;
   // The reservation expires at the home, which then counts it as spent in full.
   kLog.Info("Failed to settle a turn at its program's home gateway.",
             {{"program", ticket.program}, {"home", ticket.home.ToString()}});
@@ -308,11 +318,14 @@
     answer.status = 200;
     co_return answer;
   }
+  const std::string program = TextField(json, "program");
   if (hands_over_) {
+    co_await ReturnAllowance(program);
     answer.status = 503;
     co_return answer;
   }
-  const std::string program = TextField(json, "program");
+  ++reserving_;
+  const absl::Cleanup end = [this] { --reserving_; };
   const uint64_t max_tokens = CountField(json, "most");
   const Ms deadline = clock_.Now() + MsField(json, "time_ms").value_or(Ms{0});
   const ReserveResult result = co_await ReserveHere(
@@ -418,10 +431,33 @@
     program->spent -= claim.spent;
     program->allowance = claim.running;
     program->allowed_at = clock_.Now();
+  } else {
+    // The row may have given back what is beyond this.
+    program->allowance = std::min(program->allowance, claim.running);
   }
+  program->row_is_unsure = outcome != UpdateOutcome::kChanged;
   co_return outcome == UpdateOutcome::kChanged;
 }
 
+Task<void> Budgets::ReturnAllowance(std::string name) {
+  const auto it = programs_.find(name);
+  if (it == programs_.end()) co_return;
+  const ProgramPtr program = it->second;
+  const bool locked = co_await Lock(program, clock_.Now() + kPeerTimeout / 2);
+  if (!locked) co_return;
+  if (!HoldsMoreThanNeeded(*program)) {
+    Unlock(*program);
+    co_return;
+  }
+  Task<bool> step = WriteLocked(std::move(name), program, true);
+  co_await ThenUnlock(program, std::move(step));
+}
+
+bool Budgets::HoldsMoreThanNeeded(const Program& program) {
+  return program.spent > 0 || program.allowance > program.running ||
+         program.row_is_unsure;
+}
+
 bool Budgets::IsIdle(const Program& program) const {
   const Ms idle_for =
       program.has_headroom ? kIdleWithHeadroom : kIdleWithoutHeadroom;
@@ -465,9 +501,12 @@
   last_flush_ = run;
   for (const auto& [name, program] : programs_) {
     if (program->locked && !all) continue;
-    const bool idle = all || hands_over_ || IsIdle(*program);
+    const bool hands_over = hands_over_ && HoldsMoreThanNeeded(*program);
+    const bool idle = all || hands_over || IsIdle(*program);
     const bool old = now - program->allowed_at >= kConfirmInterval;
-    if (program->allowance + program->spent > 0 && (idle || old)) {
+    const bool is_written =
+        program->allowance + program->spent > 0 || program->row_is_unsure;
+    if (is_written && (idle || old)) {
       run->due.emplace_back(name, program);
     }
   }
@@ -484,8 +523,9 @@
   const Ms before = clock_.Now() - kDropIdleAfter;
   std::erase_if(programs_, [&](const auto& item) {
     const Program& program = *item.second;
-    return !program.locked && program.running == 0 && program.spent == 0 &&
-           program.allowance == 0 && program.used_at < before;
+    return !program.locked && !program.row_is_unsure && program.running == 0 &&
+           program.spent == 0 && program.allowance == 0 &&
+           program.used_at < before;
   });
 }
 
