Forget a call that ends by an exception

Cause: what throws after a call was listed left its pointer in the list, which is read at the end of the process. No such exception is known.

Change: a guard removes it. Measured: users_platform__stop_test passes.

--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -1,5 +1,7 @@
 #include "knapweed/gateway/call_runner.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -37,6 +39,7 @@
 Task<void> CallRunner::Run(CallerRequest& request, CallerLink& link) {
   auto state = std::make_shared<State>(deps_.loop, deps_.memory, request, link);
   calls_.insert(state.get());
+  const absl::Cleanup forget = [this, &state] { calls_.erase(state.get()); };
   state->link.OnDisconnect(
       [weak = std::weak_ptr<State>(state)](CallerGone gone) {
         const StatePtr locked = weak.lock();
@@ -70,7 +73,6 @@
     deps_.crashes.OnSuccess(DigestOf(*state));
   }
   Report(*state);
-  calls_.erase(state.get());
 }
 
 Task<void> CallRunner::RefuseAfterException(StatePtr state) {
