Wait until a child process of a test executes its program

The test now waits until the child has executed its program, which closes the child's end of a pipe.

--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -1,10 +1,12 @@
 #include "tests/process/child_process.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <utility>
@@ -15,6 +17,16 @@
 constexpr int kExecFailedExitCode = 127;
 constexpr Ms kPollInterval{10};
 
+// Waits until the child holds no end of the pipe any more, since it executes
+// its program or has ended.
+void WaitForExec(int (&executed)[2]) {
+  close(executed[1]);
+  char byte = 0;
+  while (read(executed[0], &byte, 1) < 0 && errno == EINTR) {
+  }
+  close(executed[0]);
+}
+
 }  // namespace
 
 ChildProcess::ChildProcess(std::vector<std::string> command,
@@ -30,8 +42,14 @@
   for (std::string& it : command_) arguments.push_back(it.data());
   arguments.push_back(nullptr);
   const pid_t parent = getpid();
+  int executed[2] = {-1, -1};
+  const bool has_pipe = pipe2(executed, O_CLOEXEC) == 0;
   pid_ = fork();
-  if (pid_ != 0) return;
+  if (pid_ != 0) {
+    // Until then a signal would find the test's handlers.
+    if (has_pipe) WaitForExec(executed);
+    return;
+  }
   // Ends the process when the test process dies, so that none is left behind.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (getppid() != parent) _exit(kExecFailedExitCode);
@@ -40,7 +58,7 @@
   dup2(fd, STDOUT_FILENO);
   dup2(fd, STDERR_FILENO);
   // A connection of the test stays open while a child holds it too.
-  close_range(STDERR_FILENO + 1, ~0U, 0);
+  close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
