--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -269,7 +269,9 @@
                                        const Script& script) {
   bool open = true;
   for (int i = first; open && i <= script.events; ++i) {
-    if (i > first) co_await gateway::Sleep(loop_, script.event_gap);
+    if (i > first) {
+      co_await gateway::Sleep(loop_, script.event_gap);
+    }
     const bool breaks = script.break_after >= 0 && i > script.break_after;
     if (breaks) {
       co_await WriteText(stream, text + Chunk(EventText(i).substr(0, 9)));
@@ -279,7 +281,9 @@
     open = co_await WriteText(stream, text);
     text.clear();
   }
-  if (open) open = co_await WriteText(stream, text + "0\r\n\r\n");
+  if (open) {
+    open = co_await WriteText(stream, text + "0\r\n\r\n");
+  }
   co_return open;
 }
 
--- a/tests/platform/process/callers.cc
+++ b/tests/platform/process/callers.cc
@@ -94,13 +94,15 @@
                          std::vector<Outgoing>& batch) {
   std::string text;
   for (const Outgoing& it : batch) text += HeadText(it) + it.body;
+  const std::string_view all = text;
   const bool slowly = batch.front().attempt->kind == RequestKind::kUpload;
   const size_t parts = slowly ? kUploadParts : 1;
   const size_t part = text.size() / parts + 1;
   for (size_t at = 0; at < text.size(); at += part) {
-    if (at > 0) co_await Sleep(world.loop, kUploadPause);
-    const bool written = co_await WriteBytes(
-        connection, std::string_view(text).substr(at, part));
+    if (at > 0) {
+      co_await Sleep(world.loop, kUploadPause);
+    }
+    const bool written = co_await WriteBytes(connection, all.substr(at, part));
     if (!written) co_return false;
   }
   for (Outgoing& it : batch) it.attempt->sent_at = world.Now();
@@ -129,7 +131,8 @@
   std::string text;
   for (int i = last + 1; i <= events; ++i) {
     const std::string n = std::to_string(i);
-    text += "id: " + n + "\ndata: word" + n + "\n\n";
+    text.append("id: ").append(n).append("\ndata: word");
+    text.append(n).append("\n\n");
   }
   return text;
 }
@@ -146,8 +149,9 @@
   it.events = CountEvents(r.body());
   const std::string whole =
       EventsText(it.last_event_id, std::stoi(events->second));
-  const bool is_start = whole.starts_with(
-      std::string_view(r.body()).substr(0, r.body().rfind("\n\n") + 2));
+  const std::string_view body = r.body();
+  const bool is_start =
+      whole.starts_with(body.substr(0, body.rfind("\n\n") + 2));
   const bool is_whole = r.body() == whole;
   it.is_out_of_order =
       it.end == WaitEnd::kAnswered ? !is_whole : it.events > 0 && !is_start;
--- a/tests/platform/process/disruptions.cc
+++ b/tests/platform/process/disruptions.cc
@@ -219,7 +219,9 @@
 }
 
 Task<void> WaitForOperator(ProcessWorld& world) {
-  while (!IsUndisturbed(world)) co_await Sleep(world.loop, kPollInterval);
+  while (!IsUndisturbed(world)) {
+    co_await Sleep(world.loop, kPollInterval);
+  }
 }
 
 }  // namespace
--- a/tests/platform/process/process_test.cc
+++ b/tests/platform/process/process_test.cc
@@ -38,10 +38,10 @@
 void PrintLosses(const ProcessWorld& world, const std::vector<Loss>& losses) {
   std::map<std::string, size_t> counts;
   for (const Loss& it : losses) {
-    if (++counts[it.clause] > kMaxTraces) continue;
     std::cout << "LOST clause=" << it.clause << " (" << it.why << ") "
-              << Describe(world.ledger, *it.attempt) << "\n"
-              << world.LogLines("=" + it.attempt->id);
+              << Describe(world.ledger, *it.attempt) << "\n";
+    if (++counts[it.clause] > kMaxTraces) continue;
+    std::cout << world.LogLines("=" + it.attempt->id);
     if (!it.attempt->previous.empty()) {
       std::cout << "   the turn before:\n"
                 << world.LogLines("=" + it.attempt->previous);
--- a/tests/platform/process/process_world.cc
+++ b/tests/platform/process/process_world.cc
@@ -174,7 +174,7 @@
 
 Script ProcessWorld::ReceiveRequest(const FakeServer& upstream,
                                     const ReceivedRequest& request) {
-  const Script script = ScriptOf(request);
+  Script script = ScriptOf(request);
   const auto found = by_id_.find(request.Get("Request-Id"));
   const bool runs = request.Get("Expect-Instance") == upstream.id();
   if (found == by_id_.end() || !runs) return script;
