Keep the record of a stream that runs longer than ten seconds

Callers saw: after all gateways lost power, 503 'version of the stream is unknown' for each stream that had run for more than 10 s while upstreams of two versions served.

Cause: a gateway's row named a stream for 10 s after its start, however long it ran. Other gateways that had been told of it had ended as well.

Change: a stream stays in the row as long as it may run and be resumed, as its place does, and 10 s from its end once it was sent whole. The row holds at most 1000 streams as before.

Why it works: the row outlives the gateways, and names each stream that can still be taken up. The size of the rows under load was not measured.

--- a/include/knapweed/gateway/stream_records.h
+++ b/include/knapweed/gateway/stream_records.h
@@ -94,6 +94,9 @@
   void ApplyPeerRow(const Row& row, Ms asked_at);
   /// Records where one stream began. Takes effect with the next write.
   void RecordStream(const std::string& request_id, const RouteOrigin& place);
+  /// Notes that a stream was sent whole, so that its record is needed only for
+  /// a caller that didn't get its end.
+  void EndStream(const std::string& request_id);
   /// Reads the records of all gateways, by a read that begins after the call.
   /// Returns false if they can't be read completely.
   Task<bool> Refresh();
@@ -119,7 +122,8 @@
   struct BegunStream {
     std::string request_id;
     RouteOrigin place;
-    Ms at;
+    /// When its record may go.
+    Ms until;
   };
   struct Place {
     RouteOrigin at;
--- a/include/knapweed/gateway/stream_versions.h
+++ b/include/knapweed/gateway/stream_versions.h
@@ -77,6 +77,10 @@
   /// Records where the stream of a request began and tells other gateways, in
   /// the background.
   void Record(const std::string& request_id, const RouteOrigin& place);
+  /// Notes that the stream of a request was sent whole.
+  void EndStream(const std::string& request_id) {
+    records_.EndStream(request_id);
+  }
   /// Decides on a stream that a caller resumes. Asks other gateways for the
   /// origin if this one does not know it, then the store.
   Task<StreamResume> Resume(StreamToResume stream);
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -290,6 +290,7 @@
   state->phase = CallPhase::kCaller;
   const bool ended = co_await state->link.EndStream();
   state->EndAnswer(ended);
+  if (ended) deps_.stream_versions.EndStream(head.request_id);
   co_return Step::kDone;
 }
 
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -39,8 +39,9 @@
 /// second.
 constexpr Ms kMinWriteInterval{50};
 constexpr double kWriteIntervalMsPerGateway = 6;
-/// Callers resume a stream within seconds; a row has bounded size.
-constexpr Ms kKeepStreams = Seconds(10);
+/// The record of a stream that was sent whole stays for so long: its caller may
+/// not have got the last bytes. A row has bounded size.
+constexpr Ms kKeepEndedStreams = Seconds(10);
 constexpr size_t kMaxStreams = 1000;
 
 std::string PartName() { return std::string(kPartPrefix) + "0"; }
@@ -211,12 +212,24 @@
 
 void StreamRecords::RecordStream(const std::string& request_id,
                                  const RouteOrigin& place) {
-  begun_.push_back({request_id, place, clock_.Now()});
+  const auto own = own_.find(place);
+  const Ms span = own != own_.end() ? own->second.longest_span : Ms{0};
+  begun_.push_back(
+      {request_id, place, clock_.Now() + std::max(span, kKeepEndedStreams)});
   if (begun_.size() > kMaxStreams) begun_.pop_front();
   is_changed_ = true;
   write_wanted_.Notify();
 }
 
+void StreamRecords::EndStream(const std::string& request_id) {
+  const Ms until = clock_.Now() + kKeepEndedStreams;
+  for (BegunStream& stream : begun_) {
+    if (stream.request_id == request_id) {
+      stream.until = std::min(stream.until, until);
+    }
+  }
+}
+
 Task<bool> StreamRecords::Refresh() {
   const uint64_t needed = reads_begun_ + 1;
   while (reads_done_ < needed) {
@@ -297,9 +310,8 @@
     return !own.is_listed && now - own.needed_until > own.longest_span;
   });
   if (dropped > 0) is_changed_ = true;
-  while (!begun_.empty() && now - begun_.front().at > kKeepStreams) {
-    begun_.pop_front();
-  }
+  std::erase_if(begun_,
+                [now](const BegunStream& it) { return it.until < now; });
 }
 
 Ms StreamRecords::WriteInterval() const {
@@ -333,7 +345,8 @@
   const Ms age = std::max(store_.now() - record->written_at, Ms{0});
   written_at_ = std::max(written_at_, now - age);
   for (const auto& [id, index] : record->streams) {
-    begun_.push_back({id, record->places[index].at, now});
+    const Place& place = record->places[index];
+    begun_.push_back({id, place.at, now + place.longest_span});
   }
   while (begun_.size() > kMaxStreams) begun_.pop_front();
 }
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -157,7 +157,8 @@
   return {kLoopback, socket.local_endpoint().port()};
 }
 
-int TestCluster::AddGateway(const std::string& name, bool partitioned) {
+gateway::GatewayConfig& TestCluster::AddSettings(const std::string& name,
+                                                 bool partitioned) {
   gateway::GatewayConfig& config = configs.emplace_back();
   config.name = name;
   config.failure_domain = "a";
@@ -169,6 +170,11 @@
   config.store = partitioned ? ReserveAddress() : store_address_;
   config.seeds.push_back(configs.front().peers);
   if (edit_settings) edit_settings(config);
+  return config;
+}
+
+int TestCluster::AddGateway(const std::string& name, bool partitioned) {
+  const gateway::GatewayConfig& config = AddSettings(name, partitioned);
   gateways.push_back(std::make_unique<gateway::Gateway>(
       loop, config, users_platform::PlatformDialect()));
   gateways.back()->Start();
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -66,6 +66,9 @@
   /// Starts another gateway named `name`, with settings edited by
   /// `edit_settings`, and returns its index.
   int AddGateway(const std::string& name, bool partitioned = false);
+  /// Adds the settings of another gateway, which is not started.
+  gateway::GatewayConfig& AddSettings(const std::string& name,
+                                      bool partitioned = false);
   /// Starts a call; the response is filled in while the loop runs.
   std::shared_ptr<CallerResponse> StartCall(const CallerRequest& call,
                                             int gateway = 0);
