--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -87,7 +87,9 @@
   state->route =
       FindRoute(*state->config, head.host, PathOf(state->request.target));
   const bool names_turn = !head.previous_turn.empty();
-  if (state->route == nullptr && names_turn) co_await WaitForRoute(state);
+  if (state->route == nullptr && names_turn) {
+    co_await WaitForRoute(state);
+  }
   if (state->route == nullptr) {
     const bool unsure = stale || (names_turn && !ConfigCovers(*state));
     co_await Refuse(state, unsure ? 503 : 404, StoreRetryAfter(),
--- a/tests/platform/stream_restart_test.cc
+++ b/tests/platform/stream_restart_test.cc
@@ -53,6 +53,7 @@
 void BeginStreams(TestCluster& cluster, int gateway) {
   SetAll(cluster, kBreakAfter);
   std::vector<std::shared_ptr<CallerResponse>> begun;
+  begun.reserve(kStreams);
   for (int i = 0; i < kStreams; ++i) {
     const std::string id = "begun-" + std::to_string(i);
     begun.push_back(cluster.StartCall(StreamCall(id), gateway));
@@ -113,8 +114,10 @@
     CAPTURE(what);
     TestCluster cluster(0, 4);
     PrepareEngines(cluster);
+    constexpr int kGateways = 3;
     std::vector<std::unique_ptr<KillableGateway>> gateways;
-    for (int i = 0; i < 3; ++i) {
+    gateways.reserve(kGateways);
+    for (int i = 0; i < kGateways; ++i) {
       gateways.push_back(std::make_unique<KillableGateway>(
           cluster, "gateway-" + std::to_string(i)));
     }
--- a/tests/platform/turns_test.cc
+++ b/tests/platform/turns_test.cc
@@ -226,7 +226,8 @@
         });
     std::string next_to = id;
     for (int i = 0; i < row.neighbours; ++i) {
-      next_to = FindId(next_to + "-", [&](const auto& name) {
+      next_to += "-";
+      next_to = FindId(next_to, [&](const auto& name) {
         return PartOf(name) == PartOf(id);
       });
       CHECK(RunTurn(cluster, next_to, "", std::string(kLong, 'n'), 0).complete);
@@ -244,7 +245,7 @@
 // that doesn't say that it isn't.
 TEST_CASE("an answer without readable rows doesn't say that a turn is gone") {
   using nlohmann::json;
-  const auto with_row = [](const char* field, json value) {
+  const auto with_row = [](const char* field, const json& value) {
     return [field, value](json& answer) { answer["rows"][0][field] = value; };
   };
   struct Row {
@@ -351,6 +352,7 @@
   constexpr int kCalls = 200;
   const uint64_t calls_before = cluster.store.calls;
   std::vector<std::shared_ptr<CallerResponse>> responses;
+  responses.reserve(kCalls);
   for (int i = 0; i < kCalls; ++i) {
     responses.push_back(cluster.StartCall(turn));
   }
