Don't take a body that ends with a reset for a whole one

Callers could get a part of an answer as the whole one: a server answered before it had read a long request, without a length, and its connection was then reset.

Cause: the kernel tells a reset once, to whichever operation comes first. When the request was still being written, the write was told; the read then saw the end of the stream, which ends such a body. A read that fails after its first bytes lost the error in the same way.

Change: a body that ends with its connection has failed if the write did, and a failure of a read is kept for the next one.

--- a/include/knapweed/gateway/channel.h
+++ b/include/knapweed/gateway/channel.h
@@ -93,7 +93,7 @@
   std::unique_ptr<UpstreamConnection> TakeConnection();
 
   /// Returns whether the whole body was read.
-  bool is_complete() const { return parser_->is_done(); }
+  bool is_complete() const { return parser_->is_done() && !has_failed_; }
   unsigned status() const { return parser_->get().result_int(); }
   const http::response_header<>& header() const { return parser_->get(); }
   const ResponseHead& head() const { return head_; }
@@ -119,6 +119,8 @@
   ResponseHead head_;
   bool saw_draining_ = false;
   bool aborted_ = false;
+  /// Reading the body has failed.
+  bool has_failed_ = false;
 };
 
 /// Idle connections to upstreams, by incarnation. `Gateway` owns it.
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -110,6 +110,7 @@
 
 Task<bool> Attempt::ReadSome(std::string* piece) {
   piece->clear();
+  if (has_failed_) co_return false;
   if (parser_->is_done()) co_return true;
   piece->resize(kReadBytes);
   parser_->get().body().data = piece->data();
@@ -121,8 +122,11 @@
         write_->conn->stream, write_->conn->buf, *parser_,
         asio::redirect_error(asio::use_awaitable, ec));
     const size_t n = piece->size() - parser_->get().body().size;
-    const bool failed = ec && ec != http::error::need_buffer;
-    if (failed && n == 0) {
+    // The socket tells a reset once and the end of the stream afterwards, and
+    // the write may be told instead of the read.
+    const bool was_reset = parser_->need_eof() && write_->ec;
+    has_failed_ = was_reset || (ec && ec != http::error::need_buffer);
+    if (has_failed_ && n == 0) {
       piece->clear();
       co_return false;
     }
@@ -138,7 +142,7 @@
 Task<BodyRead> Attempt::ReadAll(std::string* body, size_t max_bytes) {
   body->clear();
   std::string piece;
-  while (!parser_->is_done()) {
+  while (!is_complete()) {
     const bool ok = co_await ReadSome(&piece);
     if (!ok) co_return BodyRead::kBroken;
     // Grows as appending does, but not beyond what may be read.
@@ -157,7 +161,7 @@
   write_->conn->stream.expires_after(ToChrono(timeout));
   size_t total = 0;
   std::string piece;
-  while (!parser_->is_done()) {
+  while (!is_complete()) {
     const bool ok = co_await ReadSome(&piece);
     if (!ok) co_return BodyRead::kBroken;
     total += piece.size();
--- a/tests/platform/fake_server.cc
+++ b/tests/platform/fake_server.cc
@@ -79,17 +79,24 @@
       .dump();
 }
 
+std::deque<Script>& FakeServer::NextScripts() {
+  const bool has_shared = shared_scripts != nullptr && !shared_scripts->empty();
+  return has_shared ? *shared_scripts : scripts;
+}
+
 Script FakeServer::TakeScript() {
-  if (scripts.empty()) return default_script;
-  Script script = std::move(scripts.front());
-  scripts.pop_front();
+  std::deque<Script>& next = NextScripts();
+  if (next.empty()) return default_script;
+  Script script = std::move(next.front());
+  next.pop_front();
   return script;
 }
 
-bool FakeServer::LeavesBodyUnread() const {
-  const Script& next = scripts.empty() ? default_script : scripts.front();
+bool FakeServer::LeavesBodyUnread() {
+  const std::deque<Script>& next = NextScripts();
+  const Script& script = next.empty() ? default_script : next.front();
   return ignores_bodies || refuses_early ||
-         next.kind == Script::Kind::kEarlyRaw;
+         script.kind == Script::Kind::kEarlyRaw;
 }
 
 Task<void> FakeServer::Accept() {
--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -2,6 +2,7 @@
 #define KNAPWEED_TESTS_PLATFORM_FAKE_SERVER_H_
 
 #include <deque>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -142,6 +143,8 @@
   /// Scripts for the next requests in order; later requests use
   /// `default_script`. Requests for another instance always get 421.
   std::deque<Script> scripts;
+  /// Scripts that several servers take in turn, before their own; may be null.
+  std::shared_ptr<std::deque<Script>> shared_scripts;
   Script default_script;
   /// A request whose body contains this closes the listener for
   /// `restart_delay`, as a crash would. Empty for none.
@@ -174,10 +177,12 @@
   uint64_t endless_bytes = 0;
 
  private:
+  /// Returns the scripts that the next request uses first.
+  std::deque<Script>& NextScripts();
   /// Removes the script of the next request and returns it.
   Script TakeScript();
   /// Returns whether the next request's body is left unread.
-  bool LeavesBodyUnread() const;
+  bool LeavesBodyUnread();
   gateway::Task<void> Accept();
   gateway::Task<void> Crash();
   /// Handles a request whose body is not read.
