Let a stream go on only where its next event is

Callers of a resumable stream could get pieces twice, or miss some, in an answer that looked whole: when the next server's events had ids beyond the next one or none, and when those of the first had none.

Cause: any event without an id, and any with a higher one, was passed on; a stream without ids was run again from its start behind what was sent.

Change: a run that goes on must reach the next id first. Repeats and comments before it are dropped; an event without an id, or one that skips ids that have counted the events so far, breaks off the attempt. A stream whose last event has no id isn't run again. Where ids don't count events, a gap can't be seen and is passed on as before.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -29,6 +29,15 @@
 /// it.
 namespace knapweed::gateway {
 
+/// Where an event of a run belongs in the stream that its caller reads.
+enum class EventPlace : uint8_t {
+  kNext,
+  /// It was sent before.
+  kSent,
+  /// It can't be told, or events before it are missing.
+  kUnknown,
+};
+
 /// A caller's request, read completely.
 struct CallerRequest {
   /// As the caller sent it; it may be one that HTTP does not define.
@@ -163,9 +172,13 @@
   /// Binds a stream that begins to the version of its upstream.
   void RecordStreamVersion(State& state, const Upstream& upstream);
   /// Appends the events that are complete and not yet sent to `out`. Returns
-  /// false if the upstream sends more than was asked for.
-  static bool TakeEvents(State& state, EventSplitter& splitter,
-                         std::string* out);
+  /// why the stream can't go on after them; empty if it can.
+  static std::string_view TakeEvents(State& state, EventSplitter& splitter,
+                                     std::string* out);
+  /// Whether an event was sent already or is the next one.
+  static EventPlace FindPlace(const State& state, const StreamEvent& event);
+  /// Notes an event that is sent.
+  static void Advance(State& state, const StreamEvent& event);
   Task<Step> OnNotRun(StatePtr state, UpstreamPtr upstream);
   Task<Step> OnBroken(StatePtr state, UpstreamPtr upstream,
                       std::string_view what);
--- a/include/knapweed/gateway/event_splitter.h
+++ b/include/knapweed/gateway/event_splitter.h
@@ -18,6 +18,8 @@
   std::optional<uint64_t> id;
   /// The event's data; lines are joined by line feeds.
   std::string data;
+  /// It has lines of data; a comment has none.
+  bool has_data = false;
 };
 
 /// Buffers the bytes of one stream and extracts events.
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -176,33 +176,60 @@
   co_return Step::kDone;
 }
 
-bool CallRunner::TakeEvents(State& state, EventSplitter& splitter,
-                            std::string* out) {
+EventPlace CallRunner::FindPlace(const State& state, const StreamEvent& event) {
+  if (event.id.has_value()) {
+    // A resumed run may repeat events that were already sent.
+    const bool was_sent = state.has_event && *event.id <= state.last_event;
+    if (was_sent) return EventPlace::kSent;
+    const bool skips = state.awaits_place && state.ids_count_events &&
+                       *event.id > state.last_event + 1;
+    return skips ? EventPlace::kUnknown : EventPlace::kNext;
+  }
+  if (!state.awaits_place) return EventPlace::kNext;
+  return event.has_data ? EventPlace::kUnknown : EventPlace::kSent;
+}
+
+void CallRunner::Advance(State& state, const StreamEvent& event) {
+  ++state.events_sent;
+  if (!event.id.has_value()) {
+    state.ends_without_id = state.ends_without_id || event.has_data;
+    return;
+  }
+  const uint64_t last = state.has_event
+                            ? state.last_event
+                            : state.request.head.resume_after.value_or(0);
+  state.ids_count_events = state.ids_count_events && *event.id <= last + 1;
+  state.last_event = *event.id;
+  state.has_event = true;
+  state.ends_without_id = false;
+  state.awaits_place = false;
+}
+
+std::string_view CallRunner::TakeEvents(State& state, EventSplitter& splitter,
+                                        std::string* out) {
   const uint64_t per_event = state.service->tokens_per_event;
   // The last event may hold fewer tokens than the others.
   const uint64_t max_tokens =
       state.request.head.max_output_tokens + 2 * per_event;
   StreamEvent event;
   while (splitter.Next(&event)) {
-    // A resumed run may repeat events that were already sent.
-    if (state.has_event && event.id.has_value() &&
-        *event.id <= state.last_event) {
-      continue;
-    }
-    if (event.id.has_value()) {
-      state.last_event = *event.id;
-      state.has_event = true;
-    }
+    const EventPlace place = FindPlace(state, event);
+    if (place == EventPlace::kSent) continue;
+    if (place == EventPlace::kUnknown) return "stream goes on elsewhere";
+    Advance(state, event);
     out->append(event.raw);
-    ++state.events_sent;
     if (state.route->keeps_history) {
       state.output.append(event.data).push_back('\n');
     }
     const bool over_tokens = state.request.head.max_output_tokens > 0 &&
                              state.events_sent * per_event > max_tokens;
-    if (over_tokens || state.output.size() > kMaxKeptOutputBytes) return false;
+    if (over_tokens || state.output.size() > kMaxKeptOutputBytes) {
+      // A run that goes on elsewhere would send as much again.
+      state.body_begun = true;
+      return "too much output";
+    }
   }
-  return true;
+  return {};
 }
 
 void CallRunner::RecordStreamVersion(State& state, const Upstream& upstream) {
@@ -224,6 +251,7 @@
     const bool ok = co_await state->link.BeginStream(state->status, fields);
     if (!ok) state->SetGone(CallerGone::kWriteFailed);
   }
+  state->awaits_place = state->has_event;
   EventSplitter splitter;
   std::string piece;
   while (!state->caller_disconnected) {
@@ -238,12 +266,10 @@
                            std::min(event_bytes, kMinEventBytes));
     std::string out;
     const uint64_t events_before = state->events_sent;
-    const bool within_limits = TakeEvents(*state, splitter, &out);
+    const std::string_view fault = TakeEvents(*state, splitter, &out);
     RecordEvents(*state, *upstream, state->events_sent - events_before);
-    if (!within_limits) {
-      // A run that goes on elsewhere would send as much again.
-      state->body_begun = true;
-      co_return co_await OnBroken(state, upstream, "too much output");
+    if (!fault.empty()) {
+      co_return co_await OnBroken(state, upstream, fault);
     }
     if (!out.empty()) {
       if (state->first_event_at == Ms{0}) {
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -307,6 +307,7 @@
 
 bool CallRunner::MayRunAgain(const State& state) const {
   if (state.body_begun || state.is_probe) return false;
+  if (state.ends_without_id) return false;
   const bool allowed = state.has_event
                            ? state.route->resumable
                            : state.route->idempotent || state.route->resumable;
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -117,6 +117,13 @@
   bool body_begun = false;
   uint64_t last_event = 0;
   bool has_event = false;
+  /// Ids count the events so far, so that a missing one shows.
+  bool ids_count_events = true;
+  /// An event without an id was sent since the last one with an id; no other
+  /// run can tell where to go on.
+  bool ends_without_id = false;
+  /// The present attempt goes on with a stream and has not reached its place.
+  bool awaits_place = false;
   /// Software version of the upstreams that may answer; unset until a stream
   /// has begun.
   std::optional<std::string> stream_version;
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -55,7 +55,6 @@
   *event = StreamEvent{};
   event->raw = rest.substr(0, size);
   pos_ += size;
-  bool has_data = false;
   std::string_view left = event->raw;
   while (!left.empty()) {
     const std::string_view line = TakeLine(&left);
@@ -63,9 +62,9 @@
       uint64_t id = 0;
       if (ParseNumber(ValueOf(line, 3), &id)) event->id = id;
     } else if (line.starts_with("data:")) {
-      if (has_data) event->data.push_back('\n');
+      if (event->has_data) event->data.push_back('\n');
       event->data.append(ValueOf(line, 5));
-      has_data = true;
+      event->has_data = true;
     }
   }
   return true;
--- a/tests/platform/broken_answer_test.cc
+++ b/tests/platform/broken_answer_test.cc
@@ -101,6 +101,8 @@
     return RawScript(Framed(Head(status, fields), body, framing));
   };
   const std::string from_start = WholeStream();
+  const std::string ahead = Event(7) + Event(8);
+  const std::string without_ids = "data: word1\n\ndata: word2\n\n";
   Script goes_on;
   goes_on.kind = Kind::kEvents;
   return {
@@ -116,6 +118,8 @@
       {"204 that states a stream", RawScript(Head("204", kStreamType) + "\r\n"),
        ""},
       {"starts again", raw("200", kStreamType, from_start), from_start},
+      {"jumps ahead", raw("200", kStreamType, ahead), ahead},
+      {"no ids", raw("200", kStreamType, without_ids), without_ids},
       {"silence", RawScript("", RawEnd::kSilence), ""},
       {"close", RawScript(""), ""},
   };
@@ -201,6 +205,47 @@
   RunRows(rows);
 }
 
+// Guards against events without ids that are sent again, or lost, when another
+// upstream goes on.
+TEST_CASE("events without ids are sent once") {
+  const std::string head =
+      Head("200", std::string(kStreamType) + "Transfer-Encoding: chunked\r\n") +
+      "\r\n";
+  const std::string plain = "data: word1\n\ndata: word2\n\n";
+  struct Stream {
+    const char* what;
+    std::string begun;
+    std::string whole;
+  };
+  const Stream streams[] = {
+      {"no ids", "data: word1\n\n", plain},
+      {"first one without an id", "data: word0\n\n" + Event(1),
+       "data: word0\n\n" + WholeStream()},
+      {"last one without an id", Event(1) + "data: more\n\n",
+       Event(1) + "data: more\n\n" + Event(2) + Event(3)},
+      {"a comment", ": ping\n\n" + Event(1), ": ping\n\n" + WholeStream()},
+  };
+  std::vector<Row> rows;
+  for (const Stream& stream : streams) {
+    Next again;
+    again.what = "the whole stream again";
+    again.script = RawScript(
+        Framed(Head("200", kStreamType), stream.whole, Framing::kChunked));
+    std::vector<Next> nexts = Nexts(Framing::kChunked);
+    nexts.push_back(again);
+    for (Next& next : nexts) {
+      // Something was sent before it.
+      next.own_body.clear();
+      rows.push_back({.what = std::string(stream.what) + "; " + next.what,
+                      .path = "/resume/x",
+                      .first = RawScript(head + Chunk(stream.begun)),
+                      .next = next,
+                      .whole = stream.whole});
+    }
+  }
+  RunRows(rows);
+}
+
 // Guards against a body without a length that looks whole although its
 // connection was reset.
 TEST_CASE("a body that ends with a reset is not whole") {
