--- a/tests/platform/fake_server.h
+++ b/tests/platform/fake_server.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -145,6 +146,8 @@
   /// Scripts for the next requests in order; later requests use
   /// `default_script`. Requests for another instance always get 421.
   std::deque<Script> scripts;
+  /// Scripts that several servers take in turn, before their own; may be null.
+  std::shared_ptr<std::deque<Script>> shared_scripts;
   Script default_script;
   /// Chooses the script of each request in place of the two above.
   std::function<Script(const ReceivedRequest&)> choose_script;
@@ -181,10 +184,12 @@
   uint64_t endless_bytes = 0;
 
  private:
+  /// Returns the scripts that the next request uses first.
+  std::deque<Script>& NextScripts();
   /// Removes the script of the next request and returns it.
   Script TakeScript();
   /// Returns whether the next request's body is left unread.
-  bool LeavesBodyUnread() const;
+  bool LeavesBodyUnread();
   gateway::Task<void> Accept();
   gateway::Task<void> Crash();
   /// Handles a request whose body is not read.
