Split the front's answers and the reservations between gateways into files

Writing of answers and the watch over slow readers stand in front_answers.cc, the session's declaration in front_session.h, and what gateways ask of a program's home in budgets_peers.cc. Functions are moved unchanged.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -245,6 +245,19 @@
   std::shared_ptr<FlushRun> last_flush_;
 };
 
+template <typename Result>
+Task<Result> Budgets::ThenUnlock(ProgramPtr program, Task<Result> step) {
+  Result result{};
+  try {
+    result = co_await std::move(step);
+  } catch (...) {
+    Unlock(*program);
+    throw;
+  }
+  Unlock(*program);
+  co_return result;
+}
+
 }  // namespace knapweed::gateway
 
 #endif  // KNAPWEED_GATEWAY_BUDGETS_H_
--- a/src/gateway/front.cc
+++ b/src/gateway/front.cc
@@ -9,29 +9,21 @@
 #include <utility>
 #include <vector>
 
+#include "front_session.h"
 #include "knapweed/base/log.h"
-#include "knapweed/gateway/send_progress.h"
 
 namespace knapweed::gateway {
 namespace {
 
 constexpr Logger kLog("front");
 
-/// A write that takes longer than this counts as a disconnect of the caller;
-/// with a bound of held bytes, one without progress for this long.
-constexpr Ms kWriteTimeout{8000};
 /// Maximum time for reading the body of a request.
 constexpr Ms kBodyTimeout{15000};
 /// Maximum time for which the body of a refused request is dropped, and for
 /// which a caller may go on sending after the last answer on its connection.
 constexpr Ms kDropTimeout{2000};
-/// Most answers on one connection while stopping: a caller may send faster than
-/// it is answered.
-constexpr uint32_t kMaxAnswersInStop = 16;
 /// Most reads, of up to 4 KB each, that drop what comes after the last answer.
 constexpr int kMaxDropReads = 64;
-/// How often a call's connection is checked for what its caller has read.
-constexpr Ms kSendCheckInterval{500};
 /// The kernel closes a caller's connection if sent data stays unacknowledged
 /// for this long.
 constexpr int kTcpUserTimeoutMs = 10000;
@@ -40,113 +32,16 @@
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// How reading a request ended.
-enum class RequestRead : uint8_t {
-  kComplete,
-  /// The connection failed, or the request was malformed.
-  kFailed,
-  /// It was answered with 503 for lack of memory.
-  kRefused,
-};
-
 }  // namespace
 
-/// One caller's connection. The front and the running coroutine own it.
-class Front::Session : public CallerLink,
-                       public std::enable_shared_from_this<Session> {
- public:
-  Session(Front& front, asio::ip::tcp::socket socket)
-      : front_(front),
-        stream_(std::move(socket)),
-        send_timer_(front.loop_),
-        opened_at_(front.clock_.Now()) {}
-
-  Task<void> Run();
-  /// Closes the connection if no request is in progress or being read, unless
-  /// it was just opened for its first one.
-  void CloseIfIdle() {
-    const bool awaits_first =
-        !has_served_ && front_.clock_.Now() - opened_at_ < kFirstRequestGrace;
-    if (!idle_ || awaits_first) return;
-    // Ends the wait for a request, but not one that has arrived already.
-    NetErrorCode ec;
-    stream_.socket().cancel(ec);
-  }
-
-  Task<bool> WriteResponse(unsigned status, const http::fields& fields,
-                           std::string_view body) override;
-  Task<bool> BeginStream(unsigned status, const http::fields& fields) override;
-  Task<bool> WriteChunk(std::string_view bytes) override;
-  Task<bool> EndStream() override;
-  void AbortStream() override {
-    stream_aborted_ = true;
-    stream_.close();
-  }
-  void OnDisconnect(std::function<void(CallerGone)> callback) override {
-    on_disconnect_ = std::move(callback);
-  }
-
- private:
-  using Parser = http::request_parser<http::string_body>;
-
-  Task<bool> WaitForRequest(Ms timeout);
-  Task<RequestRead> ReadRequest(Parser& parser, HeldBytes& held);
-  /// Reads a body; a chunked one only as long as it fits within the bound of
-  /// held bytes, else returns `kRefused`.
-  Task<RequestRead> ReadBody(Parser& parser, HeldBytes& held);
-  Task<void> RejectMalformed(const NetErrorCode& ec);
-  /// Responds with 503 because `wanted_bytes` more did not fit.
-  Task<void> RefuseForMemory(Parser& parser, uint64_t wanted_bytes);
-  /// Reads and drops what the caller still sends.
-  Task<void> DropRest(int max_reads, Ms timeout);
-  Task<void> WatchForDisconnect(std::shared_ptr<bool> answered);
-  /// Returns whether bytes of another request have arrived.
-  bool HasMoreBytes();
-  template <typename Message>
-  void SetConnectionFields(Message& message);
-  /// Sets the status line and the fields of an answer's head.
-  template <typename Message>
-  void SetHead(Message& message, unsigned status, const http::fields& fields);
-  /// While `resets`, any close of the connection resets it, also one at the end
-  /// of the process.
-  void SetResetAtClose(bool resets);
-  /// Writes all of `buffers`, which must outlive the write.
-  template <typename Buffers>
-  Task<bool> Write(Buffers buffers);
-  void StartWriteTimeout();
-  void StopWriteTimeout();
-  /// With a bound of held bytes, closes the connection when the caller has read
-  /// nothing for `kWriteTimeout`, in place of a bound on each whole write.
-  void StartSendWatch();
-  void StopSendWatch();
-  void ScheduleProgressCheck();
-
-  Front& front_;
-  beast::tcp_stream stream_;
-  asio::steady_timer send_timer_;
-  bool watches_sending_ = false;
-  bool writing_ = false;
-  uint64_t acknowledged_bytes_ = 0;
-  Ms progress_at_;
-  beast::flat_buffer buf_;
-  std::function<void(CallerGone)> on_disconnect_;
-  Ms opened_at_;
-  bool idle_ = true;
-  bool has_served_ = false;
-  /// Requests that were read.
-  uint32_t requests_ = 0;
-  bool keep_alive_ = true;
-  bool is_head_request_ = false;
-  /// The caller speaks HTTP/1.0, which has no chunks.
-  bool is_http10_ = false;
-  /// The answer to the present request was written whole.
-  bool is_answered_ = false;
-  /// Answers in a stop behind which more bytes had arrived.
-  uint32_t answers_in_stop_ = 0;
-  /// That body ends with the connection.
-  bool ends_with_connection_ = false;
-  bool stream_aborted_ = false;
-};
+void Front::Session::CloseIfIdle() {
+  const bool awaits_first =
+      !has_served_ && front_.clock_.Now() - opened_at_ < kFirstRequestGrace;
+  if (!idle_ || awaits_first) return;
+  // Ends the wait for a request, but not one that has arrived already.
+  NetErrorCode ec;
+  stream_.socket().cancel(ec);
+}
 
 Task<bool> Front::Session::WaitForRequest(Ms timeout) {
   idle_ = true;
@@ -360,165 +255,6 @@
   }
 }
 
-bool Front::Session::HasMoreBytes() {
-  NetErrorCode ignored;
-  return buf_.size() > 0 || stream_.socket().available(ignored) > 0;
-}
-
-template <typename Message>
-void Front::Session::SetConnectionFields(Message& message) {
-  if (front_.draining_) {
-    // Requests that are here already are answered too.
-    const bool goes_on =
-        HasMoreBytes() && ++answers_in_stop_ < kMaxAnswersInStop;
-    keep_alive_ = keep_alive_ && goes_on;
-  }
-  message.keep_alive(keep_alive_);
-  if (keep_alive_) {
-    const auto idle_s = front_.Limits().idle_timeout.count / 1000;
-    message.set(http::field::keep_alive, "timeout=" + std::to_string(idle_s));
-  }
-}
-
-template <typename Message>
-void Front::Session::SetHead(Message& message, unsigned status,
-                             const http::fields& fields) {
-  static_cast<http::fields&>(message) = fields;
-  message.version(11);
-  message.result(status);
-  SetConnectionFields(message);
-  // A caller of HTTP/1.0 takes a connection as closing if nothing is stated.
-  if (is_http10_ && keep_alive_) {
-    message.set(http::field::connection, "keep-alive");
-  }
-}
-
-void Front::Session::SetResetAtClose(bool resets) {
-  NetErrorCode ec;
-  stream_.socket().set_option(asio::socket_base::linger(resets, 0), ec);
-  if (ec) kLog.Warning("Can't set how a connection closes.");
-}
-
-Task<bool> Front::Session::WriteResponse(unsigned status,
-                                         const http::fields& fields,
-                                         std::string_view body) {
-  http::response<http::span_body<const char>> message;
-  SetHead(message, status, fields);
-  message.body() = {body.data(), body.size()};
-  const bool has_body = status != 204 && status != 304;
-  // An answer to HEAD without a body here states the upstream's length, if any.
-  const bool is_length_known = !is_head_request_ || !body.empty();
-  if (has_body && is_length_known) {
-    message.set(http::field::content_length, std::to_string(body.size()));
-  }
-  if (!has_body || is_head_request_) message.body() = {};
-  StartWriteTimeout();
-  NetErrorCode ec;
-  co_await http::async_write(stream_, message,
-                             asio::redirect_error(asio::use_awaitable, ec));
-  StopWriteTimeout();
-  is_answered_ = !ec;
-  co_return is_answered_;
-}
-
-Task<bool> Front::Session::BeginStream(unsigned status,
-                                       const http::fields& fields) {
-  http::response<http::empty_body> message;
-  ends_with_connection_ = is_http10_;
-  if (ends_with_connection_) {
-    keep_alive_ = false;
-    SetResetAtClose(true);
-  }
-  SetHead(message, status, fields);
-  message.chunked(!ends_with_connection_);
-  http::response_serializer<http::empty_body> serializer(message);
-  StartWriteTimeout();
-  NetErrorCode ec;
-  co_await http::async_write_header(
-      stream_, serializer, asio::redirect_error(asio::use_awaitable, ec));
-  StopWriteTimeout();
-  co_return !ec;
-}
-
-template <typename Buffers>
-Task<bool> Front::Session::Write(Buffers buffers) {
-  StartWriteTimeout();
-  NetErrorCode ec;
-  co_await asio::async_write(stream_, buffers,
-                             asio::redirect_error(asio::use_awaitable, ec));
-  StopWriteTimeout();
-  co_return !ec;
-}
-
-Task<bool> Front::Session::WriteChunk(std::string_view bytes) {
-  if (ends_with_connection_) {
-    co_return co_await Write(asio::buffer(bytes.data(), bytes.size()));
-  }
-  char head[24];
-  const int n = snprintf(head, sizeof(head), "%zx\r\n", bytes.size());
-  const std::array<asio::const_buffer, 3> chunk = {
-      asio::buffer(head, static_cast<size_t>(n)),
-      asio::buffer(bytes.data(), bytes.size()), asio::buffer("\r\n", 2)};
-  const bool ok = co_await Write(chunk);
-  co_return ok;
-}
-
-Task<bool> Front::Session::EndStream() {
-  if (ends_with_connection_) {
-    SetResetAtClose(false);
-    is_answered_ = true;
-  } else {
-    is_answered_ = co_await Write(asio::buffer("0\r\n\r\n", 5));
-  }
-  co_return is_answered_;
-}
-
-void Front::Session::StartWriteTimeout() {
-  writing_ = true;
-  if (!watches_sending_) stream_.expires_after(ToChrono(kWriteTimeout));
-}
-
-void Front::Session::StopWriteTimeout() {
-  writing_ = false;
-  stream_.expires_never();
-}
-
-void Front::Session::StartSendWatch() {
-  if (!front_.memory_.is_bounded()) return;
-  watches_sending_ = true;
-  progress_at_ = front_.clock_.Now();
-  ScheduleProgressCheck();
-}
-
-void Front::Session::StopSendWatch() {
-  watches_sending_ = false;
-  send_timer_.cancel();
-}
-
-void Front::Session::ScheduleProgressCheck() {
-  send_timer_.expires_after(ToChrono(kSendCheckInterval));
-  send_timer_.async_wait([weak = weak_from_this()](const NetErrorCode& ec) {
-    const SessionPtr self = weak.lock();
-    if (ec || self == nullptr || !self->watches_sending_) return;
-    const SendProgress progress =
-        ReadSendProgress(self->stream_.socket().native_handle());
-    const Ms now = self->front_.clock_.Now();
-    const bool waits = self->writing_ || progress.has_unacknowledged;
-    if (!waits || progress.acknowledged_bytes != self->acknowledged_bytes_) {
-      self->progress_at_ = now;
-    }
-    self->acknowledged_bytes_ = progress.acknowledged_bytes;
-    const Ms idle = now - self->progress_at_;
-    if (idle >= kWriteTimeout) {
-      kLog.Info("Closed a connection whose caller reads nothing.",
-                {{"idle_ms", idle.count}});
-      self->stream_.close();
-    } else {
-      self->ScheduleProgressCheck();
-    }
-  });
-}
-
 CallerLimits Front::Limits() const {
   return view_.config != nullptr ? view_.config->limits : CallerLimits{};
 }
