Keep what a cut call uses until it is destroyed

Change: the list and the count are shared by their users.

Why it works: the last user frees them. Measured: users_platform__stop_test, 'a gateway may end while calls and settlements are under way': a segmentation fault before, passes now, both with freed memory overwritten.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -237,10 +237,10 @@
   Peers peers_;
   std::map<std::string, ProgramPtr> programs_;
   std::map<std::string, RemoteTurn> remote_turns_;
-  /// Turns whose settlement is on its way to their home.
-  size_t settling_ = 0;
-  /// Reservations for other gateways that are being made.
-  size_t reserving_ = 0;
+  /// Settlements that are on their way to their home, and reservations for
+  /// other gateways that are being made. Shared, since those that are cut off
+  /// at the end of the process outlive this object.
+  std::shared_ptr<size_t> under_way_ = std::make_shared<size_t>(0);
   bool hands_over_ = false;
   std::shared_ptr<FlushRun> last_flush_;
 };
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -132,7 +132,7 @@
   /// of idempotent ones.
   void EndAt(Ms at);
   /// Returns the number of calls that are in progress.
-  size_t under_way() const { return calls_.size(); }
+  size_t under_way() const { return calls_->size(); }
   /// Logs and counts each call that the end of the process cuts off. To be
   /// called last of all.
   void ReportCut() const;
@@ -255,8 +255,10 @@
   std::map<std::string, Waiting, std::less<>> waiting_;
   std::map<std::string, ProgramPace, std::less<>> paces_;
   std::mt19937_64 random_;
-  /// Calls in progress.
-  std::set<const State*> calls_;
+  using Calls = std::set<const State*>;
+  /// Calls in progress. Shared, since those that are cut off at the end of the
+  /// process outlive this object.
+  std::shared_ptr<Calls> calls_ = std::make_shared<Calls>();
   /// When the process ends, and when it began to stop, if it is stopping.
   std::optional<Ms> ends_at_;
   Ms stopping_since_;
--- a/src/gateway/budgets_peers.cc
+++ b/src/gateway/budgets_peers.cc
@@ -94,12 +94,12 @@
   const bool has_running = std::any_of(
       remote_turns_.begin(), remote_turns_.end(),
       [&](const auto& item) { return item.second.expires_at > expires_after; });
-  return has_running || settling_ > 0 || reserving_ > 0;
+  return has_running || *under_way_ > 0;
 }
 
 Task<void> Budgets::SettleAt(ReservationTicket ticket, uint64_t spent) {
-  ++settling_;
-  const absl::Cleanup end = [this] { --settling_; };
+  ++*under_way_;
+  const absl::Cleanup end = [count = under_way_] { --*count; };
   const nlohmann::json body = {{"turn", ticket.turn}, {"spent", spent}};
   HttpRequest call;
   call.method = http::verb::post;
@@ -140,8 +140,8 @@
     answer.status = 503;
     co_return answer;
   }
-  ++reserving_;
-  const absl::Cleanup end = [this] { --reserving_; };
+  ++*under_way_;
+  const absl::Cleanup end = [count = under_way_] { --*count; };
   const uint64_t max_tokens = CountField(json, "most");
   const Ms deadline = clock_.Now() + MsField(json, "time_ms").value_or(Ms{0});
   const ReserveResult result = co_await ReserveHere(
--- a/src/gateway/call_report.cc
+++ b/src/gateway/call_report.cc
@@ -48,7 +48,7 @@
 }  // namespace
 
 void CallRunner::ReportCut() const {
-  for (const State* state : calls_) {
+  for (const State* state : *calls_) {
     const CallerRequest& request = state->request;
     const std::string phase(NameOf(state->phase));
     deps_.metrics.GetCounter("calls_cut_total{phase=\"" + phase + "\"}").Add();
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -38,8 +38,10 @@
 
 Task<void> CallRunner::Run(CallerRequest& request, CallerLink& link) {
   auto state = std::make_shared<State>(deps_.loop, deps_.memory, request, link);
-  calls_.insert(state.get());
-  const absl::Cleanup forget = [this, &state] { calls_.erase(state.get()); };
+  calls_->insert(state.get());
+  const absl::Cleanup forget = [calls = calls_, call = state.get()] {
+    calls->erase(call);
+  };
   state->link.OnDisconnect(
       [weak = std::weak_ptr<State>(state)](CallerGone gone) {
         const StatePtr locked = weak.lock();
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -432,5 +432,27 @@
   }
 }
 
+// Guards against a process that aborts at its end, since a call that is cut off
+// uses what was destroyed before it.
+TEST_CASE("a gateway may end while calls and settlements are under way") {
+  TestCluster cluster(2);
+  for (auto* servers : {&cluster.plain, &cluster.engines}) {
+    for (auto& server : *servers) {
+      server->default_script.kind = Script::Kind::kNoResponse;
+    }
+  }
+  const std::string program = ProgramAtFirst(cluster);
+  std::vector<std::shared_ptr<CallerResponse>> cut;
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "t" + std::to_string(i);
+    cut.push_back(cluster.StartCall(TurnCall(id, program, 400, 20), i % 2));
+    cut.push_back(cluster.StartCall(PlainCall("/once/x", "o" + id), i % 2));
+  }
+  cluster.RunFor(Ms{200});
+  for (const auto& response : cut) CHECK_FALSE(response->done);
+  // As at the end of a process: the gateways first, then what is under way.
+  cluster.gateways.clear();
+}
+
 }  // namespace
 }  // namespace knapweed::testing
