--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -7,13 +7,10 @@
 
 #include "knapweed/base/ids.h"
 #include "knapweed/base/json.h"
-#include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
 namespace {
 
-constexpr Logger kLog("budget");
-
 /// Number of parts (partitions) of the budget table. The store commits about
 /// 200 times a second per part, one commit after another; with 256 parts two
 /// programs rarely wait for each other.
