--- a/tests/platform/process/process_world.h
+++ b/tests/platform/process/process_world.h
@@ -63,6 +63,8 @@
   Ms started_at;
   /// The test ends it by a signal.
   bool end_intended = false;
+  /// End of its last pause by SIGSTOP.
+  Ms paused_until;
   /// The operator works on it.
   bool busy = false;
   int missed_checks = 0;
