Judge requests that were read and not answered by the stated 200 ms

The run of processes excused a request that was not passed on if its connection closed within 500 ms; the stated bound is 200 ms.

--- a/tests/platform/process/ledger.h
+++ b/tests/platform/process/ledger.h
@@ -126,7 +126,7 @@
 struct RuleTimes {
   Ms stable{3000};
   Ms grace{8000};
-  Ms loss_slack{500};
+  Ms loss_slack{200};
   Ms config_apply{2000};
 };
 
