Give a stream with another status than 200 as no turn again

Measured: users_platform__kept_answer_test (66 checks) and users_platform__stop_effects_test (30) pass together.

--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -72,10 +72,10 @@
   if (success && (!attempt.head().is_signed || attempt.head().is_encoded)) {
     co_return co_await OnBroken(state, upstream, "answer is not the service's");
   }
-  // Answers without a body have no events.
+  // Answers to HEAD and those with another status have no events.
   const bool is_head = state->request.method == "HEAD";
-  const bool has_events = attempt.head().is_event_stream && success &&
-                          attempt.status() != 204 && !is_head;
+  const bool has_events =
+      attempt.head().is_event_stream && attempt.status() == 200 && !is_head;
   if (has_events && state->route->streaming) {
     co_return co_await OnStream(state, upstream);
   }
