Say in the line of each call how its rate was decided and when its attempts were sent

Change: the line of a call's end gets the decision with its counts, their age, the limit in force and the time of admission, and when each attempt was sent; a few bytes for a workspace with a rate, no further line.

--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -58,6 +59,9 @@
   bool decided = true;
   bool allowed = false;
   Ms retry_after;
+  /// What the counts said of the call itself; unset if they were not asked, as
+  /// for a workspace without a rate.
+  std::optional<QuotaDecision> decision;
   QuotaInput input;
 };
 
@@ -124,9 +128,9 @@
   /// Returns the current counts of a workspace.
   Counts& CountsOf(const std::string& workspace);
   QuotaInput InputFor(const Workspace& workspace, const Counts& counts);
-  /// Returns whether a call is admitted, and takes a token of this gateway's
-  /// share if it needs one.
-  bool MayTake(const QuotaInput& input, Counts& counts);
+  /// Returns whether a call is admitted by a decision, and takes a token of
+  /// this gateway's share if it needs one.
+  bool MayTake(QuotaDecision decision, const QuotaInput& input, Counts& counts);
   Ms DemandSpan() const;
   int64_t SlotNow() const;
   void Advance(Counts& counts) const;
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -243,6 +243,9 @@
     co_return Step::kDone;
   }
   state->holds_rate_token = true;
+  if (verdict.decision.has_value()) {
+    state->rate_admission = RateAdmission{deps_.clock.Now(), verdict};
+  }
   co_return Step::kNext;
 }
 
--- a/src/gateway/call_report.cc
+++ b/src/gateway/call_report.cc
@@ -1,4 +1,7 @@
 // What the log and the metrics say of calls that have ended or are cut off.
+#include <cmath>
+#include <span>
+
 #include "call_state.h"
 #include "knapweed/base/log.h"
 
@@ -45,6 +48,47 @@
   return "unknown";
 }
 
+std::string_view NameOf(QuotaDecision decision) {
+  switch (decision) {
+    case QuotaDecision::kAllow:
+      return "room";
+    case QuotaDecision::kFromShare:
+      return "share";
+    case QuotaDecision::kRefuse:
+      return "refused";
+  }
+  return "unknown";
+}
+
+std::string JoinTimes(std::span<const Ms> times) {
+  std::string text;
+  for (const Ms time : times) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(time.count);
+  }
+  return text;
+}
+
+/// Returns what decided on a call's rate, as one field, so that all calls of a
+/// window can be added up from the lines of their ends.
+std::string Describe(const RateAdmission& admission, Ms received) {
+  const QuotaInput& input = admission.verdict.input;
+  const auto add = [](std::string& text, std::string_view name, int64_t n) {
+    text.append(" ").append(name).append("=").append(std::to_string(n));
+  };
+  std::string text(NameOf(*admission.verdict.decision));
+  add(text, "after_ms", (admission.at - received).count);
+  add(text, "own", std::lround(input.own.calls));
+  add(text, "others", std::lround(input.others.calls));
+  add(text, "unread", std::lround(input.admitted_since_update));
+  add(text, "heard_ms_ago", input.others_age.count);
+  add(text, "gateways", input.gateways);
+  add(text, "limit",
+      std::lround(input.rate_per_s * input.tolerance.window.Seconds() +
+                  input.burst));
+  return text;
+}
+
 }  // namespace
 
 void CallRunner::ReportCut() const {
@@ -97,6 +141,10 @@
        {"broken_off", state.stream_aborted ? 1 : 0},
        {"on_connection", state.request.number_on_connection},
        {"stopping_ms", StoppingFor().count},
+       {"sent_after_ms", JoinTimes(state.sent_after)},
+       {"rate", state.rate_admission.has_value()
+                    ? Describe(*state.rate_admission, state.request.received)
+                    : std::string()},
        {"config", state.config != nullptr ? state.config->version : 0},
        {"reason", state.reason}});
 }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -232,6 +232,7 @@
   const CallHead& head = state->request.head;
   if (IsLimited(*upstream)) ++upstream->sent_under_limit;
   ++state->sent;
+  state->sent_after.push_back(deps_.clock.Now() - state->request.received);
   state->phase = CallPhase::kResponse;
   const AttemptOutcome outcome =
       co_await attempt->Begin(std::move(conn), request, head.request_id);
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -32,6 +32,12 @@
   kCaller,
 };
 
+/// How a call was admitted under its workspace's rate.
+struct RateAdmission {
+  Ms at;
+  QuotaVerdict verdict;
+};
+
 /// One call in progress.
 struct CallRunner::State {
   State(asio::io_context& loop, const HeldMemory& memory, CallerRequest& r,
@@ -96,6 +102,10 @@
   /// A token of the workspace's rate limit is taken and no attempt has used it
   /// yet.
   bool holds_rate_token = false;
+  /// Unset for a call without a rate, or before it is admitted.
+  std::optional<RateAdmission> rate_admission;
+  /// When each attempt was sent, from the arrival of the call.
+  std::vector<Ms> sent_after;
   bool holds_budget = false;
   /// The first turn of a program.
   bool begins_program = false;
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -151,7 +151,10 @@
   verdict.input.waited = waited;
   const bool may_begin =
       start != ProgramStart::kDecideHere || MayBegin(verdict.input);
-  verdict.allowed = may_begin && MayTake(verdict.input, counts);
+  if (may_begin) {
+    verdict.decision = DecideQuota(verdict.input);
+    verdict.allowed = MayTake(*verdict.decision, verdict.input, counts);
+  }
   // Refused first turns are not part of the demand by which the rate is shared.
   if (verdict.allowed || !begins) ++counts.arrived.back();
   if (!verdict.allowed) {
@@ -167,8 +170,8 @@
   return verdict;
 }
 
-bool Quotas::MayTake(const QuotaInput& input, Counts& counts) {
-  const QuotaDecision decision = DecideQuota(input);
+bool Quotas::MayTake(QuotaDecision decision, const QuotaInput& input,
+                     Counts& counts) {
   if (decision != QuotaDecision::kFromShare) {
     return decision == QuotaDecision::kAllow;
   }
