Hold workspaces to their rates by permits that no two gateways can grant

Cause: the bound was an estimate. A second cause of the same rule: an attempt after one that ran and broke off was not counted.

Change: the calls that the platform tolerates in a window are divided among 8 slots of a workspace's group, and a slot is a lease in one row of the store. Only its holder grants its permits and counts them exactly over the window and the 150 ms for which a permit may be used. Each attempt that may run a call needs a permit. A holder grants for 55 s after its last confirmed announcement; a slot is claimed after 65 s of silence, by a commit that fails if the holder has announced itself; who takes a slot over waits until all calls of its predecessor have left the window. The counts go on to decide on the starts of programs and refuse calls when they show no room at all.

--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -2,12 +2,14 @@
 #define KNAPWEED_GATEWAY_ANNOUNCEMENT_H_
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "absl/status/statusor.h"
 #include "knapweed/base/settings.h"
 #include "knapweed/gateway/grant_ledger.h"
+#include "knapweed/gateway/permit_book.h"
 #include "knapweed/gateway/quotas.h"
 
 /// The row by which a gateway tells the others that it runs, and what it has
@@ -24,6 +26,9 @@
   nlohmann::json crashes = nlohmann::json::array();
   /// Limits of upstreams that it grants; times are on the store's clock.
   std::vector<LimitRecord> limits;
+  /// Set in a process's last announcement: the permits that it has granted and
+  /// that still count; it grants no more.
+  std::optional<GrantedBySlot> granted_until_stop;
 };
 
 /// Table with one row a gateway, which holds its announcement.
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -17,6 +17,7 @@
 #include "knapweed/gateway/crash_watch.h"
 #include "knapweed/gateway/event_splitter.h"
 #include "knapweed/gateway/held_memory.h"
+#include "knapweed/gateway/permits.h"
 #include "knapweed/gateway/program_starts.h"
 #include "knapweed/gateway/quotas.h"
 #include "knapweed/gateway/send_limits.h"
@@ -102,6 +103,7 @@
   const Store& store;
   Quotas& quotas;
   ProgramStarts& starts;
+  Permits& permits;
   Budgets& budgets;
   Turns& turns;
   SendLimits& send_limits;
@@ -166,6 +168,8 @@
   /// Refuses the first turn of a program while the service is overloaded.
   Task<Step> AdmitProgram(StatePtr state);
   Task<Step> TakeRateToken(StatePtr state);
+  /// Takes a permit for an attempt after one that may have run the call.
+  Task<Step> TakeAnotherPermit(StatePtr state);
   Task<Step> PrependHistory(StatePtr state);
   Task<void> RunAttempts(StatePtr state);
   Task<Step> RunAttempt(StatePtr state, UpstreamPtr upstream);
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -9,6 +9,7 @@
 #include "knapweed/gateway/announcement.h"
 #include "knapweed/gateway/call_runner.h"
 #include "knapweed/gateway/known_rows.h"
+#include "knapweed/gateway/permits.h"
 #include "knapweed/gateway/store.h"
 #include "knapweed/gateway/use_exchange.h"
 
@@ -30,6 +31,7 @@
   Store& store;
   FleetView& view;
   Quotas& quotas;
+  Permits& permits;
   UseExchange& use_exchange;
   ProgramStarts& starts;
   Budgets& budgets;
@@ -48,6 +50,9 @@
   /// Starts the coroutines that follow the tables; they run until the loop
   /// stops.
   void Start();
+  /// Ends the granting of permits and announces what was granted, so that the
+  /// next process of this gateway can go on at once.
+  Task<void> AnnounceStop();
   /// Returns the rows for a peer that can't read the store; empty until this
   /// gateway is ready.
   KnownRows RowsForPeers();
@@ -103,6 +108,9 @@
   void RunPendingRemovals();
   Task<void> RestoreOwnUse();
   Task<bool> Announce();
+  /// Takes over who holds the slots of rates, and commits the change that is
+  /// due.
+  Task<void> UpdateSlots(const std::vector<Row>& rows);
   /// Returns the records of limits with their times on the store's clock.
   std::vector<LimitRecord> LimitsToTell();
   /// `now` is the store's time when the rows were read; `age` is the time since
@@ -130,6 +138,7 @@
   Store& store_;
   FleetView& view_;
   Quotas& quotas_;
+  Permits& permits_;
   UseExchange& use_exchange_;
   ProgramStarts& starts_;
   Budgets& budgets_;
@@ -151,6 +160,8 @@
   Ms gateways_read_at_;
   bool own_use_restored_ = false;
   uint64_t own_row_version_ = 0;
+  /// Set once this gateway grants no more permits.
+  std::optional<GrantedBySlot> granted_until_stop_;
   /// Upstreams whose entries were missing just after a store outage, with the
   /// time at which to remove them.
   std::map<std::string, Ms> pending_removals_;
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -73,6 +73,9 @@
   const Metrics& metrics() const;
 
  private:
+  /// Tells the store that this gateway stops, and what it has granted.
+  Task<void> AnnounceStop(Ms deadline);
+
   struct Parts;
   std::unique_ptr<Parts> parts_;
 };
--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -65,11 +65,22 @@
   QuotaInput input;
 };
 
+/// What holds a workspace's calls to its rate.
+enum class RateBound : uint8_t {
+  /// The counts alone: a gateway uses its part of the room, then its share of
+  /// the rate.
+  kCounts,
+  /// Each admitted call needs a permit as well, so the parts need not bind: a
+  /// call is refused here only when there is no room at all.
+  kPermits,
+};
+
 /// Keeps the counts of this gateway and of the others, and decides on calls.
 class Quotas {
  public:
-  Quotas(const Clock& clock, QuotaTolerance tolerance)
-      : clock_(clock), tolerance_(tolerance) {}
+  Quotas(const Clock& clock, QuotaTolerance tolerance,
+         RateBound bound = RateBound::kCounts)
+      : clock_(clock), tolerance_(tolerance), bound_(bound) {}
 
   /// Decides on the start of a program for all gateways, as the workspace's
   /// home, and counts it if it is granted. `waited` is the time since the first
@@ -80,6 +91,8 @@
   QuotaVerdict Take(const Workspace& workspace,
                     ProgramStart start = ProgramStart::kNone,
                     Ms waited = Ms{0});
+  /// Counts an attempt after one that may have run its call.
+  void CountAttempt(const std::string& workspace);
   /// Takes back the count of an admitted call that is not sent.
   void Return(const std::string& workspace);
   void SetTolerance(QuotaTolerance tolerance) { tolerance_ = tolerance; }
@@ -144,6 +157,7 @@
 
   const Clock& clock_;
   QuotaTolerance tolerance_;
+  RateBound bound_;
   std::map<std::string, Counts> counts_;
   UseOfOthers others_;
   /// Number of gateways assumed until the first update: more than there are, so
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -53,6 +53,24 @@
   return limits;
 }
 
+/// Returns nothing unless all of it is well-formed: what a process has granted
+/// must not be taken for less.
+std::optional<GrantedBySlot> DecodeGranted(const json& row) {
+  constexpr uint64_t kMost = 1'000'000;
+  const json* granted_json = FindField(row, "granted");
+  if (granted_json == nullptr || !granted_json->is_object()) return {};
+  GrantedBySlot granted;
+  for (const auto& [name, counts] : granted_json->items()) {
+    if (!counts.is_array() || counts.size() != kSlotsPerGroup) return {};
+    for (size_t i = 0; i < kSlotsPerGroup; ++i) {
+      const json& n = counts[i];
+      if (!n.is_number_unsigned() || n.get<uint64_t>() > kMost) return {};
+      granted[name][i] = n.get<uint32_t>();
+    }
+  }
+  return granted;
+}
+
 }  // namespace
 
 bool IsRate(const json& value) {
@@ -115,6 +133,13 @@
   row["at_ms"] = announcement.at.count;
   row["crashes"] = announcement.crashes;
   row["limits"] = std::move(limits);
+  if (announcement.granted_until_stop.has_value()) {
+    json granted = json::object();
+    for (const auto& [name, counts] : *announcement.granted_until_stop) {
+      granted[name] = counts;
+    }
+    row["granted"] = std::move(granted);
+  }
   return DumpJson(row);
 }
 
@@ -132,6 +157,7 @@
   const auto crashes = row.find("crashes");
   if (crashes != row.end()) announcement.crashes = *crashes;
   announcement.limits = DecodeLimits(ObjectOf(row, "limits"), announcement.at);
+  announcement.granted_until_stop = DecodeGranted(row);
   return announcement;
 }
 
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -242,6 +242,22 @@
     co_await Refuse(state, 429, verdict.retry_after, "over rate");
     co_return Step::kDone;
   }
+  if (state->workspace->rate_per_s > 0) {
+    const PermitResult result = co_await deps_.permits.Take(*state->workspace);
+    if (!result.permit.has_value()) {
+      deps_.quotas.Return(state->workspace->name);
+      kQuotaLog.Info("A call got no permit of its workspace's rate.",
+                     {{"request", state->request.head.request_id},
+                      {"workspace", state->workspace->name},
+                      {"unsure", result.unsure ? 1 : 0}});
+      // Another gateway may reach those that can decide.
+      co_await Refuse(state, result.unsure ? 503 : 429, result.retry_after,
+                      result.unsure ? "rate can't be decided" : "over rate");
+      co_return Step::kDone;
+    }
+    state->permit = result.permit;
+    state->permitted_runs = 1;
+  }
   state->holds_rate_token = true;
   if (verdict.decision.has_value()) {
     state->rate_admission = RateAdmission{deps_.clock.Now(), verdict};
@@ -249,6 +265,23 @@
   co_return Step::kNext;
 }
 
+Task<CallRunner::Step> CallRunner::TakeAnotherPermit(StatePtr state) {
+  const bool needs_permit = state->workspace != nullptr &&
+                            state->workspace->rate_per_s > 0 &&
+                            state->runs >= state->permitted_runs;
+  if (!needs_permit) co_return Step::kNext;
+  const PermitResult result = co_await deps_.permits.Take(*state->workspace);
+  if (result.permit.has_value()) {
+    deps_.quotas.CountAttempt(state->workspace->name);
+    state->permit = result.permit;
+    state->holds_rate_token = true;
+    ++state->permitted_runs;
+    co_return Step::kNext;
+  }
+  co_await Refuse(state, 502, Ms{0}, "no permit for another attempt");
+  co_return Step::kDone;
+}
+
 Task<CallRunner::Step> CallRunner::PrependHistory(StatePtr state) {
   CallerRequest& request = state->request;
   const bool continues =
--- a/src/gateway/call_report.cc
+++ b/src/gateway/call_report.cc
@@ -71,7 +71,8 @@
 
 /// Returns what decided on a call's rate, as one field, so that all calls of a
 /// window can be added up from the lines of their ends.
-std::string Describe(const RateAdmission& admission, Ms received) {
+std::string Describe(const RateAdmission& admission, const Permit& permit,
+                     Ms received) {
   const QuotaInput& input = admission.verdict.input;
   const auto add = [](std::string& text, std::string_view name, int64_t n) {
     text.append(" ").append(name).append("=").append(std::to_string(n));
@@ -83,6 +84,10 @@
   add(text, "unread", std::lround(input.admitted_since_update));
   add(text, "heard_ms_ago", input.others_age.count);
   add(text, "gateways", input.gateways);
+  text.append(" permit=")
+      .append(permit.owner.ToString())
+      .append("/")
+      .append(std::to_string(permit.id));
   add(text, "limit",
       std::lround(input.rate_per_s * input.tolerance.window.Seconds() +
                   input.burst));
@@ -142,9 +147,11 @@
        {"on_connection", state.request.number_on_connection},
        {"stopping_ms", StoppingFor().count},
        {"sent_after_ms", JoinTimes(state.sent_after)},
-       {"rate", state.rate_admission.has_value()
-                    ? Describe(*state.rate_admission, state.request.received)
-                    : std::string()},
+       {"rate",
+        state.rate_admission.has_value()
+            ? Describe(*state.rate_admission, state.permit.value_or(Permit{}),
+                       state.request.received)
+            : std::string()},
        {"config", state.config != nullptr ? state.config->version : 0},
        {"reason", state.reason}});
 }
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -63,6 +63,9 @@
   state->attempt.reset();
   if (state->holds_rate_token && state->workspace != nullptr) {
     deps_.quotas.Return(state->workspace->name);
+    if (state->permit.has_value()) {
+      deps_.permits.Return(state->workspace->name, *state->permit);
+    }
   }
   if (state->holds_budget) {
     const uint64_t per_event =
@@ -135,6 +138,8 @@
                       "deadline passed");
       co_return;
     }
+    Step step = co_await TakeAnotherPermit(state);
+    if (step == Step::kDone) co_return;
     state->phase = CallPhase::kPlacement;
     UpstreamPtr upstream = co_await ChooseWithGrant(state);
     if (upstream == nullptr) co_return;
@@ -148,7 +153,7 @@
         co_return;
       }
     }
-    const Step step = co_await RunAttempt(state, upstream);
+    step = co_await RunAttempt(state, upstream);
     if (step == Step::kDone) co_return;
   }
 }
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -102,6 +102,10 @@
   /// A token of the workspace's rate limit is taken and no attempt has used it
   /// yet.
   bool holds_rate_token = false;
+  /// The permit of the next attempt that may run it, or of the last one.
+  std::optional<Permit> permit;
+  /// Attempts that may run it by the permits taken so far.
+  uint32_t permitted_runs = 0;
   /// Unset for a call without a rate, or before it is admitted.
   std::optional<RateAdmission> rate_admission;
   /// When each attempt was sent, from the arrival of the call.
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -58,6 +58,7 @@
       store_(parts.store),
       view_(parts.view),
       quotas_(parts.quotas),
+      permits_(parts.permits),
       use_exchange_(parts.use_exchange),
       starts_(parts.starts),
       budgets_(parts.budgets),
@@ -90,6 +91,9 @@
   for (const auto& [id, row] : upstream_rows_) known.rows.push_back(row);
   known.rows.insert(known.rows.end(), gateway_rows_.begin(),
                     gateway_rows_.end());
+  // Newer than the one among the rows if this gateway has changed it.
+  std::optional<Row> slots = permits_.slots().RowForPeer();
+  if (slots.has_value()) known.rows.push_back(*std::move(slots));
   std::optional<Row> origins = stream_versions_.RowForPeer();
   if (origins.has_value()) known.rows.push_back(*std::move(origins));
   known.store_now = store_.StoreNow();
@@ -142,6 +146,7 @@
     ApplyConfig(row);
     if (row.key.table == dialect_.upstream_table) upstreams.push_back(row);
     if (row.key.table == kGatewayTable) gateways.push_back(row);
+    if (row.key.key == kSlotsKey) permits_.slots().LearnFromPeer(row);
     if (row.key.table == StreamTable().table) {
       stream_versions_.ApplyPeerRow(row, asked_at);
     }
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -36,9 +36,10 @@
 }
 
 Task<bool> FleetWatch::Announce() {
+  const Ms started_at = clock_.Now();
   const Announcement announcement{self_.peer_address, store_.StoreNow(),
-                                  quotas_.OwnUse(), crashes_.OwnRecords(),
-                                  LimitsToTell()};
+                                  quotas_.OwnUse(),   crashes_.OwnRecords(),
+                                  LimitsToTell(),     granted_until_stop_};
   const RowKey key{kGatewayTable, "", self_.name};
   Commit commit;
   commit.conditions.push_back({key, own_row_version_});
@@ -46,6 +47,7 @@
   const StoreAnswer answer = co_await store_.Apply(commit);
   if (answer.outcome == StoreOutcome::kDone) {
     own_row_version_ = answer.version;
+    permits_.slots().OnAnnounced(started_at, answer.version);
     co_return true;
   }
   if (answer.outcome == StoreOutcome::kConflict) {
@@ -68,7 +70,9 @@
 }
 
 std::optional<Announcement> FleetWatch::ReadAnnouncement(const Row& row) const {
-  if (row.key.key == self_.name) return std::nullopt;
+  if (row.key.key == self_.name || row.key.key == kSlotsKey) {
+    return std::nullopt;
+  }
   absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
   if (!told.ok()) {
     kLog.Warning("A gateway's row can't be decoded.",
@@ -78,6 +82,34 @@
   return *std::move(told);
 }
 
+Task<void> FleetWatch::UpdateSlots(const std::vector<Row>& rows) {
+  const Ms now = store_.StoreNow();
+  std::vector<ListedGateway> others;
+  const Row* slots_row = nullptr;
+  for (const Row& row : rows) {
+    if (row.key.key == kSlotsKey) slots_row = &row;
+    const std::optional<Announcement> told = ReadAnnouncement(row);
+    if (!told.has_value()) continue;
+    others.push_back({told->peer_address, row.key.key, row.version,
+                      now - told->at, told->granted_until_stop.has_value()});
+  }
+  RateSlots& slots = permits_.slots();
+  slots.OnRead(slots_row);
+  const std::optional<Commit> change = slots.NextChange(others);
+  if (!change.has_value()) co_return;
+  const StoreAnswer answer = co_await store_.Apply(*change);
+  slots.OnCommitted(answer);
+}
+
+Task<void> FleetWatch::AnnounceStop() {
+  granted_until_stop_ = permits_.Stop();
+  // The loop may have announced it meanwhile, and the first try met a conflict.
+  const bool ok = co_await Announce();
+  if (!ok) {
+    co_await Announce();
+  }
+}
+
 void FleetWatch::MergeRecords(Announcement& told, Ms now, Ms age) {
   crashes_.MergeRecords(told.crashes);
   for (LimitRecord& record : told.limits) {
@@ -136,6 +168,9 @@
     const absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
     if (!told.ok()) continue;
     quotas_.RestoreUse(told->use, now - told->at);
+    if (told->granted_until_stop.has_value()) {
+      permits_.TakeOver(*told->granted_until_stop);
+    }
     const bool is_listed = told->peer_address == self_.peer_address &&
                            now - told->at <= LongestAnnouncementAge();
     if (is_listed) send_limits_.SetKnownBefore();
@@ -170,7 +205,10 @@
     std::vector<Row> rows;
     uint64_t version = 0;
     const bool read = co_await ReadTable(kGatewayTable, &rows, &version);
-    if (read) ApplyGateways(rows, store_.StoreNow(), Ms{0});
+    if (read) {
+      co_await UpdateSlots(rows);
+      ApplyGateways(rows, store_.StoreNow(), Ms{0});
+    }
     co_await Sleep(loop_, ok && read ? kAnnounceInterval : kRetry);
   }
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -30,6 +30,8 @@
 constexpr Ms kShutdownMargin{700};
 /// Time that the process needs to exit, also within the grace period.
 constexpr Ms kExitTime{100};
+/// Longest time for which the end waits until the store knows of it.
+constexpr Ms kMaxStopNotice{300};
 constexpr Ms kMaintenanceInterval{250};
 /// Maintenance goes on after this time, whatever the store keeps waiting.
 constexpr Ms kMaxFlushTime{5000};
@@ -79,7 +81,7 @@
         incarnation(c.name + "-" + RandomHexId().substr(0, 8)),
         rows(store, clock, incarnation),
         clients(l, clock),
-        quotas(clock, c.quota),
+        quotas(clock, c.quota, RateBound::kPermits),
         use_exchange(l, clock, quotas, c.peers, clients.Sender(),
                      [this] { return store.reachable(); }),
         starts(clock, clients, quotas, c.peers,
@@ -88,6 +90,12 @@
                             ? nullptr
                             : FindWorkspaceByName(*view.config, name);
                }),
+        permits(l, clock, metrics, c.quota, c.peers, c.name, clients.Sender(),
+                [this](std::string_view name) {
+                  return view.config == nullptr
+                             ? nullptr
+                             : FindWorkspaceByName(*view.config, name);
+                }),
         budgets(l, clock, store, rows, clients, incarnation, c.peers),
         turns(clock, store, c.row_bytes),
         send_limits(l, clock, view.upstreams, metrics, c.peers,
@@ -99,14 +107,30 @@
         pool(l, clock, metrics, memory.socket_buffer_bytes()),
         crashes(l),
         probes(clock, ProbeStoreOf(store)),
-        runner(CallRunnerDeps{
-            l, clock, d, view, store, quotas, starts, budgets, turns,
-            send_limits, stream_versions, pool, crashes, probes, memory,
-            metrics, c.failure_domain, c.admit_programs, c.order_by_slack}),
+        runner(CallRunnerDeps{l,
+                              clock,
+                              d,
+                              view,
+                              store,
+                              quotas,
+                              starts,
+                              permits,
+                              budgets,
+                              turns,
+                              send_limits,
+                              stream_versions,
+                              pool,
+                              crashes,
+                              probes,
+                              memory,
+                              metrics,
+                              c.failure_domain,
+                              c.admit_programs,
+                              c.order_by_slack}),
         front(l, clock, d, view, memory, runner),
-        watch(FleetWatchDeps{l, clock, d, store, view, quotas, use_exchange,
-                             starts, budgets, send_limits, stream_versions,
-                             crashes},
+        watch(FleetWatchDeps{l, clock, d, store, view, quotas, permits,
+                             use_exchange, starts, budgets, send_limits,
+                             stream_versions, crashes},
               GatewayEntry{c.name, c.peers}, c.seeds),
         sweeper(l, store, view,
                 {BudgetTable(), TurnTable(), StreamTable(), ProbeTable()}) {
@@ -136,6 +160,7 @@
   Quotas quotas;
   UseExchange use_exchange;
   ProgramStarts starts;
+  Permits permits;
   Budgets budgets;
   Turns turns;
   SendLimits send_limits;
@@ -173,6 +198,8 @@
     answer = SnapshotForPeer();
   } else if (call.target == kStartPath) {
     answer = starts.AnswerPeer(call);
+  } else if (call.target == kPermitPath) {
+    answer = permits.AnswerPeer(call);
   } else if (call.target == kUsePath) {
     answer = use_exchange.AnswerPeer(call);
   } else if (call.target == kGrantPath) {
@@ -215,6 +242,7 @@
     co_await budgets.Flush(false, clock.Now() + kMaxFlushTime);
     co_await turns.RemoveExpired();
     pool.CloseIdle();
+    permits.RemoveOld();
     if (watch.ready()) stream_versions.Update();
     FlushLog();
   }
@@ -271,6 +299,7 @@
 
 void Gateway::Reload(const GatewayConfig& config) {
   parts_->quotas.SetTolerance(config.quota);
+  parts_->permits.SetTolerance(config.quota);
   SetLogLevel(config.log_level);
 }
 
@@ -323,6 +352,20 @@
   return true;
 }
 
+Task<void> Gateway::AnnounceStop(Ms deadline) {
+  const auto done = std::make_shared<bool>(false);
+  const auto announce = [](FleetWatch& watch,
+                           std::shared_ptr<bool> ended) -> Task<void> {
+    co_await watch.AnnounceStop();
+    *ended = true;
+  };
+  Spawn(parts_->loop, announce(parts_->watch, done));
+  constexpr Ms kPollInterval{10};
+  while (!*done && parts_->clock.Now() < deadline) {
+    co_await Sleep(parts_->loop, kPollInterval);
+  }
+}
+
 Task<void> Gateway::Shutdown() {
   Parts& parts = *parts_;
   const Ms started_at = parts.clock.Now();
@@ -348,6 +391,8 @@
   }
   co_await parts.budgets.Flush(true,
                                started_at + parts.config.grace - kExitTime);
+  co_await AnnounceStop(std::min(parts.clock.Now() + kMaxStopNotice,
+                                 started_at + parts.config.grace - kExitTime));
   parts.runner.ReportCut();
   kLog.Info("Stopped.", {{"under_way", parts.runner.under_way()},
                          {"connections", parts.front.connections()}});
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -175,6 +175,7 @@
   if (decision != QuotaDecision::kFromShare) {
     return decision == QuotaDecision::kAllow;
   }
+  if (bound_ == RateBound::kPermits) return true;
   const Ms now = clock_.Now();
   const double share = ShareOfRate(input);
   FillBucket(counts.share, now);
@@ -184,6 +185,12 @@
   return TakeTokens(counts.share, 1, now).taken;
 }
 
+void Quotas::CountAttempt(const std::string& workspace) {
+  Counts& counts = CountsOf(workspace);
+  ++counts.allowed.back();
+  ++counts.admitted_since_update;
+}
+
 void Quotas::Return(const std::string& workspace) {
   const auto it = counts_.find(workspace);
   if (it == counts_.end()) return;
--- a/tests/gateway__rate_load_test.cc
+++ b/tests/gateway__rate_load_test.cc
@@ -15,6 +15,7 @@
 
 #include "knapweed/base/log.h"
 #include "knapweed/gateway/quotas.h"
+#include "tests/permit_group.h"
 #include "tests/rate_load.h"
 
 namespace knapweed::gateway {
@@ -29,7 +30,9 @@
  public:
   /// Creates programs whose calls come to `demand` times the rate.
   Load(const Scenario& scenario, uint32_t seed)
-      : scenario_(scenario), random_(seed) {
+      : scenario_(scenario),
+        random_(seed),
+        permits_(clock_, static_cast<size_t>(scenario.gateways), tolerance_) {
     workspace_.name = "ws";
     workspace_.rate_per_s = scenario.rate;
     workspace_.burst = scenario.rate;
@@ -174,7 +177,15 @@
                        (call.is_turn ? kTurnRetries : kToolRetries).attempts;
     const int gateway = again ? AnyGateway() : program.gateway;
     const Ms waited = clock_.Now() - program.arrived;
-    const QuotaVerdict verdict = TakeAt(gateway, begins, waited);
+    QuotaVerdict verdict = TakeAt(gateway, begins, waited);
+    const bool needs_permit =
+        verdict.allowed && scenario_.has_permits && workspace_.rate_per_s > 0;
+    if (needs_permit &&
+        !permits_.Take(static_cast<size_t>(gateway), workspace_, true)) {
+      gateways_[gateway]->Return(workspace_.name);
+      verdict.allowed = false;
+      verdict.retry_after = Ms{300};
+    }
     if (verdict.allowed) {
       ++program.calls;
       admitted_.push_back({clock_.Now(), call.program});
@@ -276,6 +287,7 @@
   Clock clock_ = Clock::Manual(Seconds(100));
   std::mt19937_64 random_;
   QuotaTolerance tolerance_;
+  PermitGroup permits_;
   Workspace workspace_;
   std::vector<std::unique_ptr<Quotas>> gateways_;
   std::vector<Published> published_;
@@ -405,6 +417,8 @@
       scenario.surge = 7.5;
       scenario.restart_at = row.restart_at;
       scenario.has_home = row.has_home;
+      // Counts alone don't hold the limit if no gateway decides on starts.
+      scenario.has_permits = !row.has_home;
       const Outcome sum = RunSeeds(scenario, kSeeds);
       const int admitted = sum.arrived - sum.failed_first;
       CAPTURE(sum.arrived);
--- a/tests/gateway__rate_outage_test.cc
+++ b/tests/gateway__rate_outage_test.cc
@@ -11,6 +11,7 @@
 
 #include "knapweed/gateway/quotas.h"
 #include "knapweed/gateway/use_exchange.h"
+#include "tests/permit_group.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -51,7 +52,9 @@
 class Fleet {
  public:
   Fleet(size_t gateways, uint32_t seed, size_t groups)
-      : random_(seed), ledgers_(groups) {
+      : random_(seed),
+        ledgers_(groups),
+        permits_(clock_, gateways, tolerance_) {
     for (size_t i = 0; i < gateways; ++i) {
       gateways_.push_back(std::make_unique<Quotas>(clock_, tolerance_));
     }
@@ -75,7 +78,9 @@
       const int n = arrivals(random_);
       for (int i = 0; i < n; ++i) {
         const double share = is_silent ? shift.share_later : 1;
-        const bool allowed = Take(share);
+        // While peers answer, the counts hold the rate without permits too.
+        const bool reaches_others = !ledgers_.empty() || !is_silent;
+        const bool allowed = Take(share, reaches_others);
         if (allowed) admitted.push_back(clock_.Now());
         if (!is_silent) continue;
         ++result.later;
@@ -101,10 +106,13 @@
 
  private:
   /// Decides on a call at one of the first `share` of the gateways.
-  bool Take(double share) {
+  bool Take(double share, bool reaches_others) {
     const auto most = std::max<size_t>(
         1, static_cast<size_t>(share * static_cast<double>(gateways_.size())));
-    return gateways_[random_() % most]->Take(workspace_).allowed;
+    const size_t gateway = random_() % most;
+    if (!gateways_[gateway]->Take(workspace_).allowed) return false;
+    if (!ledgers_.empty()) return true;
+    return permits_.Take(gateway, workspace_, reaches_others);
   }
 
   void Exchange(Ms passed) {
@@ -151,6 +159,7 @@
   /// One for each group of gateways that reach each other.
   std::vector<UseLedger> ledgers_;
   QuotaTolerance tolerance_;
+  PermitGroup permits_;
   Workspace workspace_ = RatedWorkspace();
   std::vector<std::unique_ptr<Quotas>> gateways_;
   std::vector<UseByWorkspace> published_;
--- a/tests/rate_load.h
+++ b/tests/rate_load.h
@@ -65,6 +65,8 @@
   double surge = 1;
   /// Starts of programs are decided at the workspace's home.
   bool has_home = true;
+  /// Each call needs a permit of a gateway that holds a slot of the workspace.
+  bool has_permits = false;
   /// All gateways restart at this time; zero for never.
   Ms restart_at;
 };
