Bound the body that a call of the daemons' client gathers

Cause: the daemons' HttpClient::Call gathered a body of up to 2^40 bytes, so a server that sends without end fills the memory of the process, and the calls of all others on it end with it. Change: a call gives up after 64 MB and reports Unknown, since the request may have run; the connection is closed.

--- a/include/knapweed/http/client.h
+++ b/include/knapweed/http/client.h
@@ -20,6 +20,9 @@
   /// request was sent; with a new connection, a failure to connect means that
   /// the request was not sent. Set it for calls that must not run twice.
   bool fresh_connection = false;
+  /// Most bytes of a body that `Call` gathers. Larger than any reply that the
+  /// daemons ask for; a server may send without end.
+  size_t max_body_bytes = size_t{64} << 20;
 };
 
 /// Receives a piece of a reply's body. Returning false stops reading and closes
@@ -30,10 +33,10 @@
 /// from any thread.
 ///
 /// Errors: Unavailable if no connection could be made, so that nothing was
-/// sent; Unknown if the connection broke while or after the request was sent;
-/// DeadlineExceeded if the reply was not complete in time. After the last two
-/// the request may or may not have run. A reply with an HTTP error status is
-/// returned as a reply.
+/// sent; Unknown if the connection broke while or after the request was sent,
+/// or if a reply to `Call` is too large; DeadlineExceeded if the reply was not
+/// complete in time. After the last two the request may or may not have run. A
+/// reply with an HTTP error status is returned as a reply.
 class HttpClient {
  public:
   explicit HttpClient(Address server);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -145,11 +145,14 @@
 absl::StatusOr<HttpReply> HttpClient::Call(const HttpRequest& request,
                                            const HttpCallOptions& options) {
   std::string body;
+  bool too_large = false;
   absl::StatusOr<HttpReply> reply =
       Stream(request, options, [&](std::string_view piece) {
-        body.append(piece);
-        return true;
+        too_large = piece.size() > options.max_body_bytes - body.size();
+        if (!too_large) body.append(piece);
+        return !too_large;
       });
+  if (too_large) return absl::UnknownError("the reply is too large");
   if (reply.ok()) reply->body = std::move(body);
   return reply;
 }
