Let a gateway that was killed grant permits again at once

Cause: a process that starts does not know what the one before granted and let its slots rest for the 5.2 s in which that may count.

Change: each announcement says what was granted, and a holder grants at most a quarter of a part beyond its last confirmed one while the next process may rely on it. That process counts both as granted at its start and grants the rest.

--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -26,9 +26,11 @@
   nlohmann::json crashes = nlohmann::json::array();
   /// Limits of upstreams that it grants; times are on the store's clock.
   std::vector<LimitRecord> limits;
-  /// Set in a process's last announcement: the permits that it has granted and
-  /// that still count; it grants no more.
-  std::optional<GrantedBySlot> granted_until_stop;
+  /// The permits that the process has granted and that still count; unset if it
+  /// does not know all.
+  std::optional<GrantedBySlot> granted;
+  /// It grants no more.
+  bool stopped = false;
 };
 
 /// Table with one row a gateway, which holds its announcement.
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -160,8 +160,8 @@
   Ms gateways_read_at_;
   bool own_use_restored_ = false;
   uint64_t own_row_version_ = 0;
-  /// Set once this gateway grants no more permits.
-  std::optional<GrantedBySlot> granted_until_stop_;
+  /// This gateway grants no more permits.
+  bool has_stopped_ = false;
   /// Upstreams whose entries were missing just after a store outage, with the
   /// time at which to remove them.
   std::map<std::string, Ms> pending_removals_;
--- a/include/knapweed/gateway/permit_book.h
+++ b/include/knapweed/gateway/permit_book.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,16 @@
   Ms retry_after;
 };
 
+/// A holder grants no more than a quarter of a slot's part beyond what its last
+/// confirmed announcement says, so that its next process knows how much that
+/// can be after a kill. A holder whose announcement was not confirmed for
+/// `kGrantAheadTime` may grant all; an announcement as old says too little, and
+/// one is used up to `kMaxAnnouncedAge`: the estimates of the store's clock by
+/// two processes of a gateway differ by less than the rest.
+inline constexpr size_t kGrantAheadDivisor = 4;
+inline constexpr Ms kGrantAheadTime{2500};
+inline constexpr Ms kMaxAnnouncedAge{2000};
+
 /// The permits granted per slot of a group, by workspace.
 using GrantedBySlot =
     std::map<std::string, std::array<uint32_t, kSlotsPerGroup>>;
@@ -55,10 +66,16 @@
   PermitGrant Grant(const Workspace& workspace);
   /// Takes back a permit that no call has used.
   void Return(const std::string& workspace, uint64_t id);
-  /// Returns what was granted in the last span, for the next process.
-  GrantedBySlot Granted();
-  /// Counts what an earlier process has granted.
-  void Restore(const GrantedBySlot& granted);
+  /// Returns what was granted in the last span, for the next process; nothing
+  /// while this one does not know all that the process before granted in it.
+  std::optional<GrantedBySlot> Granted();
+  /// Records that an announcement of what was granted until `at` is being sent.
+  void OnAnnouncing(Ms at);
+  /// Records how sending it ended.
+  void OnAnnounceEnded(StoreOutcome outcome);
+  /// Counts what an earlier process has granted, as announced, and unless it
+  /// had stopped by then what it may have granted after that.
+  void Restore(GrantedBySlot granted, bool had_stopped);
   /// Forgets workspaces without permits in use.
   void RemoveIdle();
 
@@ -68,7 +85,23 @@
   const Clock& clock_;
   RateSlots& slots_;
   QuotaTolerance tolerance_;
+  /// Returns the windows of a workspace, at first with what an earlier process
+  /// granted.
+  Windows& WindowsOf(const std::string& workspace, size_t all);
+
   std::map<std::string, Windows> windows_;
+  /// Time of the last announcement that the store has confirmed, of the last
+  /// one that it may have, and of the one before.
+  std::optional<Ms> announced_until_;
+  std::optional<Ms> last_sent_;
+  std::optional<Ms> sent_before_;
+  /// From then on this process knows of all that counts.
+  Ms complete_from_;
+  /// What the earlier process announced, while it counts.
+  GrantedBySlot restored_;
+  bool granted_ahead_ = false;
+  Ms restored_at_;
+  Ms restored_until_;
   uint64_t next_id_ = 1;
 };
 
--- a/include/knapweed/gateway/permits.h
+++ b/include/knapweed/gateway/permits.h
@@ -55,16 +55,16 @@
   /// Handles another gateway's request.
   HttpResponse AnswerPeer(const HttpRequest& call);
   void SetTolerance(QuotaTolerance tolerance);
-  /// Ends all granting and returns what was granted lately, for the next
-  /// process of this gateway.
-  GrantedBySlot Stop();
-  /// Takes over what an earlier process of this gateway granted until it
-  /// stopped.
-  void TakeOver(const GrantedBySlot& granted);
+  /// Ends all granting.
+  void Stop() { slots_.Stop(); }
+  /// Takes over what an earlier process of this gateway announced, `age` before
+  /// this one read it. Without it, slots that it may have held rest.
+  void TakeOver(const GrantedBySlot& granted, bool had_stopped, Ms age);
   /// Forgets what is out of date.
   void RemoveOld();
 
   RateSlots& slots() { return slots_; }
+  PermitBook& book() { return book_; }
 
  private:
   /// Gets a holder's answer; nothing if there is none within the time.
@@ -79,6 +79,7 @@
   Address self_;
   SendToPeer send_;
   FindByName find_;
+  Ms started_at_;
   RateSlots slots_;
   PermitBook book_;
   PermitOwners owners_;
--- a/include/knapweed/limits/permit_window.h
+++ b/include/knapweed/limits/permit_window.h
@@ -25,6 +25,9 @@
   void Restore(uint64_t first_id, size_t count, Ms now);
   /// Returns the number of permits granted in the last `span`.
   size_t Count(Ms span, Ms now);
+  /// Returns the number of permits granted after `time`, of those that the last
+  /// call of `Count` left.
+  size_t CountAfter(Ms time) const;
   /// Returns whether no permit was granted in the last `span`.
   bool IsEmpty(Ms span, Ms now) const {
     return granted_.empty() || now - granted_.back().at > span;
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -133,9 +133,10 @@
   row["at_ms"] = announcement.at.count;
   row["crashes"] = announcement.crashes;
   row["limits"] = std::move(limits);
-  if (announcement.granted_until_stop.has_value()) {
+  if (announcement.stopped) row["stopped"] = true;
+  if (announcement.granted.has_value()) {
     json granted = json::object();
-    for (const auto& [name, counts] : *announcement.granted_until_stop) {
+    for (const auto& [name, counts] : *announcement.granted) {
       granted[name] = counts;
     }
     row["granted"] = std::move(granted);
@@ -157,7 +158,8 @@
   const auto crashes = row.find("crashes");
   if (crashes != row.end()) announcement.crashes = *crashes;
   announcement.limits = DecodeLimits(ObjectOf(row, "limits"), announcement.at);
-  announcement.granted_until_stop = DecodeGranted(row);
+  announcement.granted = DecodeGranted(row);
+  announcement.stopped = FlagField(row, "stopped");
   return announcement;
 }
 
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -39,12 +39,15 @@
   const Ms started_at = clock_.Now();
   const Announcement announcement{self_.peer_address, store_.StoreNow(),
                                   quotas_.OwnUse(),   crashes_.OwnRecords(),
-                                  LimitsToTell(),     granted_until_stop_};
+                                  LimitsToTell(),     permits_.book().Granted(),
+                                  has_stopped_};
+  permits_.book().OnAnnouncing(started_at);
   const RowKey key{kGatewayTable, "", self_.name};
   Commit commit;
   commit.conditions.push_back({key, own_row_version_});
   commit.writes.push_back({key, EncodeAnnouncement(announcement)});
   const StoreAnswer answer = co_await store_.Apply(commit);
+  permits_.book().OnAnnounceEnded(answer.outcome);
   if (answer.outcome == StoreOutcome::kDone) {
     own_row_version_ = answer.version;
     permits_.slots().OnAnnounced(started_at, answer.version);
@@ -91,7 +94,7 @@
     const std::optional<Announcement> told = ReadAnnouncement(row);
     if (!told.has_value()) continue;
     others.push_back({told->peer_address, row.key.key, row.version,
-                      now - told->at, told->granted_until_stop.has_value()});
+                      now - told->at, told->stopped});
   }
   RateSlots& slots = permits_.slots();
   slots.OnRead(slots_row);
@@ -102,7 +105,8 @@
 }
 
 Task<void> FleetWatch::AnnounceStop() {
-  granted_until_stop_ = permits_.Stop();
+  permits_.Stop();
+  has_stopped_ = true;
   // The loop may have announced it meanwhile, and the first try met a conflict.
   const bool ok = co_await Announce();
   if (!ok) {
@@ -168,8 +172,8 @@
     const absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
     if (!told.ok()) continue;
     quotas_.RestoreUse(told->use, now - told->at);
-    if (told->granted_until_stop.has_value()) {
-      permits_.TakeOver(*told->granted_until_stop);
+    if (told->granted.has_value()) {
+      permits_.TakeOver(*told->granted, told->stopped, now - told->at);
     }
     const bool is_listed = told->peer_address == self_.peer_address &&
                            now - told->at <= LongestAnnouncementAge();
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -28,7 +28,7 @@
   return grant;
 }
 
-HttpRequest PermitRequest(nlohmann::json body) {
+HttpRequest PermitRequest(const nlohmann::json& body) {
   HttpRequest call;
   call.method = http::verb::post;
   call.target = std::string(kPermitPath);
@@ -48,6 +48,7 @@
       self_(self),
       send_(std::move(send)),
       find_(std::move(find)),
+      started_at_(clock.Now()),
       slots_(clock, self, std::move(name), PermitSpan(tolerance)),
       book_(clock, slots_, tolerance),
       owners_(clock, slots_, self) {}
@@ -161,16 +162,16 @@
   co_await send_(permit.owner, call, kPermitTimeout);
 }
 
-GrantedBySlot Permits::Stop() {
-  slots_.Stop();
-  return book_.Granted();
-}
-
-void Permits::TakeOver(const GrantedBySlot& granted) {
-  book_.Restore(granted);
+void Permits::TakeOver(const GrantedBySlot& granted, bool had_stopped, Ms age) {
+  // When this process started; the one before may have ended just then.
+  const Ms age_at_start = age - (clock_.Now() - started_at_);
+  if (!had_stopped && age_at_start > kMaxAnnouncedAge) return;
+  book_.Restore(granted, had_stopped);
   slots_.SkipRestAtStart();
   kLog.Info("Took over the permits of the process before.",
-            {{"workspaces", granted.size()}});
+            {{"workspaces", granted.size()},
+             {"had_stopped", had_stopped ? 1 : 0},
+             {"age_ms", age_at_start.count}});
 }
 
 void Permits::RemoveOld() {
--- a/src/limits/permit_window.cc
+++ b/src/limits/permit_window.cc
@@ -26,6 +26,13 @@
   return granted_.size();
 }
 
+size_t PermitWindow::CountAfter(Ms time) const {
+  const auto it = std::upper_bound(
+      granted_.begin(), granted_.end(), time,
+      [](Ms value, const Permit& permit) { return value < permit.at; });
+  return static_cast<size_t>(granted_.end() - it);
+}
+
 std::optional<Ms> PermitWindow::UntilNextFree(Ms span, Ms now) const {
   if (granted_.empty()) return std::nullopt;
   return std::max(granted_.front().at + span - now, Ms{0}) + Ms{1};
--- a/tests/rate_fleet.cc
+++ b/tests/rate_fleet.cc
@@ -26,7 +26,9 @@
     /// What the tests need of an announcement beside its value.
     Ms at;
     bool stopped = false;
-    GrantedBySlot granted;
+    std::optional<GrantedBySlot> granted;
+    /// When it was announced, by the gateway's own estimate of the time.
+    Ms own_at;
   };
 
   bool Apply(const Commit& commit, const Stored& extra) {
@@ -58,6 +60,7 @@
   Address address;
   /// Counts processes, so that events of an ended one are dropped.
   uint32_t incarnation = 0;
+  Ms started_at;
   bool is_running = false;
   Ms paused_until;
   Ms cut_until;
@@ -173,6 +176,7 @@
     SimGateway& it = gateways_[gateway];
     ++it.incarnation;
     it.is_running = true;
+    it.started_at = clock_.Now();
     it.paused_until = Ms{0};
     it.slots = std::make_unique<RateSlots>(clock_, it.address, KeyOf(it),
                                            PermitSpan(tolerance_));
@@ -193,8 +197,10 @@
     const auto row = store_.rows.find(KeyOf(it));
     if (row != store_.rows.end()) {
       it.row_version = row->second.version;
-      if (row->second.stopped) {
-        it.book->Restore(row->second.granted);
+      const SimStore::Stored& told = row->second;
+      const bool is_fresh = it.started_at - told.own_at <= kMaxAnnouncedAge;
+      if (told.granted.has_value() && (told.stopped || is_fresh)) {
+        it.book->Restore(*told.granted, told.stopped);
         it.slots->SkipRestAtStart();
       }
     }
@@ -238,10 +244,14 @@
     SimStore::Stored extra;
     // Clocks of gateways differ from the store's by up to some seconds.
     extra.at = started_at + Ms{static_cast<int64_t>(gateway % 5) * 1000 - 2000};
+    extra.own_at = started_at;
+    extra.granted = it.book->Granted();
+    it.book->OnAnnouncing(started_at);
     it.published = it.quotas->OwnUse();
     SendCommit(gateway, OwnRow(it), extra,
                [=, this](StoreOutcome outcome, uint64_t version) {
                  SimGateway& me = gateways_[gateway];
+                 me.book->OnAnnounceEnded(outcome);
                  if (outcome == StoreOutcome::kDone) {
                    me.row_version = version;
                    me.slots->OnAnnounced(started_at, version);
