--- a/tests/rate_fleet.cc
+++ b/tests/rate_fleet.cc
@@ -208,8 +208,9 @@
   }
 
   /// Sends a commit; `then` gets its outcome and version.
-  void SendCommit(size_t gateway, Commit commit, SimStore::Stored extra,
-                  std::function<void(StoreOutcome, uint64_t)> then) {
+  void SendCommit(size_t gateway, const Commit& commit,
+                  const SimStore::Stored& extra,
+                  const std::function<void(StoreOutcome, uint64_t)>& then) {
     if (!ReachesStore(gateway)) {
       InProcess(gateway, Between(5, 300),
                 [then] { then(StoreOutcome::kNotDone, 0); });
@@ -306,12 +307,12 @@
     }
     it.quotas->SetOthers(uses);
     it.slots->OnRead(slots_row.has_value() ? &*slots_row : nullptr);
-    std::optional<Commit> change = it.slots->NextChange(others);
+    const std::optional<Commit> change = it.slots->NextChange(others);
     if (!change.has_value()) {
       AnnounceAgain(gateway, kAnnounceInterval);
       return;
     }
-    SendCommit(gateway, *std::move(change), {},
+    SendCommit(gateway, *change, {},
                [=, this](StoreOutcome outcome, uint64_t version) {
                  StoreAnswer answer;
                  answer.outcome = outcome;
