Count what an earlier process granted by its age, not as granted at the restart

Cause: what the process before had announced counted as if granted just now, so nothing of it left the window for 5.2 s; and 4 of 32 gateways did not take it over, since their last announcement was just over 2 s old at their start. Change: announcements say the ages in steps of 500 ms, and up to 2.5 s old ones are relied on; the holder that may go beyond a quarter of its part waits 3 s for it.

--- a/include/knapweed/gateway/announcement.h
+++ b/include/knapweed/gateway/announcement.h
@@ -28,7 +28,7 @@
   std::vector<LimitRecord> limits;
   /// The permits that the process has granted and that still count; unset if it
   /// does not know all.
-  std::optional<GrantedBySlot> granted;
+  std::optional<AnnouncedGrants> granted;
   /// It grants no more.
   bool stopped = false;
 };
--- a/include/knapweed/gateway/permit_book.h
+++ b/include/knapweed/gateway/permit_book.h
@@ -44,17 +44,43 @@
 
 /// A holder grants no more than a quarter of a slot's part beyond what its last
 /// confirmed announcement says, so that its next process knows how much that
-/// can be after a kill. A holder whose announcement was not confirmed for
-/// `kGrantAheadTime` may grant all; an announcement as old says too little, and
-/// one is used up to `kMaxAnnouncedAge`: the estimates of the store's clock by
-/// two processes of a gateway differ by less than the rest.
+/// can be after a kill.
 inline constexpr size_t kGrantAheadDivisor = 4;
-inline constexpr Ms kGrantAheadTime{2500};
-inline constexpr Ms kMaxAnnouncedAge{2000};
+/// A holder whose last announcement is older may grant all, since its next
+/// process does not rely on one older than `kMaxAnnouncedAge`.
+inline constexpr Ms kGrantAheadTime{3000};
+inline constexpr Ms kMaxAnnouncedAge{2500};
+/// Most by which the estimates of the store's clock differ of two processes of
+/// one gateway.
+inline constexpr Ms kMaxClockError{500};
+static_assert(kMaxAnnouncedAge + kMaxClockError <= kGrantAheadTime);
+
+/// Ages of announced permits are rounded down to multiples of this.
+inline constexpr Ms kAgeStep{500};
+
+/// Permits of one slot of a group that were granted at about the same time.
+struct AnnouncedPermits {
+  uint32_t slot = 0;
+  /// Age when they were announced, in multiples of `kAgeStep`.
+  uint32_t age_steps = 0;
+  uint32_t count = 0;
+  bool operator==(const AnnouncedPermits&) const = default;
+};
 
-/// The permits granted per slot of a group, by workspace.
-using GrantedBySlot =
-    std::map<std::string, std::array<uint32_t, kSlotsPerGroup>>;
+/// The permits that a gateway has granted, by workspace; those of one slot
+/// oldest first.
+using AnnouncedGrants = std::map<std::string, std::vector<AnnouncedPermits>>;
+
+/// What is known of the permits that the process before this one granted.
+struct EarlierGrants {
+  AnnouncedGrants granted;
+  /// It granted nothing after it announced them.
+  bool had_stopped = false;
+  /// When they were announced, and the latest time at which it may have granted
+  /// others.
+  Ms announced_at;
+  Ms ended_at;
+};
 
 /// Counts the permits that this gateway grants. Not thread-safe.
 class PermitBook {
@@ -68,27 +94,30 @@
   void Return(const std::string& workspace, uint64_t id);
   /// Returns what was granted in the last span, for the next process; nothing
   /// while this one does not know all that the process before granted in it.
-  std::optional<GrantedBySlot> Granted();
+  std::optional<AnnouncedGrants> Granted();
   /// Records that an announcement of what was granted until `at` is being sent.
   void OnAnnouncing(Ms at);
   /// Records how sending it ended.
   void OnAnnounceEnded(StoreOutcome outcome);
-  /// Counts what an earlier process has granted, as announced, and unless it
-  /// had stopped by then what it may have granted after that.
-  void Restore(GrantedBySlot granted, bool had_stopped);
+  /// Counts what the process before has granted as announced and, unless it had
+  /// stopped by then, what it may have granted after that.
+  void Restore(EarlierGrants earlier);
   /// Forgets workspaces without permits in use.
   void RemoveIdle();
 
  private:
   using Windows = std::array<PermitWindow, kSlotsPerGroup>;
 
+  /// Returns the windows of a workspace with `all` permits, at first with what
+  /// the process before granted.
+  Windows& WindowsOf(const std::string& workspace, size_t all);
+  /// Returns the most permits of a slot that may be in use now.
+  size_t MostInUse(PermitWindow& window, size_t part, Ms now) const;
+  void RestoreAnnounced(const std::string& workspace, Windows& windows);
+
   const Clock& clock_;
   RateSlots& slots_;
   QuotaTolerance tolerance_;
-  /// Returns the windows of a workspace, at first with what an earlier process
-  /// granted.
-  Windows& WindowsOf(const std::string& workspace, size_t all);
-
   std::map<std::string, Windows> windows_;
   /// Time of the last announcement that the store has confirmed, of the last
   /// one that it may have, and of the one before.
@@ -97,11 +126,7 @@
   std::optional<Ms> sent_before_;
   /// From then on this process knows of all that counts.
   Ms complete_from_;
-  /// What the earlier process announced, while it counts.
-  GrantedBySlot restored_;
-  bool granted_ahead_ = false;
-  Ms restored_at_;
-  Ms restored_until_;
+  std::optional<EarlierGrants> earlier_;
   uint64_t next_id_ = 1;
 };
 
--- a/include/knapweed/gateway/permits.h
+++ b/include/knapweed/gateway/permits.h
@@ -59,7 +59,7 @@
   void Stop() { slots_.Stop(); }
   /// Takes over what an earlier process of this gateway announced, `age` before
   /// this one read it. Without it, slots that it may have held rest.
-  void TakeOver(const GrantedBySlot& granted, bool had_stopped, Ms age);
+  void TakeOver(const AnnouncedGrants& granted, bool had_stopped, Ms age);
   /// Forgets what is out of date.
   void RemoveOld();
 
@@ -69,7 +69,6 @@
  private:
   /// Gets a holder's answer; nothing if there is none within the time.
   Task<std::optional<PermitGrant>> Ask(Address owner, std::string workspace);
-  PermitGrant GrantHere(const Workspace& workspace);
   Task<void> SendReturn(std::string workspace, Permit permit);
 
   asio::io_context& loop_;
--- a/include/knapweed/limits/permit_window.h
+++ b/include/knapweed/limits/permit_window.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <vector>
 
 #include "knapweed/base/clock.h"
 
@@ -21,13 +22,17 @@
   bool Take(uint64_t id, size_t most, Ms span, Ms now);
   /// Takes back a permit that was not used. Has no effect the second time.
   void Return(uint64_t id);
-  /// Counts permits that were granted before, as if at `now`.
-  void Restore(uint64_t first_id, size_t count, Ms now);
+  /// Counts permits that an earlier process granted, at `at` at the latest.
+  /// `at` does not decrease from call to call.
+  void Restore(uint64_t first_id, size_t count, Ms at);
   /// Returns the number of permits granted in the last `span`.
   size_t Count(Ms span, Ms now);
   /// Returns the number of permits granted after `time`, of those that the last
   /// call of `Count` left.
   size_t CountAfter(Ms time) const;
+  /// Returns the times at which the permits were granted that the last call of
+  /// `Count` left, oldest first.
+  std::vector<Ms> Times() const;
   /// Returns whether no permit was granted in the last `span`.
   bool IsEmpty(Ms span, Ms now) const {
     return granted_.empty() || now - granted_.back().at > span;
--- a/src/gateway/announcement.cc
+++ b/src/gateway/announcement.cc
@@ -53,24 +53,49 @@
   return limits;
 }
 
+/// Permits are an array: slot, age in steps, number.
+std::optional<AnnouncedPermits> DecodePermits(const json& item) {
+  constexpr size_t kFieldCount = 3;
+  constexpr uint64_t kMost = 1'000'000;
+  const auto is_count = [](const json& field) {
+    return field.is_number_unsigned() && field.get<uint64_t>() <= kMost;
+  };
+  const bool readable = item.is_array() && item.size() == kFieldCount &&
+                        std::all_of(item.begin(), item.end(), is_count) &&
+                        item[0].get<uint64_t>() < kSlotsPerGroup;
+  if (!readable) return std::nullopt;
+  return AnnouncedPermits{item[0].get<uint32_t>(), item[1].get<uint32_t>(),
+                          item[2].get<uint32_t>()};
+}
+
 /// Returns nothing unless all of it is well-formed: what a process has granted
 /// must not be taken for less.
-std::optional<GrantedBySlot> DecodeGranted(const json& row) {
-  constexpr uint64_t kMost = 1'000'000;
+std::optional<AnnouncedGrants> DecodeGranted(const json& row) {
   const json* granted_json = FindField(row, "granted");
   if (granted_json == nullptr || !granted_json->is_object()) return {};
-  GrantedBySlot granted;
-  for (const auto& [name, counts] : granted_json->items()) {
-    if (!counts.is_array() || counts.size() != kSlotsPerGroup) return {};
-    for (size_t i = 0; i < kSlotsPerGroup; ++i) {
-      const json& n = counts[i];
-      if (!n.is_number_unsigned() || n.get<uint64_t>() > kMost) return {};
-      granted[name][i] = n.get<uint32_t>();
+  AnnouncedGrants granted;
+  for (const auto& [name, list] : granted_json->items()) {
+    if (!list.is_array()) return {};
+    for (const json& item : list) {
+      const std::optional<AnnouncedPermits> permits = DecodePermits(item);
+      if (!permits.has_value()) return {};
+      granted[name].push_back(*permits);
     }
   }
   return granted;
 }
 
+json EncodeGranted(const AnnouncedGrants& granted) {
+  json by_workspace = json::object();
+  for (const auto& [name, list] : granted) {
+    json& items = by_workspace[name] = json::array();
+    for (const AnnouncedPermits& permits : list) {
+      items.push_back({permits.slot, permits.age_steps, permits.count});
+    }
+  }
+  return by_workspace;
+}
+
 }  // namespace
 
 bool IsRate(const json& value) {
@@ -135,11 +160,7 @@
   row["limits"] = std::move(limits);
   if (announcement.stopped) row["stopped"] = true;
   if (announcement.granted.has_value()) {
-    json granted = json::object();
-    for (const auto& [name, counts] : *announcement.granted) {
-      granted[name] = counts;
-    }
-    row["granted"] = std::move(granted);
+    row["granted"] = EncodeGranted(*announcement.granted);
   }
   return DumpJson(row);
 }
--- a/src/gateway/permit_book.cc
+++ b/src/gateway/permit_book.cc
@@ -50,6 +50,16 @@
   slots_.SetRest(PermitSpan(tolerance));
 }
 
+size_t PermitBook::MostInUse(PermitWindow& window, size_t part, Ms now) const {
+  const bool may_be_relied_on = announced_until_.has_value() &&
+                                last_sent_.has_value() &&
+                                now - *last_sent_ <= kGrantAheadTime;
+  if (!may_be_relied_on) return part;
+  const size_t used = window.Count(PermitSpan(tolerance_), now);
+  const size_t unannounced = window.CountAfter(*announced_until_);
+  return std::min(part, used - unannounced + GrantAheadOf(part));
+}
+
 PermitGrant PermitBook::Grant(const Workspace& workspace) {
   PermitGrant answer;
   const Ms now = clock_.Now();
@@ -57,22 +67,12 @@
   const size_t all = PermitsOf(workspace, tolerance_);
   const size_t first = FirstSlotOf(workspace.name);
   Windows& windows = WindowsOf(workspace.name, all);
-  // A later process does not rely on an older announcement.
-  const bool stays_close = announced_until_.has_value() &&
-                           last_sent_.has_value() &&
-                           now - *last_sent_ <= kGrantAheadTime;
   answer.retry_after = span;
   for (size_t i = 0; i < kSlotsPerGroup; ++i) {
     if (!slots_.MayGrant(first + i, now)) continue;
     answer.holds = true;
     PermitWindow& window = windows[i];
-    const size_t part = PartOf(all, i);
-    size_t most = part;
-    if (stays_close) {
-      const size_t used = window.Count(span, now);
-      const size_t ahead = window.CountAfter(*announced_until_);
-      most = std::min(part, used - ahead + GrantAheadOf(part));
-    }
+    const size_t most = MostInUse(window, PartOf(all, i), now);
     if (!answer.granted && window.Take(next_id_, most, span, now)) {
       answer.granted = true;
       answer.id = next_id_++;
@@ -108,46 +108,64 @@
   if (can_not_be_read) last_sent_ = sent_before_;
 }
 
-std::optional<GrantedBySlot> PermitBook::Granted() {
-  if (clock_.Now() <= complete_from_) return std::nullopt;
-  GrantedBySlot granted;
-  // Of workspaces that have not called again yet.
-  const bool is_restored = clock_.Now() <= restored_until_;
-  if (is_restored) granted = restored_;
+std::optional<AnnouncedGrants> PermitBook::Granted() {
+  const Ms now = clock_.Now();
+  if (now <= complete_from_) return std::nullopt;
+  AnnouncedGrants granted;
   for (auto& [name, windows] : windows_) {
-    for (size_t i = 0; i < kSlotsPerGroup; ++i) {
-      const size_t n = windows[i].Count(PermitSpan(tolerance_), clock_.Now());
-      if (n > 0 || is_restored) {
-        granted[name][i] = static_cast<uint32_t>(n);
+    for (uint32_t i = 0; i < kSlotsPerGroup; ++i) {
+      if (windows[i].Count(PermitSpan(tolerance_), now) == 0) continue;
+      std::vector<AnnouncedPermits>& list = granted[name];
+      for (const Ms at : windows[i].Times()) {
+        const auto steps =
+            static_cast<uint32_t>((now - at).count / kAgeStep.count);
+        const bool is_same = !list.empty() && list.back().slot == i &&
+                             list.back().age_steps == steps;
+        if (!is_same) list.push_back({i, steps, 0});
+        ++list.back().count;
       }
     }
   }
   return granted;
 }
 
-void PermitBook::Restore(GrantedBySlot granted, bool had_stopped) {
+void PermitBook::Restore(EarlierGrants earlier) {
   // Requests that came before it could grant have left empty windows.
   windows_.clear();
-  restored_ = std::move(granted);
-  granted_ahead_ = !had_stopped;
-  restored_at_ = clock_.Now();
-  restored_until_ = restored_at_ + PermitSpan(tolerance_);
-  if (had_stopped) complete_from_ = Ms{0};
+  earlier_ = std::move(earlier);
+  if (!earlier_->had_stopped) return;
+  complete_from_ = Ms{0};
+  for (const auto& [name, list] : earlier_->granted) {
+    RestoreAnnounced(name, windows_[name]);
+  }
+}
+
+void PermitBook::RestoreAnnounced(const std::string& workspace,
+                                  Windows& windows) {
+  const auto list = earlier_->granted.find(workspace);
+  if (list == earlier_->granted.end()) return;
+  for (const AnnouncedPermits& permits : list->second) {
+    const Ms latest = earlier_->announced_at + kMaxClockError -
+                      kAgeStep * static_cast<int64_t>(permits.age_steps);
+    const Ms at = std::min(latest, earlier_->ended_at);
+    windows[permits.slot].Restore(next_id_, permits.count, at);
+    next_id_ += permits.count;
+  }
 }
 
 PermitBook::Windows& PermitBook::WindowsOf(const std::string& workspace,
                                            size_t all) {
   const auto [it, is_new] = windows_.try_emplace(workspace);
   Windows& windows = it->second;
-  if (!is_new || clock_.Now() > restored_until_) return windows;
-  std::array<uint32_t, kSlotsPerGroup> counts{};
-  const auto restored = restored_.find(workspace);
-  if (restored != restored_.end()) counts = restored->second;
+  const bool counts_earlier =
+      is_new && earlier_.has_value() && !earlier_->had_stopped &&
+      clock_.Now() <= earlier_->ended_at + PermitSpan(tolerance_);
+  if (!counts_earlier) return windows;
+  RestoreAnnounced(workspace, windows);
   for (size_t i = 0; i < kSlotsPerGroup; ++i) {
-    const size_t ahead = granted_ahead_ ? GrantAheadOf(PartOf(all, i)) : 0;
-    const size_t n = counts[i] + ahead;
-    windows[i].Restore(next_id_, n, restored_at_);
-    next_id_ += n;
+    const size_t ahead = GrantAheadOf(PartOf(all, i));
+    windows[i].Restore(next_id_, ahead, earlier_->ended_at);
+    next_id_ += ahead;
   }
   return windows;
 }
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -69,7 +69,7 @@
     }
     std::optional<PermitGrant> answer;
     if (owner == self_) {
-      answer = GrantHere(workspace);
+      answer = book_.Grant(workspace);
     } else {
       answer = co_await Ask(owner, workspace.name);
     }
@@ -113,10 +113,6 @@
   co_return grant;
 }
 
-PermitGrant Permits::GrantHere(const Workspace& workspace) {
-  return book_.Grant(workspace);
-}
-
 HttpResponse Permits::AnswerPeer(const HttpRequest& call) {
   HttpResponse answer;
   const nlohmann::json json = ParseJson(call.body);
@@ -138,7 +134,7 @@
     answer.status = 404;
     return answer;
   }
-  const PermitGrant grant = GrantHere(*workspace);
+  const PermitGrant grant = book_.Grant(*workspace);
   answer.status = 200;
   answer.body = DumpJson({{"granted", grant.granted},
                           {"holds", grant.holds},
@@ -162,11 +158,13 @@
   co_await send_(permit.owner, call, kPermitTimeout);
 }
 
-void Permits::TakeOver(const GrantedBySlot& granted, bool had_stopped, Ms age) {
-  // When this process started; the one before may have ended just then.
-  const Ms age_at_start = age - (clock_.Now() - started_at_);
+void Permits::TakeOver(const AnnouncedGrants& granted, bool had_stopped,
+                       Ms age) {
+  const Ms announced_at = clock_.Now() - age;
+  // The process before may have ended just when this one started.
+  const Ms age_at_start = started_at_ - announced_at;
   if (!had_stopped && age_at_start > kMaxAnnouncedAge) return;
-  book_.Restore(granted, had_stopped);
+  book_.Restore({granted, had_stopped, announced_at, started_at_});
   slots_.SkipRestAtStart();
   kLog.Info("Took over the permits of the process before.",
             {{"workspaces", granted.size()},
--- a/src/limits/permit_window.cc
+++ b/src/limits/permit_window.cc
@@ -17,8 +17,8 @@
   if (it != granted_.end() && it->id == id) granted_.erase(it);
 }
 
-void PermitWindow::Restore(uint64_t first_id, size_t count, Ms now) {
-  for (size_t i = 0; i < count; ++i) granted_.push_back({first_id + i, now});
+void PermitWindow::Restore(uint64_t first_id, size_t count, Ms at) {
+  for (size_t i = 0; i < count; ++i) granted_.push_back({first_id + i, at});
 }
 
 size_t PermitWindow::Count(Ms span, Ms now) {
@@ -33,6 +33,13 @@
   return static_cast<size_t>(granted_.end() - it);
 }
 
+std::vector<Ms> PermitWindow::Times() const {
+  std::vector<Ms> times;
+  times.reserve(granted_.size());
+  for (const Permit& permit : granted_) times.push_back(permit.at);
+  return times;
+}
+
 std::optional<Ms> PermitWindow::UntilNextFree(Ms span, Ms now) const {
   if (granted_.empty()) return std::nullopt;
   return std::max(granted_.front().at + span - now, Ms{0}) + Ms{1};
--- a/tests/rate_fleet.cc
+++ b/tests/rate_fleet.cc
@@ -26,7 +26,7 @@
     /// What the tests need of an announcement beside its value.
     Ms at;
     bool stopped = false;
-    std::optional<GrantedBySlot> granted;
+    std::optional<AnnouncedGrants> granted;
     /// When it was announced, by the gateway's own estimate of the time.
     Ms own_at;
   };
@@ -198,9 +198,13 @@
     if (row != store_.rows.end()) {
       it.row_version = row->second.version;
       const SimStore::Stored& told = row->second;
-      const bool is_fresh = it.started_at - told.own_at <= kMaxAnnouncedAge;
+      const Ms clock_error =
+          Between(-kMaxClockError.count, kMaxClockError.count);
+      const bool is_fresh =
+          it.started_at - told.own_at - clock_error <= kMaxAnnouncedAge;
       if (told.granted.has_value() && (told.stopped || is_fresh)) {
-        it.book->Restore(*told.granted, told.stopped);
+        it.book->Restore({*told.granted, told.stopped,
+                          told.own_at + clock_error, it.started_at});
         it.slots->SkipRestAtStart();
       }
     }
@@ -477,6 +481,7 @@
     it.slots->Stop();
     SimStore::Stored extra;
     extra.at = clock_.Now();
+    extra.own_at = clock_.Now();
     extra.stopped = true;
     extra.granted = it.book->Granted();
     SendCommit(gateway, OwnRow(it), extra, [=, this](StoreOutcome, uint64_t) {
