Bound the bytes that a gateway gathers of the store's and other gateways' messages

Cause: the gateway's client read each answer of up to 16 MB whole, the internal server each request, and a chunk's extension or a trailer without any bound, so a few servers that send without end fill the memory of the process. Change: what all messages under way occupy is counted and bounded to 32 MB, twice the largest message, as a string that grows takes up to twice its size; a message of up to 64 KB is always read, so a sound server is heard meanwhile. Bytes that wait to be parsed are bounded to 64 KB. A message without room ends as a broken connection.

--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -99,6 +99,45 @@
   std::shared_ptr<const void> held;
 };
 
+/// The bytes of a message from the store or another gateway while it is being
+/// read. All messages of the process together are bounded, since any of them
+/// may come without end.
+class GatheredBytes {
+ public:
+  GatheredBytes() = default;
+  GatheredBytes(const GatheredBytes&) = delete;
+  GatheredBytes& operator=(const GatheredBytes&) = delete;
+  ~GatheredBytes();
+
+  /// Counts the memory that the message uses now. Returns false if there is no
+  /// room for it; it must then be abandoned.
+  bool Set(size_t bytes);
+
+ private:
+  size_t bytes_ = 0;
+};
+
+/// Most bytes that wait to be parsed, such as a chunk's extension or a trailer,
+/// which the parser takes only as a whole.
+inline constexpr size_t kMaxUnparsedBytes = size_t{64} << 10;
+
+/// Reads a message with a string body, until its end or the stream's deadline.
+/// Returns `no_buffer_space` if there is no room for it.
+template <typename Parser>
+Task<NetErrorCode> ReadMessage(beast::tcp_stream& stream,
+                               beast::flat_buffer& buf, Parser& parser) {
+  GatheredBytes gathered;
+  NetErrorCode ec;
+  parser.eager(true);
+  while (!ec && !parser.is_done()) {
+    co_await http::async_read_some(
+        stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    const bool fits = gathered.Set(parser.get().body().capacity());
+    if (!ec && !fits) ec = asio::error::no_buffer_space;
+  }
+  co_return ec;
+}
+
 /// HTTP client with a pool of connections to one address, for small requests.
 class HttpClient {
  public:
--- a/src/gateway/internal_server.cc
+++ b/src/gateway/internal_server.cc
@@ -10,14 +10,12 @@
 
 Task<void> ServeInternalConnection(beast::tcp_stream stream,
                                    const InternalHandler& handler) {
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(kMaxUnparsedBytes);
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMaxInternalBodyBytes);
     stream.expires_after(ToChrono(kInternalTimeout));
-    NetErrorCode ec;
-    co_await http::async_read(stream, buf, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    NetErrorCode ec = co_await ReadMessage(stream, buf, parser);
     if (ec) break;
     HttpRequest call;
     call.method = parser.get().method();
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -15,6 +15,13 @@
 
 uint64_t exceptions_reported = 0;
 
+/// Bytes of the messages that are being read, and their most: twice the largest
+/// one, since a string that grows takes up to twice its size. A short message
+/// is read whatever the others hold.
+size_t gathered_bytes = 0;
+constexpr size_t kMaxGatheredBytes = size_t{32} << 20;
+constexpr size_t kShortMessageBytes = size_t{64} << 10;
+
 /// Maximum number of idle connections to one address, and their maximum idle
 /// time: a peer may have dropped an older one without closing it.
 constexpr size_t kMaxIdleConnections = 4;
@@ -118,10 +125,18 @@
   for (asio::steady_timer* timer : waiters_) timer->cancel();
 }
 
+GatheredBytes::~GatheredBytes() { gathered_bytes -= bytes_; }
+
+bool GatheredBytes::Set(size_t bytes) {
+  gathered_bytes += bytes - bytes_;
+  bytes_ = bytes;
+  return bytes <= kShortMessageBytes || gathered_bytes <= kMaxGatheredBytes;
+}
+
 struct HttpClient::Connection {
   explicit Connection(asio::io_context& loop) : stream(loop) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buf;
+  beast::flat_buffer buf{kMaxUnparsedBytes};
   Ms idle_since;
 };
 
@@ -211,8 +226,7 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
   if (!ec) {
-    co_await http::async_read(conn->stream, conn->buf, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await ReadMessage(conn->stream, conn->buf, parser);
   }
   if (ec) {
     // What silenced this connection may have silenced the idle ones too; a new
