Let the test of a drain wait until one call runs and two are queued

The test waited for two queued calls only, but a call counts as queued until a worker takes it, so two that had just arrived were enough and the drain began before the third. The sidecar was right to refuse it. Change: the test waits for one running and two queued calls, which are all three; its checks stay.

--- a/tests/sidecar__calls_test.cc
+++ b/tests/sidecar__calls_test.cc
@@ -287,7 +287,12 @@
       CHECK(OutcomeName(rig.Send(ServiceDispatch(std::to_string(i)))) == "ok");
     });
   }
-  WaitFor([&] { return rig.State()["load"]["queued"] == 2; });
+  // A call counts as queued until a worker takes it: two queued calls alone may
+  // be two that arrived before the third.
+  WaitFor([&] {
+    const auto load = rig.State()["load"];
+    return load["running"] == 1 && load["queued"] == 2;
+  });
   HttpClient control(rig.config.control);
   CHECK(control.Call({"GET", "/healthz", "", {}, ""})->status == 200);
   CHECK(control.Call({"POST", "/drain", "", {}, ""})->status == 202);
