Bound the text of a model's answer that the sidecar gathers

Cause: the sidecar gathers the text of all events of an answer for its result, without a bound; only a line and an event were bounded. An engine that sends events without end fills the memory until the deadline of the call. What callers see: the sidecar ends, and with it the calls of its engine. Change: after 16 MB of text the call fails as not known to have run or not, and is cancelled at the engine.

--- a/src/sidecar/upstream_call.cc
+++ b/src/sidecar/upstream_call.cc
@@ -16,6 +16,9 @@
 constexpr std::string_view kEndOfStream = "[DONE]";
 constexpr Ms kBusyRetryAfter = Seconds(1);
 constexpr Ms kControlTimeout = Seconds(2);
+// Larger than the text of any model's longest answer; an engine may send events
+// without end.
+constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
 
 std::string Serialize(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -46,6 +49,7 @@
   wire::ResultT result;
   bool complete = false;
   bool cancelled = false;
+  bool too_large = false;
 
   // Adds the data of one event and returns its text.
   std::string Add(std::string_view data) {
@@ -63,6 +67,9 @@
       if (finish == "cancelled") cancelled = true;
       const json delta = choices[0].value("delta", json::object());
       std::string text = delta.value("content", "");
+      too_large =
+          too_large || text.size() > kMaxAnswerBytes - result.body.size();
+      if (too_large) return "";
       result.body.append(text);
       return text;
     } catch (const json::exception&) {
@@ -204,12 +211,12 @@
   HttpCallOptions options;
   options.timeout = timeout;
   options.fresh_connection = true;
-  const auto reply =
-      engine.Stream(MakeUpstreamRequest(dispatch, kChatPath, *std::move(body)),
-                    options, [&](std::string_view piece) {
-                      if (head.size() < 200) head.append(piece.substr(0, 200));
-                      return !cancelled.load() && parser.Feed(piece);
-                    });
+  const auto reply = engine.Stream(
+      MakeUpstreamRequest(dispatch, kChatPath, *std::move(body)), options,
+      [&](std::string_view piece) {
+        if (head.size() < 200) head.append(piece.substr(0, 200));
+        return !cancelled.load() && parser.Feed(piece) && !answer.too_large;
+      });
   outcome.duration = clock.Now() - start;
   if (cancelled.load() || answer.cancelled) {
     outcome.needs_cancel = true;
@@ -217,6 +224,13 @@
                                   Ms{0}, "the call was cancelled");
     return outcome;
   }
+  if (answer.too_large) {
+    outcome.needs_cancel = true;
+    outcome.result =
+        FailedResult(ErrorCode::kUpstreamFailed, RunState::kUnknown, Ms{0},
+                     "the engine's answer is too large");
+    return outcome;
+  }
   if (!reply.ok()) return FailedCallOutcome(reply.status(), false);
   if (reply->status != 200) {
     outcome.result = EngineErrorResult(reply->status, head);
