Number permits so that no return frees one of another process

Cause: each process numbered its permits from 1, so a gateway that returned an unused permit of a holder's earlier process freed one that the next process had granted and a call had used; a return without a valid id was answered with a new permit. What callers see: a workspace may get a call more than its limit after a restart, for each such return. Found by reading the argument for the bound, which said nothing of returns; random schedules with late returns did not show it, as other reserves after a restart cover single calls.

--- a/include/knapweed/gateway/permit_book.h
+++ b/include/knapweed/gateway/permit_book.h
@@ -85,7 +85,10 @@
 /// Counts the permits that this gateway grants. Not thread-safe.
 class PermitBook {
  public:
-  PermitBook(const Clock& clock, RateSlots& slots, QuotaTolerance tolerance);
+  /// Ids begin at `first_id`. It has to differ between the processes of a
+  /// gateway, as a permit of an earlier one may be returned to this one.
+  PermitBook(const Clock& clock, RateSlots& slots, QuotaTolerance tolerance,
+             uint64_t first_id);
 
   void SetTolerance(QuotaTolerance tolerance);
   /// Grants a permit of any slot of the workspace that this gateway holds.
@@ -127,7 +130,7 @@
   /// From then on this process knows of all that counts.
   Ms complete_from_;
   std::optional<EarlierGrants> earlier_;
-  uint64_t next_id_ = 1;
+  uint64_t next_id_ = 0;
 };
 
 }  // namespace knapweed::gateway
--- a/include/knapweed/gateway/permits.h
+++ b/include/knapweed/gateway/permits.h
@@ -52,7 +52,7 @@
   Task<PermitResult> Take(Workspace workspace);
   /// Returns a permit that no attempt has used, to its owner in the background.
   void Return(const std::string& workspace, const Permit& permit);
-  /// Handles another gateway's request.
+  /// Handles another gateway's request for a permit or its return of one.
   HttpResponse AnswerPeer(const HttpRequest& call);
   void SetTolerance(QuotaTolerance tolerance);
   /// Ends all granting.
@@ -69,6 +69,7 @@
  private:
   /// Gets a holder's answer; nothing if there is none within the time.
   Task<std::optional<PermitGrant>> Ask(Address owner, std::string workspace);
+  HttpResponse AnswerRequest(const std::string& name);
   Task<void> SendReturn(std::string workspace, Permit permit);
 
   asio::io_context& loop_;
--- a/src/gateway/permit_book.cc
+++ b/src/gateway/permit_book.cc
@@ -39,11 +39,12 @@
 }
 
 PermitBook::PermitBook(const Clock& clock, RateSlots& slots,
-                       QuotaTolerance tolerance)
+                       QuotaTolerance tolerance, uint64_t first_id)
     : clock_(clock),
       slots_(slots),
       tolerance_(tolerance),
-      complete_from_(clock.Now() + PermitSpan(tolerance)) {}
+      complete_from_(clock.Now() + PermitSpan(tolerance)),
+      next_id_(first_id) {}
 
 void PermitBook::SetTolerance(QuotaTolerance tolerance) {
   tolerance_ = tolerance;
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -1,6 +1,7 @@
 #include "knapweed/gateway/permits.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "knapweed/base/json.h"
@@ -28,6 +29,13 @@
   return grant;
 }
 
+/// Returns an id below 2^52, so that those that follow are exact in JSON.
+uint64_t RandomId() {
+  constexpr uint64_t kMaxId = uint64_t{1} << 52;
+  std::random_device random;
+  return std::uniform_int_distribution<uint64_t>(1, kMaxId)(random);
+}
+
 HttpRequest PermitRequest(const nlohmann::json& body) {
   HttpRequest call;
   call.method = http::verb::post;
@@ -50,7 +58,7 @@
       find_(std::move(find)),
       started_at_(clock.Now()),
       slots_(clock, self, std::move(name), PermitSpan(tolerance)),
-      book_(clock, slots_, tolerance),
+      book_(clock, slots_, tolerance, RandomId()),
       owners_(clock, slots_, self) {}
 
 void Permits::SetTolerance(QuotaTolerance tolerance) {
@@ -121,13 +129,17 @@
     answer.status = 400;
     return answer;
   }
-  const uint64_t returned = CountField(json, "returned");
-  if (returned > 0) {
-    book_.Return(name, returned);
+  if (json.contains("returned")) {
+    book_.Return(name, CountField(json, "returned"));
     answer.status = 200;
     answer.body = "{}";
     return answer;
   }
+  return AnswerRequest(name);
+}
+
+HttpResponse Permits::AnswerRequest(const std::string& name) {
+  HttpResponse answer;
   // The asking gateway may have a newer configuration.
   const Workspace* workspace = find_(name);
   if (workspace == nullptr) {
--- a/tests/permit_group.h
+++ b/tests/permit_group.h
@@ -54,7 +54,7 @@
     Member(const Clock& clock, size_t i, QuotaTolerance tolerance)
         : slots(clock, AddressOf(i), AddressOf(i).ToString(),
                 PermitSpan(tolerance)),
-          book(clock, slots, tolerance),
+          book(clock, slots, tolerance, 1),
           owners(clock, slots, AddressOf(i)) {}
     RateSlots slots;
     PermitBook book;
--- a/tests/rate_fleet.cc
+++ b/tests/rate_fleet.cc
@@ -180,7 +180,8 @@
     it.paused_until = Ms{0};
     it.slots = std::make_unique<RateSlots>(clock_, it.address, KeyOf(it),
                                            PermitSpan(tolerance_));
-    it.book = std::make_unique<PermitBook>(clock_, *it.slots, tolerance_);
+    it.book = std::make_unique<PermitBook>(clock_, *it.slots, tolerance_,
+                                           static_cast<uint64_t>(random_()));
     it.owners = std::make_unique<PermitOwners>(clock_, *it.slots, it.address);
     it.quotas =
         std::make_unique<Quotas>(clock_, tolerance_, RateBound::kPermits);
