--- a/tests/gateway__endless_messages_test.cc
+++ b/tests/gateway__endless_messages_test.cc
@@ -87,7 +87,7 @@
 
 /// Serves short answers.
 Address StartSoundServer(asio::io_context& loop) {
-  const Address address = FreeAddress();
+  Address address = FreeAddress();
   ServeInternal(loop, address,
                 [](const HttpRequest& /*call*/) -> Task<HttpResponse> {
                   HttpResponse answer;
