Search each byte of a partial event once

Cause: the gateway searched a partial event from its start each time that bytes arrived, so an event of 256 KB that comes in short lines cost up to a hundred searches of all of it. What callers see: other calls on the gateway wait while an upstream sends an event without end. Change: the search goes on where it stopped. The test that splits events with every chunk size passes.

--- a/include/knapweed/gateway/event_splitter.h
+++ b/include/knapweed/gateway/event_splitter.h
@@ -26,7 +26,7 @@
 class EventSplitter {
  public:
   /// Appends bytes of the stream. Returns false if the buffered bytes exceed
-  /// 1 MB, the limit for one event.
+  /// 256 KB, the limit for one event.
   bool Feed(std::string_view bytes);
   /// Extracts the next complete event; returns false if there is none yet.
   bool Next(StreamEvent* event);
@@ -36,8 +36,18 @@
   size_t size() const { return buf_.size(); }
 
  private:
+  /// Returns the offset after the empty line that ends the first event; npos if
+  /// the event is incomplete. Searches each byte once.
+  size_t FindEnd();
+
   std::string buf_;
+  /// Offsets of the first event, and of the line of it that is searched now.
   size_t pos_ = 0;
+  size_t line_ = 0;
+  /// No line ends between `line_` and here.
+  size_t searched_ = 0;
+  /// A line of the event before `line_` is not empty.
+  bool has_content_ = false;
 };
 
 }  // namespace knapweed::gateway
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -22,39 +22,40 @@
   return line;
 }
 
-/// Returns the offset after the empty line that ends the first event in `text`;
-/// npos if the event is incomplete.
-size_t EndOfEvent(std::string_view text) {
-  size_t begin = 0;
-  bool has_content = false;
-  while (true) {
-    const size_t end = text.find('\n', begin);
-    if (end == std::string_view::npos) return end;
-    std::string_view line = text.substr(begin, end - begin);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    if (line.empty() && has_content) return end + 1;
-    has_content = has_content || !line.empty();
-    begin = end + 1;
-  }
-}
-
 }  // namespace
 
 bool EventSplitter::Feed(std::string_view bytes) {
   buf_.erase(0, pos_);
+  line_ -= pos_;
+  searched_ -= pos_;
   pos_ = 0;
   buf_.append(bytes);
   return buf_.size() <= kMaxEventBytes;
 }
 
+size_t EventSplitter::FindEnd() {
+  while (true) {
+    const size_t end = buf_.find('\n', searched_);
+    if (end == std::string::npos) {
+      searched_ = buf_.size();
+      return end;
+    }
+    std::string_view line = std::string_view(buf_).substr(line_, end - line_);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    line_ = end + 1;
+    searched_ = line_;
+    const bool is_end = line.empty() && has_content_;
+    has_content_ = !is_end && (has_content_ || !line.empty());
+    if (is_end) return line_;
+  }
+}
+
 bool EventSplitter::Next(StreamEvent* event) {
-  std::string_view rest = buf_;
-  rest.remove_prefix(pos_);
-  const size_t size = EndOfEvent(rest);
-  if (size == std::string_view::npos) return false;
+  const size_t end = FindEnd();
+  if (end == std::string::npos) return false;
   *event = StreamEvent{};
-  event->raw = rest.substr(0, size);
-  pos_ += size;
+  event->raw = std::string_view(buf_).substr(pos_, end - pos_);
+  pos_ = end;
   std::string_view left = event->raw;
   while (!left.empty()) {
     const std::string_view line = TakeLine(&left);
