View the buffered events without a cast, as the linter asks

Cause: clang-tidy reports the construction of a view in an expression as a cast. Change: the view is a named constant. Result: gateway_test passes; no change of behaviour.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -34,13 +34,14 @@
 }
 
 size_t EventSplitter::FindEnd() {
+  const std::string_view bytes = buf_;
   while (true) {
     const size_t end = buf_.find('\n', searched_);
     if (end == std::string::npos) {
       searched_ = buf_.size();
       return end;
     }
-    std::string_view line = std::string_view(buf_).substr(line_, end - line_);
+    std::string_view line = bytes.substr(line_, end - line_);
     if (line.ends_with('\r')) line.remove_suffix(1);
     line_ = end + 1;
     searched_ = line_;
@@ -54,7 +55,8 @@
   const size_t end = FindEnd();
   if (end == std::string::npos) return false;
   *event = StreamEvent{};
-  event->raw = std::string_view(buf_).substr(pos_, end - pos_);
+  const std::string_view bytes = buf_;
+  event->raw = bytes.substr(pos_, end - pos_);
   pos_ = end;
   std::string_view left = event->raw;
   while (!left.empty()) {
