--- a/include/knapweed/gateway/quotas.h
+++ b/include/knapweed/gateway/quotas.h
@@ -68,7 +68,7 @@
 /// What holds a workspace's calls to its rate.
 enum class RateBound : uint8_t {
   /// The counts alone: a gateway uses its part of the room, then its share of
-  /// the rate.
+  /// the rate. For fleets without permits; no `Gateway` uses it.
   kCounts,
   /// Each admitted call needs a permit as well, so the counts, which include an
   /// estimate of what others admit, decide only on starts of programs.
