Split taking a permit from what follows of it

Cause: TakeRateToken asked the counts, took the permit and refused the call; Permits::Take asked the holders and worked out the refusal; the search for a workspace by name stood twice in the gateway.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -168,6 +168,8 @@
   /// Refuses the first turn of a program while the service is overloaded.
   Task<Step> AdmitProgram(StatePtr state);
   Task<Step> TakeRateToken(StatePtr state);
+  /// Takes the permit of the first attempt, or refuses the call.
+  Task<Step> TakeFirstPermit(StatePtr state);
   /// Takes a permit for an attempt after one that may have run the call.
   Task<Step> TakeAnotherPermit(StatePtr state);
   Task<Step> PrependHistory(StatePtr state);
--- a/include/knapweed/gateway/permits.h
+++ b/include/knapweed/gateway/permits.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "knapweed/base/metrics.h"
 #include "knapweed/gateway/peers.h"
@@ -67,6 +68,9 @@
   PermitBook& book() { return book_; }
 
  private:
+  /// Asks one holder after the other until one grants a permit.
+  Task<PermitResult> AskHolders(const Workspace& workspace);
+  void CountOutcome(std::string_view from);
   /// Gets a holder's answer; nothing if there is none within the time.
   Task<std::optional<PermitGrant>> Ask(Address owner, std::string workspace);
   HttpResponse AnswerRequest(const std::string& name);
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -242,21 +242,10 @@
     co_await Refuse(state, 429, verdict.retry_after, "over rate");
     co_return Step::kDone;
   }
-  if (state->workspace->rate_per_s > 0) {
-    const PermitResult result = co_await deps_.permits.Take(*state->workspace);
-    if (!result.permit.has_value()) {
-      deps_.quotas.Return(state->workspace->name);
-      kQuotaLog.Info("A call got no permit of its workspace's rate.",
-                     {{"request", state->request.head.request_id},
-                      {"workspace", state->workspace->name},
-                      {"unsure", result.unsure ? 1 : 0}});
-      // Another gateway may reach those that can decide.
-      co_await Refuse(state, result.unsure ? 503 : 429, result.retry_after,
-                      result.unsure ? "rate can't be decided" : "over rate");
-      co_return Step::kDone;
-    }
-    state->permit = result.permit;
-    state->permitted_runs = 1;
+  const Step step = co_await TakeFirstPermit(state);
+  if (step == Step::kDone) {
+    deps_.quotas.Return(state->workspace->name);
+    co_return step;
   }
   state->holds_rate_token = true;
   if (verdict.decision.has_value()) {
@@ -265,6 +254,24 @@
   co_return Step::kNext;
 }
 
+Task<CallRunner::Step> CallRunner::TakeFirstPermit(StatePtr state) {
+  if (state->workspace->rate_per_s <= 0) co_return Step::kNext;
+  const PermitResult result = co_await deps_.permits.Take(*state->workspace);
+  if (result.permit.has_value()) {
+    state->permit = result.permit;
+    state->permitted_runs = 1;
+    co_return Step::kNext;
+  }
+  kQuotaLog.Info("A call got no permit of its workspace's rate.",
+                 {{"request", state->request.head.request_id},
+                  {"workspace", state->workspace->name},
+                  {"unsure", result.unsure ? 1 : 0}});
+  // Another gateway may reach those that can decide.
+  co_await Refuse(state, result.unsure ? 503 : 429, result.retry_after,
+                  result.unsure ? "rate can't be decided" : "over rate");
+  co_return Step::kDone;
+}
+
 Task<CallRunner::Step> CallRunner::TakeAnotherPermit(StatePtr state) {
   const bool needs_permit = state->workspace != nullptr &&
                             state->workspace->rate_per_s > 0 &&
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -85,17 +85,9 @@
         use_exchange(l, clock, quotas, c.peers, clients.Sender(),
                      [this] { return store.reachable(); }),
         starts(clock, clients, quotas, c.peers,
-               [this](std::string_view name) {
-                 return view.config == nullptr
-                            ? nullptr
-                            : FindWorkspaceByName(*view.config, name);
-               }),
+               [this](std::string_view name) { return FindWorkspace(name); }),
         permits(l, clock, metrics, c.quota, c.peers, c.name, clients.Sender(),
-                [this](std::string_view name) {
-                  return view.config == nullptr
-                             ? nullptr
-                             : FindWorkspaceByName(*view.config, name);
-                }),
+                [this](std::string_view name) { return FindWorkspace(name); }),
         budgets(l, clock, store, rows, clients, incarnation, c.peers),
         turns(clock, store, c.row_bytes),
         send_limits(l, clock, view.upstreams, metrics, c.peers,
@@ -141,6 +133,11 @@
   /// or sends as many snapshots as it may.
   HttpResponse SnapshotForPeer();
   /// Handles a request from another gateway.
+  /// Returns a workspace of the configuration in force; null if there is none.
+  const Workspace* FindWorkspace(std::string_view name) const {
+    return view.config == nullptr ? nullptr
+                                  : FindWorkspaceByName(*view.config, name);
+  }
   Task<HttpResponse> AnswerPeer(HttpRequest call);
   void UpdateResourceGauges();
   /// Runs the components' periodic work until the loop stops.
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -67,6 +67,26 @@
 }
 
 Task<PermitResult> Permits::Take(Workspace workspace) {
+  PermitResult result = co_await AskHolders(workspace);
+  if (result.permit.has_value()) {
+    const bool is_own = result.permit->owner == self_;
+    CountOutcome(is_own ? "here" : "peer");
+    co_return result;
+  }
+  result.unsure = result.unsure || owners_.HasSilent(workspace.name);
+  const Ms next = owners_.UntilNextFree(workspace.name);
+  result.retry_after =
+      result.unsure ? kRetryUnsure : std::max(next, kMinRetryAfter);
+  CountOutcome(result.unsure ? "unsure" : "none");
+  co_return result;
+}
+
+void Permits::CountOutcome(std::string_view from) {
+  metrics_.GetCounter("permits_total{from=\"" + std::string(from) + "\"}")
+      .Add();
+}
+
+Task<PermitResult> Permits::AskHolders(const Workspace& workspace) {
   const Ms started_at = clock_.Now();
   const size_t permits = PermitsOf(workspace, tolerance_);
   PermitResult result;
@@ -88,21 +108,9 @@
     owners_.Record(workspace.name, owner, *answer);
     if (!answer->holds) result.unsure = true;
     if (!answer->granted) continue;
-    metrics_
-        .GetCounter(owner == self_ ? "permits_total{from=\"here\"}"
-                                   : "permits_total{from=\"peer\"}")
-        .Add();
     result.permit = Permit{owner, answer->id};
-    co_return result;
+    break;
   }
-  result.unsure = result.unsure || owners_.HasSilent(workspace.name);
-  const Ms next = owners_.UntilNextFree(workspace.name);
-  result.retry_after =
-      result.unsure ? kRetryUnsure : std::max(next, kMinRetryAfter);
-  metrics_
-      .GetCounter(result.unsure ? "permits_total{from=\"unsure\"}"
-                                : "permits_total{from=\"none\"}")
-      .Add();
   co_return result;
 }
 
