Test that kept turns without end cost bounded memory while others are served

Cause: of the readers of bytes without end, kept turns gather an answer to store it and had no test; the postmortem said "reading only". Change: twelve kept turns whose events have no end, with another call beside them.

--- a/tests/platform/endless_test.cc
+++ b/tests/platform/endless_test.cc
@@ -148,6 +148,43 @@
   }
 }
 
+// Guards against a kept turn that gathers its whole answer to store it.
+TEST_CASE("kept turns without end cost bounded memory and others are served") {
+  TestCluster cluster(1, 1);
+  FakeServer& server = *cluster.engines[0];
+  server.default_script.kind = Kind::kEndlessLongEvents;
+  constexpr int kCalls = 12;
+  MemoryWatch memory;
+  std::vector<std::shared_ptr<CallerResponse>> turns;
+  for (int i = 0; i < kCalls; ++i) {
+    CallerRequest turn = PlainCall("/kept/x", "k" + std::to_string(i));
+    turn.discards_body = true;
+    turns.push_back(cluster.StartCall(turn));
+  }
+  cluster.RunUntil([&] {
+    memory.Sample();
+    return server.received.size() == kCalls;
+  });
+  const CallerResponse other = cluster.Call(PlainCall("/once/x", "other"));
+  CHECK(other.status == 200);
+  CHECK(other.body == "body");
+  CHECK(other.elapsed < Ms{250});
+  cluster.RunUntil([&] {
+    memory.Sample();
+    return std::all_of(turns.begin(), turns.end(),
+                       [](const auto& turn) { return turn->done; });
+  });
+  CHECK(memory.most_kb() <= kCalls * kMaxKbPerConnection);
+  for (const auto& turn : turns) {
+    CHECK(turn->done);
+    CHECK(turn->status == 200);
+    CHECK_FALSE(turn->complete);
+  }
+  CHECK(FailuresOf(cluster, server) > 0);
+  cluster.RunFor(Ms{600});
+  CHECK(server.open_connections == 0);
+}
+
 TEST_CASE("an idempotent call whose response has no end runs elsewhere") {
   for (const Kind kind : {Kind::kEndlessHead, Kind::kEndlessChunkExtension}) {
     TestCluster cluster(1, 2);
