Accept connections of the tests of messages in one place

Cause: two tests had the same loop that accepts connections, and one searched a free port by its own means. Change: LoopbackAcceptor, and the port of the stand-ins.

--- a/tests/gateway__endless_messages_test.cc
+++ b/tests/gateway__endless_messages_test.cc
@@ -10,6 +10,8 @@
 
 #include "knapweed/base/resource_use.h"
 #include "knapweed/gateway/internal_server.h"
+#include "standins/free_port.h"
+#include "tests/loopback_acceptor.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -39,27 +41,16 @@
  public:
   EndlessServer(asio::io_context& loop, std::string start, std::string piece)
       : loop_(loop),
-        acceptor_(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}),
+        acceptor_(loop,
+                  [this](beast::tcp_stream stream) {
+                    Spawn(loop_, Serve(std::move(stream)));
+                  }),
         start_(std::move(start)),
-        piece_(std::move(piece)) {
-    Spawn(loop, Accept());
-  }
-  Address address() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
+        piece_(std::move(piece)) {}
+  Address address() const { return acceptor_.address(); }
   int open() const { return open_; }
 
  private:
-  Task<void> Accept() {
-    while (true) {
-      NetErrorCode ec;
-      asio::ip::tcp::socket socket(loop_);
-      co_await acceptor_.async_accept(
-          socket, asio::redirect_error(asio::use_awaitable, ec));
-      if (ec) co_return;
-      Spawn(loop_, Serve(beast::tcp_stream(std::move(socket))));
-    }
-  }
   Task<void> Serve(beast::tcp_stream stream) {
     ++open_;
     beast::flat_buffer buf;
@@ -72,22 +63,15 @@
   }
 
   asio::io_context& loop_;
-  asio::ip::tcp::acceptor acceptor_;
+  LoopbackAcceptor acceptor_;
   std::string start_;
   std::string piece_;
   int open_ = 0;
 };
 
-Address FreeAddress() {
-  asio::io_context context;
-  const asio::ip::tcp::acceptor acceptor(
-      context, {asio::ip::make_address_v4("127.0.0.1"), 0});
-  return {"127.0.0.1", acceptor.local_endpoint().port()};
-}
-
 /// Serves short answers.
 Address StartSoundServer(asio::io_context& loop) {
-  Address address = FreeAddress();
+  Address address = FreeLoopbackAddress();
   ServeInternal(loop, address,
                 [](const HttpRequest& /*call*/) -> Task<HttpResponse> {
                   HttpResponse answer;
--- a/tests/gateway__net_test.cc
+++ b/tests/gateway__net_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "knapweed/gateway/net.h"
+#include "tests/loopback_acceptor.h"
 
 namespace knapweed::gateway {
 namespace {
@@ -15,26 +16,13 @@
 class SilencingServer {
  public:
   explicit SilencingServer(asio::io_context& loop)
-      : loop_(loop),
-        acceptor_(loop, {asio::ip::make_address_v4("127.0.0.1"), 0}) {
-    Spawn(loop, Accept());
-  }
-  Address address() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
+      : loop_(loop), acceptor_(loop, [this](beast::tcp_stream stream) {
+          Spawn(loop_, Serve(std::move(stream), generation_));
+        }) {}
+  Address address() const { return acceptor_.address(); }
   void SilenceOpenConnections() { ++generation_; }
 
  private:
-  Task<void> Accept() {
-    while (true) {
-      NetErrorCode ec;
-      asio::ip::tcp::socket socket(loop_);
-      co_await acceptor_.async_accept(
-          socket, asio::redirect_error(asio::use_awaitable, ec));
-      if (ec) co_return;
-      Spawn(loop_, Serve(beast::tcp_stream(std::move(socket)), generation_));
-    }
-  }
   Task<void> Serve(beast::tcp_stream stream, int generation) {
     beast::flat_buffer buf;
     NetErrorCode ec;
@@ -51,7 +39,7 @@
   }
 
   asio::io_context& loop_;
-  asio::ip::tcp::acceptor acceptor_;
+  LoopbackAcceptor acceptor_;
   int generation_ = 0;
 };
 
