--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,15 @@
 BUILD ?= build
 ARGS ?=
 
-.PHONY: run check build deps format lint bench
+.PHONY: run check build configure deps cross format lint bench
 
 deps:
 	@scripts/install-packages
 
-build: deps
+configure: deps
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_EXPORT_COMPILE_COMMANDS=ON >/dev/null
+
+build: configure
 	@cmake --build $(BUILD)
 
 run: build
@@ -23,6 +25,9 @@
 	@scripts/check-format
 	@scripts/check-lint $(BUILD)
 
+cross: configure
+	@scripts/check-cross $(BUILD)
+
 bench: build
 	@ctest --test-dir $(BUILD) --output-on-failure -R policy_rig
 	@scripts/capacity $(BUILD) KNOWN-RED.txt
--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -1,6 +1,12 @@
 #ifndef KNAPWEED_GATEWAY_NET_H_
 #define KNAPWEED_GATEWAY_NET_H_
 
+// A program with some sources built without it has two versions of one class of
+// Asio.
+#ifndef BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING
+#error "Define BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING everywhere."
+#endif
+
 // clang-format off
 // g++ 12 needs <utility> before Asio's coroutine headers.
 #include <utility>
