--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,6 +40,22 @@
   CHECK(bucket.tokens == 3);
 }
 
+TEST_CASE("a bucket earns the same tokens on every architecture") {
+  std::mt19937_64 random(1);
+  std::uniform_int_distribution<int> thousandths(1, 100'000);
+  for (int i = 0; i < 1000; ++i) {
+    CAPTURE(i);
+    const double rate_per_s = thousandths(random) / 1000.0;
+    const double tokens = thousandths(random) / 1000.0;
+    const Ms span{thousandths(random)};
+    RateBucket bucket{rate_per_s, 1e6, tokens, Ms{0}};
+    FillBucket(bucket, span);
+    // Stored, the product is rounded before the sum, whatever the processor.
+    const volatile double earned = span.Seconds() * rate_per_s;
+    CHECK(bucket.tokens == tokens + earned);
+  }
+}
+
 TEST_CASE("late use of grants is deducted from the burst") {
   const std::vector<RateLimit> rows = {{20, 40},   {2.5, 5}, {1, 1},
                                        {100, 1},   {100, 6}, {500, 1000},
