--- a/include/knapweed/gateway/net.h
+++ b/include/knapweed/gateway/net.h
@@ -1,10 +1,10 @@
 #ifndef KNAPWEED_GATEWAY_NET_H_
 #define KNAPWEED_GATEWAY_NET_H_
 
-// A program with some sources built without it has two versions of one class of
-// Asio.
+// The definition changes a class of Asio, so that all sources of a program need
+// it.
 #ifndef BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING
-#error "Define BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING everywhere."
+#error "Define BOOST_ASIO_DISABLE_AWAITABLE_FRAME_RECYCLING for all sources."
 #endif
 
 // clang-format off
