Bound the copies of turns that are stored or decoded at once

Cause: a request is admitted if its body fits in half of the memory, once. Its end copied the input, all sections of the text side by side, and each of them as CBOR, rows, base64, JSON and an HTTP request. That was counted afterwards and compared with nothing, so the sum over turns that end together had no bound, whatever the size of one body.

Change: a finished turn shares the text of its call; sections are made one after the other; HttpClient sends a body from where it is. What is still copied has a quarter of the memory, and WeightedSemaphore lets only as many commits copy at once as fit, in their order. A chain is counted while it is read and refused as not run once it does not fit; before, it was counted when it was there twice.

Why this works: what a turn needs at its end is no longer a multiple of what was set aside for it, but a share of its own that is taken and given back for each commit.

--- a/include/knapweed/gateway/held_memory.h
+++ b/include/knapweed/gateway/held_memory.h
@@ -15,10 +15,13 @@
 /// thread-safe.
 class HeldMemory {
  public:
-  /// Counts nothing if `limit_bytes` is 0.
-  HeldMemory(uint64_t limit_bytes, Metrics& metrics);
+  /// Counts nothing if `memory_mb`, the memory of the machine, is 0.
+  HeldMemory(uint64_t memory_mb, Metrics& metrics);
 
   bool is_bounded() const { return account_->state.limit_bytes > 0; }
+  /// Returns the bound of the copies of turns that are being stored or decoded;
+  /// 0 if there is none.
+  uint64_t copies_limit_bytes() const { return copies_limit_bytes_; }
   const HeldState& state() const { return account_->state; }
   /// Returns the size to set for the buffers of callers' and upstreams'
   /// sockets; 0 if the kernel chooses.
@@ -39,6 +42,7 @@
   };
 
   Metrics& metrics_;
+  uint64_t copies_limit_bytes_;
   /// Shared, because calls that a stopping loop drops outlive the gateway.
   std::shared_ptr<Account> account_;
 };
--- a/include/knapweed/policy/memory_guard.h
+++ b/include/knapweed/policy/memory_guard.h
@@ -42,6 +42,11 @@
 /// machine that gives it `memory_mb`; 0 (no bound) for 0.
 uint64_t HeldBytesLimit(uint64_t memory_mb);
 
+/// Returns how many bytes the copies of turns that are being stored or decoded
+/// may take on a machine that gives it `memory_mb`, beside the held bytes; 0
+/// (no bound) for 0.
+uint64_t CopiesLimit(uint64_t memory_mb);
+
 /// Returns whether `more_bytes` fit within the bound.
 bool MayHold(const HeldState& state, uint64_t more_bytes);
 
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -301,7 +301,8 @@
       state->workspace != nullptr ? state->workspace->name : std::string();
   state->phase = CallPhase::kHistory;
   History history =
-      co_await deps_.turns.HistoryOf(request.head.previous_turn, workspace);
+      co_await deps_.turns.HistoryOf(request.head.previous_turn, workspace,
+                                     state->held_history, state->deadline);
   if (history.outcome == HistoryOutcome::kNotFound) {
     kLog.Info("A call continues a turn that is not there.",
               {{"request", request.head.request_id},
@@ -323,13 +324,17 @@
     co_return Step::kDone;
   }
   const uint64_t bytes = history.text.size() + request.body->size();
-  if (!MayHold(deps_.memory.state(), bytes)) {
-    deps_.memory.ReportRefusal(request.head.request_id, bytes);
+  const uint64_t more = bytes - std::min(bytes, state->held_history.bytes());
+  if (history.outcome == HistoryOutcome::kNoRoom ||
+      !MayHold(deps_.memory.state(), more)) {
+    deps_.memory.ReportRefusal(request.head.request_id, more);
+    state->held_history.Set(0);
     co_await Refuse(state, 503, kRetryMemory, "held memory is used up");
     co_return Step::kDone;
   }
   state->held_history.Set(bytes);
   state->chain_until = history.rows_until;
+  history.text.reserve(bytes);
   history.text += *request.body;
   state->body = std::make_shared<const std::string>(std::move(history.text));
   co_return Step::kNext;
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -19,8 +19,6 @@
 constexpr uint64_t kMinBufferedBodyBytes = 16 << 10;
 /// Buffered events and their copies that `kCallBufferBytes` has room for.
 constexpr uint64_t kMinEventBytes = 48 << 10;
-/// Copies of a turn while it is stored: the turn, its encoding and the rows.
-constexpr uint64_t kCopiesOfStoredTurn = 3;
 
 /// Hop-by-hop fields: they apply to one connection only.
 constexpr http::field kHopFields[] = {
@@ -296,28 +294,26 @@
 Task<CallRunner::Step> CallRunner::FinishStream(StatePtr state) {
   const CallHead& head = state->request.head;
   if (state->route->keeps_history && !head.request_id.empty()) {
-    auto turn = std::make_shared<Turn>();
-    turn->id = head.request_id;
-    if (state->workspace != nullptr) turn->workspace = state->workspace->name;
-    turn->previous = head.previous_turn;
-    turn->input = *state->request.body;
-    turn->lacks_start = head.resume_after.value_or(0) > 0;
-    if (!turn->lacks_start) turn->output = std::move(state->output);
+    FinishedTurn turn;
+    turn.id = head.request_id;
+    if (state->workspace != nullptr) turn.workspace = state->workspace->name;
+    turn.previous = head.previous_turn;
+    turn.text = state->request.body;
+    turn.lacks_start = head.resume_after.value_or(0) > 0;
+    if (!turn.lacks_start) turn.output = std::move(state->output);
     const Ms ttl = state->route->history_ttl;
-    const bool outlives = !turn->previous.empty() &&
+    const bool outlives = !turn.previous.empty() &&
                           deps_.turns.OutlivesChain(state->chain_until, ttl);
     if (outlives) {
-      const size_t bytes = state->body->size() - turn->input.size();
-      turn->history = state->body->substr(0, bytes);
+      turn.history_bytes = state->body->size() - turn.text->size();
+      turn.text = state->body;
       kLog.Info("A turn is stored with its whole chain.",
-                {{"request", turn->id}, {"history_bytes", bytes}});
+                {{"request", turn.id}, {"history_bytes", *turn.history_bytes}});
     }
-    const size_t text_bytes =
-        (outlives ? state->body->size() : turn->input.size()) +
-        turn->output.size();
-    state->held_answer.Set(kCopiesOfStoredTurn * text_bytes);
+    state->held_answer.Set(turn.output.size());
     state->phase = CallPhase::kStoring;
-    const bool kept = co_await deps_.turns.Save(turn, ttl, state->deadline);
+    const bool kept =
+        co_await deps_.turns.Save(std::move(turn), ttl, state->deadline);
     if (!kept) {
       co_await Refuse(state, 503, Ms{0}, "turn was not kept");
       co_return Step::kDone;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -89,13 +89,13 @@
         permits(l, clock, metrics, c.quota, c.peers, c.name, clients.Sender(),
                 [this](std::string_view name) { return FindWorkspace(name); }),
         budgets(l, clock, store, rows, clients, incarnation, c.peers),
-        turns(clock, store, c.row_bytes),
+        memory(c.memory_mb, metrics),
+        turns(l, clock, store, memory, c.row_bytes),
         send_limits(l, clock, view.upstreams, metrics, c.peers,
                     clients.Sender()),
         stream_records(l, clock, RecordStoreOf(store), c.name),
         stream_versions(l, clock, view.upstreams, stream_records, c.peers,
                         clients.Sender()),
-        memory(HeldBytesLimit(c.memory_mb), metrics),
         pool(l, clock, metrics, memory.socket_buffer_bytes()),
         crashes(l),
         probes(clock, ProbeStoreOf(store)),
@@ -159,11 +159,11 @@
   ProgramStarts starts;
   Permits permits;
   Budgets budgets;
+  HeldMemory memory;
   Turns turns;
   SendLimits send_limits;
   StreamRecords stream_records;
   StreamVersions stream_versions;
-  HeldMemory memory;
   ConnectionPool pool;
   CrashWatch crashes;
   CrashProbes probes;
@@ -224,6 +224,12 @@
   metrics.GetGauge("process_resident_kb").Set(use.resident_kb);
   metrics.GetGauge("process_peak_resident_kb").Set(use.peak_resident_kb);
   memory.UpdateGauges();
+  if (memory.is_bounded()) {
+    metrics.GetGauge("turn_copies_bytes")
+        .Set(static_cast<int64_t>(turns.copies_bytes()));
+    metrics.GetGauge("turn_copies_peak_bytes")
+        .Set(static_cast<int64_t>(turns.copies_peak_bytes()));
+  }
   metrics.GetGauge("exceptions_reported")
       .Set(static_cast<int64_t>(ExceptionsReported()));
 }
--- a/src/gateway/held_memory.cc
+++ b/src/gateway/held_memory.cc
@@ -11,9 +11,11 @@
 
 }  // namespace
 
-HeldMemory::HeldMemory(uint64_t limit_bytes, Metrics& metrics)
-    : metrics_(metrics), account_(std::make_shared<Account>()) {
-  account_->state.limit_bytes = limit_bytes;
+HeldMemory::HeldMemory(uint64_t memory_mb, Metrics& metrics)
+    : metrics_(metrics),
+      copies_limit_bytes_(CopiesLimit(memory_mb)),
+      account_(std::make_shared<Account>()) {
+  account_->state.limit_bytes = HeldBytesLimit(memory_mb);
 }
 
 void HeldMemory::ReportRefusal(std::string_view request_id,
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -213,11 +213,13 @@
   }
   const Ms left = std::max(deadline - clock_.Now(), Ms{1});
   conn->stream.expires_after(ToChrono(left));
-  http::request<http::string_body> request(call.method, call.target, 11);
+  // A view: the body may be large, and `call` outlives the request.
+  http::request<http::span_body<const char>> request(call.method, call.target,
+                                                     11);
   request.set(http::field::host, address_.ToString());
   if (!call.body.empty()) {
     request.set(http::field::content_type, "application/json");
-    request.body() = call.body;
+    request.body() = {call.body.data(), call.body.size()};
   }
   request.prepare_payload();
   NetErrorCode ec;
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,10 @@
 constexpr int64_t kRowsStay = 2;
 /// Text that fits in one commit, which takes 1 MB in all, encoded as base64.
 constexpr size_t kMaxTextBytes = 680 << 10;
+/// Copies of a text while it is stored or decoded: the text, its rows, and the
+/// message that carries them as base64. Those made and dropped in one step are
+/// there for one turn at a time.
+constexpr uint64_t kCopiesOfText = 4;
 
 RowKey KeyOf(const std::string& id, size_t piece) {
   RowKey key{kTable, kPartPrefix + std::to_string(HashBytes(id) % kParts), id};
@@ -67,9 +72,9 @@
   if (turn.history.has_value()) json["history"] = bytes(*turn.history);
   if (turn.is_section) json["section"] = true;
   if (turn.lacks_start) json["lacks_start"] = true;
-  std::string out;
+  std::string out = std::to_string(turn.rows_until.count) + '\n';
   nlohmann::json::to_cbor(json, out);
-  return std::to_string(turn.rows_until.count) + '\n' + out;
+  return out;
 }
 
 /// Returns the time with which a value starts.
@@ -217,7 +222,22 @@
   return bytes;
 }
 
-Task<Turns::TurnRead> Turns::Read(std::string id) {
+Task<WeightedSemaphore::Permit> Turns::AcquireCopies(size_t text_bytes,
+                                                     Ms deadline) {
+  const Ms left = std::max(deadline - clock_.Now(), Ms{0});
+  co_return co_await copies_.Acquire(kCopiesOfText * text_bytes, left);
+}
+
+Task<absl::StatusOr<std::string>> Turns::ReadFurtherRows(
+    std::string id, std::vector<Row> rows) {
+  const RowsRead further = co_await ReadRows(FurtherRows(id), &rows);
+  if (further == RowsRead::kFailed) {
+    co_return absl::UnavailableError("store did not answer");
+  }
+  co_return JoinRows(id, rows);
+}
+
+Task<Turns::TurnRead> Turns::Read(std::string id, Ms deadline) {
   TurnRead read;
   read.turn = FindInCache(id);
   if (read.turn != nullptr) {
@@ -237,11 +257,15 @@
     co_return read;
   }
   if (bytes.ok()) read.turn = Decode(id, *bytes);
+  WeightedSemaphore::Permit copies;
   if (read.turn == nullptr) {
     // The start of a turn of several rows can't be decoded.
-    const RowsRead further = co_await ReadRows(FurtherRows(id), &rows);
-    if (further == RowsRead::kFailed) co_return read;
-    bytes = JoinRows(id, rows);
+    copies = co_await AcquireCopies(kMaxTextBytes, deadline);
+    read.cause = "no memory to decode it";
+    if (!copies) co_return read;
+    bytes = co_await ReadFurtherRows(id, std::move(rows));
+    read.cause = "store did not answer";
+    if (absl::IsUnavailable(bytes.status())) co_return read;
     if (bytes.ok()) read.turn = Decode(id, *bytes);
   }
   read.cause = "row can't be decoded";
@@ -255,12 +279,13 @@
   co_return read;
 }
 
-Task<History> Turns::HistoryOf(std::string previous, std::string workspace) {
+Task<History> Turns::HistoryOf(std::string previous, std::string workspace,
+                               HeldBytes& held, Ms deadline) {
   History history;
   std::vector<TurnPtr> chain;
   bool is_whole = false;
   while (!is_whole && chain.size() < kMaxChainTurns) {
-    const TurnRead read = co_await Read(previous);
+    const TurnRead read = co_await Read(previous, deadline);
     const bool named = chain.empty();
     if (read.outcome == HistoryOutcome::kNotFound && !named) {
       // A loss of data, not the caller's error.
@@ -283,6 +308,12 @@
       history.outcome = HistoryOutcome::kIncomplete;
       co_return history;
     }
+    const size_t bytes = TextBytes(*turn);
+    if (!MayHold(memory_.state(), bytes)) {
+      history.outcome = HistoryOutcome::kNoRoom;
+      co_return history;
+    }
+    held.Set(held.bytes() + bytes);
     history.outcome = HistoryOutcome::kUnavailable;
     history.cause = "chain is too long";
     history.rows_until = named ? turn->rows_until
@@ -292,11 +323,15 @@
     chain.push_back(turn);
   }
   if (!is_whole) co_return history;
-  for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
-    const Turn& turn = **it;
+  history.text.reserve(std::accumulate(
+      chain.begin(), chain.end(), size_t{0},
+      [](size_t n, const TurnPtr& turn) { return n + TextBytes(*turn); }));
+  while (!chain.empty()) {
+    const Turn& turn = *chain.back();
     if (turn.history.has_value()) history.text += *turn.history;
     history.text += turn.input;
     history.text += turn.output;
+    chain.pop_back();
   }
   history.outcome = HistoryOutcome::kFound;
   co_return history;
@@ -306,52 +341,69 @@
   return store_.StoreNow() + ttl > chain_until;
 }
 
-std::vector<std::shared_ptr<Turn>> Turns::TakeSections(Turn& turn) {
-  std::vector<std::shared_ptr<Turn>> sections;
-  if (TextBytes(turn) <= kMaxTextBytes) return sections;
-  std::string text = std::move(turn.history).value_or("");
-  text += turn.input;
-  if (turn.history.has_value()) turn.previous.clear();
-  turn.history.reset();
+Task<bool> Turns::Save(FinishedTurn finished, Ms ttl, Ms deadline) {
+  auto turn = std::make_shared<Turn>();
+  turn->id = std::move(finished.id);
+  turn->workspace = std::move(finished.workspace);
+  turn->previous = std::move(finished.previous);
+  turn->output = std::move(finished.output);
+  turn->lacks_start = finished.lacks_start;
+  turn->rows_until = store_.StoreNow() + ttl * kRowsStay;
+  const std::string_view text = *finished.text;
   // The output is bounded; the rest of the text goes before it.
   const size_t room =
-      kMaxTextBytes - std::min(turn.output.size(), kMaxTextBytes);
+      kMaxTextBytes - std::min(turn->output.size(), kMaxTextBytes);
+  const bool has_sections = text.size() > room;
+  const size_t history_bytes = finished.history_bytes.value_or(0);
+  if (has_sections && finished.history_bytes.has_value()) {
+    turn->previous.clear();
+  }
+  // Sections first: a turn that is stored is complete.
   size_t at = 0;
-  while (text.size() - at > room) {
+  for (size_t number = 0; text.size() - at > room; ++number) {
     const size_t n = std::min(kMaxTextBytes, text.size() - at);
+    const WeightedSemaphore::Permit copies =
+        co_await AcquireCopies(n, deadline);
+    if (!copies) co_return false;
     auto section = std::make_shared<Turn>();
-    section->id = turn.id + "^" + std::to_string(sections.size());
-    section->workspace = turn.workspace;
-    section->previous = turn.previous;
+    section->id = turn->id + "^" + std::to_string(number);
+    section->workspace = turn->workspace;
+    section->previous = turn->previous;
     section->input = text.substr(at, n);
     section->is_section = true;
-    section->rows_until = turn.rows_until;
-    turn.previous = section->id;
-    sections.push_back(std::move(section));
+    section->rows_until = turn->rows_until;
+    turn->previous = section->id;
     at += n;
-  }
-  turn.input = text.substr(at);
-  return sections;
-}
-
-Task<bool> Turns::Save(std::shared_ptr<Turn> turn, Ms ttl, Ms deadline) {
-  turn->rows_until = store_.StoreNow() + ttl * kRowsStay;
-  // Sections first: a turn that is stored is complete.
-  for (std::shared_ptr<Turn>& section : TakeSections(*turn)) {
     const bool kept = co_await SaveRows(std::move(section), deadline);
     if (!kept) co_return false;
   }
+  const WeightedSemaphore::Permit copies =
+      co_await AcquireCopies(text.size() - at + turn->output.size(), deadline);
+  if (!copies) co_return false;
+  if (!has_sections && finished.history_bytes.has_value()) {
+    turn->history = text.substr(0, history_bytes);
+    at = history_bytes;
+  }
+  turn->input = text.substr(at);
   co_return co_await SaveRows(std::move(turn), deadline);
 }
 
-Task<bool> Turns::SaveRows(TurnPtr turn, Ms deadline) {
-  const std::string bytes = Encode(*turn);
+Commit Turns::CommitOf(const Turn& turn) const {
+  std::string bytes = Encode(turn);
   Commit commit;
+  const size_t pieces = bytes.size() / row_bytes_ + 1;
+  commit.conditions.reserve(pieces);
+  commit.writes.reserve(pieces);
   for (size_t at = 0, piece = 0; at < bytes.size(); at += row_bytes_, ++piece) {
-    const RowKey key = KeyOf(turn->id, piece);
+    const RowKey key = KeyOf(turn.id, piece);
     commit.conditions.push_back({key, 0});
     commit.writes.push_back({key, bytes.substr(at, row_bytes_)});
   }
+  return commit;
+}
+
+Task<bool> Turns::SaveRows(TurnPtr turn, Ms deadline) {
+  const Commit commit = CommitOf(*turn);
   StoreAnswer answer;
   while (true) {
     answer = co_await store_.Apply(commit);
@@ -364,7 +416,7 @@
     }
     if (answer.outcome == StoreOutcome::kRejected || clock_.Now() >= deadline) {
       kLog.Warning("Failed to store a turn.",
-                   {{"turn", turn->id}, {"bytes", bytes.size()}});
+                   {{"turn", turn->id}, {"bytes", TextBytes(*turn)}});
       co_return false;
     }
     asio::steady_timer timer(co_await asio::this_coro::executor,
--- a/src/policy/memory_guard.cc
+++ b/src/policy/memory_guard.cc
@@ -7,9 +7,12 @@
 namespace {
 
 /// Share of the memory for held bytes, in percent. The other half is for the
-/// program with its tables (some 10 MB), the cache of turns (8 MB), and what
-/// the allocator and the kernel need for the held bytes themselves.
+/// program with its tables (some 10 MB), the cache of turns (8 MB), the copies
+/// of turns, and what the allocator and the kernel need for the held bytes
+/// themselves.
 constexpr uint64_t kHeldSharePercent = 50;
+/// Share of the memory for copies of turns, in percent.
+constexpr uint64_t kCopiesSharePercent = 25;
 constexpr uint64_t kBytesPerMb = 1 << 20;
 
 }  // namespace
@@ -18,6 +21,10 @@
   return memory_mb * kBytesPerMb * kHeldSharePercent / 100;
 }
 
+uint64_t CopiesLimit(uint64_t memory_mb) {
+  return memory_mb * kBytesPerMb * kCopiesSharePercent / 100;
+}
+
 uint64_t RoomFor(const HeldState& state, uint64_t wanted_bytes) {
   if (state.limit_bytes == 0) return wanted_bytes;
   if (state.held_bytes >= state.limit_bytes) return 0;
