Let witnesses tell what was spent of the allowance of a gateway that is gone

Cause: the home of a program claims up to eight turns ahead and grants from that without the store, so that it alone knew what was spent. After its death the allowance counted as held for 12 s and then as spent in full, though the gateways that had run the turns were alive.

Change: each turn has a witness before it begins, the gateway that runs it or one that the home tells. The row lists the witnesses of an allowance and what its holder has written since the lease began. A gateway in whose way such a lease is, or that would count it as spent, asks all of them; from then on they let no turn begin on it. Turns under way become the successor's. Without all answers nothing changes: held for 12 s, then spent in full.

Why this works: a lease whose witnesses are closed can't be used, whether its holder is dead, paused or cut off, so no time has to pass and no clock decides. Its holder notices by a refused turn or by the row, and drops its books.

Cost: a turn that runs at its home waits for a message to another gateway; the first turn at a further gateway takes a write.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -9,70 +9,26 @@
 #include <string_view>
 #include <vector>
 
+#include "knapweed/gateway/budget_row.h"
 #include "knapweed/gateway/peers.h"
 #include "knapweed/gateway/shared_row.h"
-#include "knapweed/gateway/swept_table.h"
+#include "knapweed/gateway/turn_witness.h"
 
 /// Token budgets of programs, enforced jointly by all gateways. Each program
 /// has one row in the store: the tokens spent so far and, for each gateway, an
 /// allowance that this gateway may spend without another store call. Several
 /// turns of a program thus cost one write, and a program in progress can
 /// continue for a while when the store is unreachable.
+///
+/// What was spent of an allowance whose gateway is gone is told by the
+/// witnesses of its turns, which the row lists: the gateways that ran them, or
+/// for turns that ran at the holder itself another one that the holder has told
+/// before. Once asked, they let no turn begin on that lease any more, so that
+/// it does not matter whether its holder is dead, paused or cut off. If one of
+/// them does not answer, the allowance counts as spent in full after
+/// `kAllowanceTtl`.
 namespace knapweed::gateway {
 
-/// The decoded row of a program; `allowances` is keyed by gateway name.
-struct BudgetState {
-  /// Tokens set aside for one gateway. `at` is when the gateway last confirmed
-  /// the allowance, on the store's clock.
-  struct Allowance {
-    uint64_t tokens = 0;
-    Ms at;
-  };
-
-  uint64_t spent = 0;
-  std::map<std::string, Allowance> allowances;
-  /// When the row was last written, on the store's clock.
-  Ms written_at;
-};
-
-/// A gateway's request to change a program's row: adds its spending and asks
-/// for an allowance.
-struct BudgetClaim {
-  std::string gateway;
-  uint64_t budget = 0;
-  /// Tokens spent at this gateway and not yet written to the row.
-  uint64_t spent = 0;
-  /// Sum of the token limits of the turns running at this gateway.
-  uint64_t running = 0;
-  /// Token limit of the turn to start; 0 when the claim starts no turn.
-  uint64_t max_tokens = 0;
-  /// Current time on the store's clock.
-  Ms now;
-};
-
-/// The result of `ApplyClaim`.
-enum class ClaimVerdict : uint8_t {
-  kGranted,
-  /// The rest of the budget is too small for the turn, even if all other
-  /// gateways returned their allowances.
-  kExhausted,
-  /// The turn may fit once another gateway returns unused tokens.
-  kHeldElsewhere,
-};
-
-/// Applies a claim to a row: adds the claimed spending and sets the gateway's
-/// allowance to what its turns need, plus extra tokens when the budget has
-/// ample room. Allowances that other gateways have not confirmed for a while
-/// count as spent. Leaves the row unchanged unless the claim is granted.
-ClaimVerdict ApplyClaim(const BudgetClaim& claim, BudgetState& state);
-
-/// Decodes the state of a row; skips malformed fields.
-BudgetState DecodeBudget(const nlohmann::json& json);
-nlohmann::json EncodeBudget(const BudgetState& state);
-
-/// Describes the budget table to `RowSweeper`.
-SweptTable BudgetTable();
-
 /// The result of a request for tokens. `kUnavailable` means that the store did
 /// not confirm any result in time.
 enum class Reservation : uint8_t {
@@ -90,6 +46,31 @@
   Reservation reservation = Reservation::kUnavailable;
   bool begins_program = false;
   Ms waited;
+  /// The lease on which the turn runs.
+  LeaseKey lease;
+  /// Another gateway than the one that asked, to which the holder has told the
+  /// turn; empty if there is none.
+  Address told;
+};
+
+/// A gateway's process that can witness turns; empty if there is none.
+struct Witness {
+  Address address;
+  std::string process;
+
+  bool empty() const { return process.empty(); }
+};
+
+/// A turn for which tokens are asked of a program's budget.
+struct TurnToReserve {
+  std::string program;
+  /// Unique across all gateways.
+  std::string turn;
+  uint64_t budget = 0;
+  uint64_t max_tokens = 0;
+  Ms deadline;
+  /// The other gateway that runs the turn, if it does.
+  Witness runner;
 };
 
 /// Identifies the reservation of a turn, for settling it when the turn ends.
@@ -101,6 +82,11 @@
   /// Peer address of the gateway that holds the reservation; empty when it is
   /// this gateway.
   Address home;
+  /// The lease on which the turn runs.
+  LeaseKey lease;
+  /// The gateway to which this one has told the turn, as the holder of its
+  /// lease; empty if there is none.
+  Address told;
 };
 
 /// Path prefix of reservation requests on a gateway's peer address.
@@ -109,8 +95,7 @@
 /// Reserves tokens before a turn runs and settles the reservation after the
 /// turn has ended. Each program has a home gateway, so that most claims for it
 /// come from one gateway and need fewer writes; any other may claim from the
-/// row itself. The allowances of a gateway that crashed count as spent,
-/// since its turns may have spent all of them.
+/// row itself.
 class Budgets {
  public:
   /// `gateway` names this gateway in budget rows and is unique to this process.
@@ -124,7 +109,8 @@
         rows_(rows),
         gateway_(std::move(gateway)),
         clients_(clients),
-        peers_(clock, self) {}
+        peers_(clock, self),
+        self_(self) {}
 
   /// Reserves `ticket.max_tokens` tokens of the program's `budget` at the
   /// program's home, or at this gateway if the home does not answer. Waits
@@ -157,6 +143,14 @@
   struct Program {
     explicit Program(asio::io_context& loop) : unlocked(loop) {}
     CachedRow row;
+    /// The lease of the allowance, as last written.
+    BudgetLease lease;
+    /// Reservations on earlier leases are void: another gateway has taken over
+    /// what was left of them.
+    uint64_t first_valid_lease = 0;
+    /// The row may hold another lease than `lease`, so that no turn may begin
+    /// before the next claim is granted.
+    bool lease_is_unsure = false;
     /// This gateway's allowance in tokens, as last written.
     uint64_t allowance = 0;
     /// When the allowance was last written.
@@ -184,17 +178,17 @@
     std::string program;
     uint64_t max_tokens = 0;
     Ms expires_at;
+    LeaseKey lease;
+    /// As in `ReserveResult`.
+    Address told;
   };
 
   /// Programs that are due, shared by the coroutines that write them.
   struct FlushRun;
 
-  Task<ReserveResult> ReserveHere(std::string name, uint64_t budget,
-                                  uint64_t tokens, Ms deadline);
+  Task<ReserveResult> ReserveHere(TurnToReserve turn);
   /// The same for a program that the caller has locked.
-  Task<ReserveResult> ReserveLocked(std::string name, ProgramPtr program,
-                                    uint64_t budget, uint64_t tokens,
-                                    Ms deadline);
+  Task<ReserveResult> ReserveLocked(TurnToReserve turn, ProgramPtr program);
   enum class HomeReply : uint8_t {
     kDecided,
     /// It reserved nothing, since it is stopping.
@@ -205,8 +199,21 @@
   Task<HomeReply> ReserveAt(Address home, ReservationTicket ticket,
                             uint64_t budget, Ms deadline,
                             ReserveResult* result);
-  void SettleHere(const std::string& name, uint64_t max_tokens, uint64_t spent);
-  Task<void> SettleAt(ReservationTicket ticket, uint64_t spent);
+  void SettleHere(const std::string& name, const LeaseKey& lease,
+                  uint64_t max_tokens, uint64_t spent);
+  /// Settles a reservation that is held for another gateway. Returns false if
+  /// there is none.
+  bool SettleRemote(const std::string& turn, uint64_t spent);
+  /// Sends a message until the peer has taken it, a few times at most.
+  Task<bool> SendUntilTaken(Address peer, HttpRequest call);
+  Task<void> SettleAt(Address home, std::string turn, uint64_t spent);
+  /// Ends a turn that this gateway witnesses, here and at the gateway that has
+  /// taken over its lease.
+  void SettleWitnessed(const LeaseKey& lease, const std::string& turn,
+                       uint64_t spent);
+  /// Tells the witness of a turn that it has ended.
+  Task<void> SettleTold(Address witness, LeaseKey lease, std::string turn,
+                        uint64_t spent);
   void ExpireRemote();
   ProgramPtr Find(const std::string& name);
   Task<bool> Lock(ProgramPtr program, Ms deadline);
@@ -215,8 +222,56 @@
   /// left locked, it would keep its calls waiting for ever.
   template <typename Result>
   static Task<Result> ThenUnlock(ProgramPtr program, Task<Result> step);
-  Task<Reservation> Claim(std::string name, ProgramPtr program, uint64_t budget,
-                          uint64_t max_tokens, Ms deadline);
+  enum class ClaimResult : uint8_t {
+    kGranted,
+    kExhausted,
+    kHeldElsewhere,
+    kUnavailable,
+    /// Another gateway has taken over the lease of the program.
+    kLost,
+  };
+  /// Claims tokens for a turn on `lease`, which lists its witness. Takes over
+  /// the leases of others that are in the way.
+  Task<ClaimResult> Claim(TurnToReserve turn, ProgramPtr program,
+                          BudgetLease lease);
+  /// The same with the leases that were taken over so far. Sets `to_ask` to the
+  /// others that are in the way, by holder, and then changes nothing.
+  Task<ClaimResult> ClaimOnce(TurnToReserve turn, ProgramPtr program,
+                              const BudgetClaim& base,
+                              std::map<std::string, BudgetLease>* to_ask);
+  /// Holds the turns that run on a lease that was taken over.
+  void HoldTurnsOf(const std::string& name, Program& program,
+                   const TakenOverLease& taken);
+  /// Asks the witnesses of a lease what was spent of it. Returns nothing unless
+  /// all of them answer.
+  Task<std::optional<TakenOverLease>> TakeOver(std::string name,
+                                               std::string holder,
+                                               BudgetLease lease);
+  /// The same of one witness; adds what it tells.
+  Task<bool> AskWitness(Witness witness, LeaseKey lease, TakenOverLease* taken);
+  /// Returns the lease on which the next turn runs: that of the allowance, or a
+  /// new one if it has none or the lease can't go on.
+  BudgetLease NextLease(const Program& program, const Witness& runner);
+  BudgetLease NewLease(const Program& program);
+  /// Tells another gateway of a turn that its runner does not witness. Returns
+  /// the witness; none if none answers. Replaces `lease` by a new one if one of
+  /// its witnesses has gone or lets no turn begin on it.
+  Task<Witness> TellTurn(TurnToReserve turn, const Program& program,
+                         BudgetLease* lease);
+  Task<Witness> TellTurnTo(Address address, TurnToReserve turn,
+                           const Program& program, BudgetLease* lease);
+  /// Returns whether another gateway has taken over the allowance.
+  bool IsLost(const Program& program, const BudgetState& state) const;
+  /// Voids what is held of a program of which `IsLost`.
+  void LoseLease(Program& program) const;
+  /// Returns whether a turn with this witness may begin without a claim.
+  bool MayBegin(const Program& program, const BudgetLease& lease,
+                const TurnToReserve& turn) const;
+  HttpResponse AnswerSettle(const nlohmann::json& json);
+  HttpResponse AnswerTold(const nlohmann::json& json);
+  HttpResponse AnswerToldSettled(const nlohmann::json& json);
+  HttpResponse AnswerTakeOver(const nlohmann::json& json);
+  Task<HttpResponse> AnswerReserve(nlohmann::json json);
   Task<bool> WriteBack(std::string name, ProgramPtr program, bool release);
   /// The same for a program that the caller has locked.
   Task<bool> WriteLocked(std::string name, ProgramPtr program, bool release);
@@ -237,6 +292,10 @@
   Peers peers_;
   std::map<std::string, ProgramPtr> programs_;
   std::map<std::string, RemoteTurn> remote_turns_;
+  TurnWitness witness_;
+  Address self_;
+  /// Number of the last lease that this process began, of any program.
+  uint64_t last_lease_ = 0;
   /// Settlements that are on their way to their home, and reservations for
   /// other gateways that are being made. Shared, since those that are cut off
   /// at the end of the process outlive this object.
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -11,12 +11,6 @@
 namespace knapweed::gateway {
 namespace {
 
-/// Number of parts (partitions) of the budget table. The store commits about
-/// 200 times a second per part, one commit after another; with 256 parts two
-/// programs rarely wait for each other.
-constexpr uint64_t kParts = 256;
-constexpr char kTable[] = "budgets";
-constexpr char kPartPrefix[] = "b";
 /// A program without a call for this long is dropped from memory; its row stays
 /// in the store.
 constexpr Ms kDropIdleAfter{60000};
@@ -26,17 +20,14 @@
 constexpr size_t kWritesAtOnce = 8;
 /// A refusal is repeated for this long without reading the row again.
 constexpr Ms kRefusalCacheTtl{200};
-/// An allowance in use is confirmed at this interval. One that has not been
-/// confirmed for `kAllowanceTtl` belongs to a gateway that crashed, and counts
-/// as spent.
+/// An allowance in use is confirmed at this interval.
 constexpr Ms kConfirmInterval{3000};
-constexpr Ms kAllowanceTtl{12000};
-/// Extra tokens in an allowance beyond what its turns need: half of what the
-/// budget holds after another `kTurnsLeftOver` turns at their limit, up to the
-/// limit of `kMaxTurnsAhead` turns. The rest stays available to other gateways.
-constexpr uint64_t kMaxTurnsAhead = 8;
-constexpr uint64_t kTurnsLeftOver = 4;
-constexpr uint64_t kAheadDivisor = 2;
+/// A lease that is older ends with the next claim, and with it the witnesses
+/// that no longer run turns of the program and may go.
+constexpr Ms kMaxLeaseAge{10000};
+/// Rounds of a claim or a reservation, each after another gateway has changed
+/// the row.
+constexpr int kMaxRounds = 4;
 /// Idle time after which an allowance is returned. One with extra tokens is
 /// kept longer, so that a program that meanwhile used another gateway still
 /// finds it on its return. One of a tight budget is returned soon, since
@@ -44,82 +35,8 @@
 constexpr Ms kIdleWithHeadroom{4000};
 constexpr Ms kIdleWithoutHeadroom{350};
 
-RowKey KeyOf(const std::string& name) {
-  return {kTable, kPartPrefix + std::to_string(HashBytes(name) % kParts), name};
-}
-
-std::optional<Ms> ExpiresAt(std::string_view value, Ms retention) {
-  const nlohmann::json row = ParseJson(value);
-  if (!row.is_object() || !row.contains("state")) return std::nullopt;
-  const BudgetState state = DecodeBudget(row["state"]);
-  if (state.written_at == Ms{0}) return std::nullopt;
-  return state.written_at + retention;
-}
-
 }  // namespace
 
-BudgetState DecodeBudget(const nlohmann::json& json) {
-  BudgetState state;
-  if (!json.is_object()) return state;
-  state.spent = CountField(json, "spent");
-  state.written_at = MsField(json, "written_at").value_or(Ms{0});
-  const nlohmann::json* allowances = FindField(json, "allowances");
-  if (allowances == nullptr || !allowances->is_object()) return state;
-  for (const auto& [gateway, item] : allowances->items()) {
-    const bool readable = item.is_array() && item.size() == 2 &&
-                          item[0].is_number_unsigned() &&
-                          MsOf(item[1]).has_value();
-    if (!readable) continue;
-    state.allowances[gateway] = {CountOf(item[0]), *MsOf(item[1])};
-  }
-  return state;
-}
-
-nlohmann::json EncodeBudget(const BudgetState& state) {
-  nlohmann::json allowances = nlohmann::json::object();
-  for (const auto& [gateway, allowance] : state.allowances) {
-    allowances[gateway] = {allowance.tokens, allowance.at.count};
-  }
-  return {{"spent", state.spent},
-          {"allowances", std::move(allowances)},
-          {"written_at", state.written_at.count}};
-}
-
-SweptTable BudgetTable() { return {kTable, kPartPrefix, kParts, ExpiresAt}; }
-
-ClaimVerdict ApplyClaim(const BudgetClaim& claim, BudgetState& state) {
-  BudgetState next = state;
-  next.spent += claim.spent;
-  next.allowances.erase(claim.gateway);
-  uint64_t held_elsewhere = 0;
-  for (auto it = next.allowances.begin(); it != next.allowances.end();) {
-    if (claim.now - it->second.at > kAllowanceTtl) {
-      next.spent += it->second.tokens;
-      it = next.allowances.erase(it);
-    } else {
-      held_elsewhere += it->second.tokens;
-      ++it;
-    }
-  }
-  const uint64_t needed = next.spent + claim.running + claim.max_tokens;
-  if (claim.max_tokens > 0 && needed + held_elsewhere > claim.budget) {
-    return needed > claim.budget || held_elsewhere == 0
-               ? ClaimVerdict::kExhausted
-               : ClaimVerdict::kHeldElsewhere;
-  }
-  uint64_t tokens = claim.running + claim.max_tokens;
-  const uint64_t used = needed + held_elsewhere;
-  const uint64_t kept = used + kTurnsLeftOver * claim.max_tokens;
-  if (claim.max_tokens > 0 && kept < claim.budget) {
-    tokens += std::min((claim.budget - kept) / kAheadDivisor,
-                       kMaxTurnsAhead * claim.max_tokens);
-  }
-  if (tokens > 0) next.allowances[claim.gateway] = {tokens, claim.now};
-  next.written_at = claim.now;
-  state = std::move(next);
-  return ClaimVerdict::kGranted;
-}
-
 Budgets::ProgramPtr Budgets::Find(const std::string& name) {
   ProgramPtr& program = programs_[name];
   if (program == nullptr) program = std::make_shared<Program>(loop_);
@@ -142,83 +59,208 @@
   program.unlocked.Notify();
 }
 
-Task<Reservation> Budgets::Claim(std::string name, ProgramPtr program,
-                                 uint64_t budget, uint64_t max_tokens,
-                                 Ms deadline) {
-  BudgetClaim claim;
-  claim.gateway = gateway_;
-  claim.budget = budget;
-  claim.spent = program->spent;
-  claim.running = program->running;
-  claim.max_tokens = max_tokens;
-  ClaimVerdict verdict = ClaimVerdict::kGranted;
-  uint64_t allowance = 0;
+bool Budgets::IsLost(const Program& program, const BudgetState& state) const {
+  const bool is_sure = !program.row_is_unsure && !program.lease_is_unsure;
+  return program.allowance > 0 && is_sure &&
+         !state.allowances.contains(gateway_);
+}
+
+void Budgets::LoseLease(Program& program) const {
+  program.spent = 0;
+  program.running = 0;
+  program.allowance = 0;
+  program.first_valid_lease = last_lease_ + 1;
+}
+
+BudgetLease Budgets::NewLease(const Program& program) {
+  BudgetLease lease;
+  lease.number = ++last_lease_;
+  lease.since = store_.StoreNow();
+  lease.carried = program.running;
+  return lease;
+}
+
+BudgetLease Budgets::NextLease(const Program& program, const Witness& runner) {
+  const BudgetLease& last = program.lease;
+  const auto known = last.witnesses.find(runner.address);
+  const bool has_restarted =
+      known != last.witnesses.end() && known->second != runner.process;
+  const bool goes_on = program.allowance > 0 && !program.lease_is_unsure &&
+                       !has_restarted &&
+                       store_.StoreNow() - last.since <= kMaxLeaseAge;
+  return goes_on ? last : NewLease(program);
+}
+
+Task<Budgets::ClaimResult> Budgets::ClaimOnce(
+    TurnToReserve turn, ProgramPtr program, const BudgetClaim& base,
+    std::map<std::string, BudgetLease>* to_ask) {
+  BudgetClaim claim = base;
+  ClaimResult result = ClaimResult::kGranted;
+  BudgetState::Allowance allowance;
+  std::vector<TakenOverLease> taken_over;
   const RowChange change = [&](nlohmann::json& json) {
     BudgetState state = DecodeBudget(json);
-    program->total_spent = state.spent;
+    if (IsLost(*program, state)) {
+      LoseLease(*program);
+      result = ClaimResult::kLost;
+    }
+    if (result == ClaimResult::kLost) return false;
+    claim.spent = program->spent;
+    claim.running = program->running;
     claim.now = store_.StoreNow();
-    verdict = ApplyClaim(claim, state);
+    program->total_spent = state.spent;
+    to_ask->clear();
+    for (const std::string& holder : HoldersToAskFor(claim, state)) {
+      to_ask->emplace(holder, *state.allowances[holder].lease);
+    }
+    if (!to_ask->empty()) return false;
+    taken_over = TakenOverIn(claim, state);
+    const ClaimVerdict verdict = ApplyClaim(claim, state);
+    result = verdict == ClaimVerdict::kGranted ? ClaimResult::kGranted
+             : verdict == ClaimVerdict::kExhausted
+                 ? ClaimResult::kExhausted
+                 : ClaimResult::kHeldElsewhere;
     if (verdict != ClaimVerdict::kGranted) return false;
-    allowance = state.allowances[gateway_].tokens;
+    allowance = state.allowances[gateway_];
     program->total_spent = state.spent;
     json = EncodeBudget(state);
     return true;
   };
-  const RowKey key = KeyOf(name);
+  const RowKey key = BudgetKeyOf(turn.program);
   const UpdateOutcome outcome = co_await rows_.Update(
-      key, program->row, change, deadline, kRefusalCacheTtl);
-  if (outcome == UpdateOutcome::kChanged) {
-    program->spent -= claim.spent;
-    program->row_is_unsure = false;
-    program->allowance = allowance;
-    program->has_headroom = allowance > program->running + max_tokens;
-    program->allowed_at = clock_.Now();
-    co_return Reservation::kReserved;
+      key, program->row, change, turn.deadline, kRefusalCacheTtl);
+  if (outcome == UpdateOutcome::kDeclined) co_return result;
+  if (outcome != UpdateOutcome::kChanged) {
+    // After an unknown outcome the row may hold a larger allowance than
+    // `program->allowance`, or another lease; the next write corrects it.
+    const bool changes_lease =
+        program->allowance > 0 && program->lease.number != claim.lease->number;
+    if (outcome == UpdateOutcome::kUnknown && changes_lease) {
+      program->lease_is_unsure = true;
+    }
+    co_return ClaimResult::kUnavailable;
   }
-  if (outcome == UpdateOutcome::kDeclined) {
-    co_return verdict == ClaimVerdict::kExhausted ? Reservation::kExhausted
-                                                  : Reservation::kHeldElsewhere;
+  program->spent -= claim.spent;
+  program->row_is_unsure = false;
+  program->lease_is_unsure = false;
+  program->allowance = allowance.tokens;
+  program->lease = *allowance.lease;
+  program->allowed_at = clock_.Now();
+  for (const TakenOverLease& taken : taken_over) {
+    HoldTurnsOf(turn.program, *program, taken);
   }
-  // After an unknown outcome the row may hold a larger allowance than
-  // `program->allowance`; the next write corrects it.
-  co_return Reservation::kUnavailable;
+  program->has_headroom =
+      program->allowance > program->running + turn.max_tokens;
+  co_return ClaimResult::kGranted;
 }
 
-Task<ReserveResult> Budgets::ReserveHere(std::string name, uint64_t budget,
-                                         uint64_t tokens, Ms deadline) {
-  const ProgramPtr program = Find(name);
-  const bool locked = co_await Lock(program, deadline);
+Task<Budgets::ClaimResult> Budgets::Claim(TurnToReserve turn,
+                                          ProgramPtr program,
+                                          BudgetLease lease) {
+  BudgetClaim claim;
+  claim.gateway = gateway_;
+  claim.budget = turn.budget;
+  claim.max_tokens = turn.max_tokens;
+  claim.lease = std::move(lease);
+  for (int round = 0; round < kMaxRounds; ++round) {
+    std::map<std::string, BudgetLease> to_ask;
+    const ClaimResult result =
+        co_await ClaimOnce(turn, program, claim, &to_ask);
+    if (to_ask.empty()) co_return result;
+    for (const auto& [holder, held] : to_ask) {
+      std::optional<TakenOverLease> taken =
+          co_await TakeOver(turn.program, holder, held);
+      if (taken.has_value()) {
+        claim.taken_over.push_back(*std::move(taken));
+      } else {
+        claim.unanswered.push_back(holder);
+      }
+    }
+  }
+  co_return ClaimResult::kHeldElsewhere;
+}
+
+Task<ReserveResult> Budgets::ReserveHere(TurnToReserve turn) {
+  const ProgramPtr program = Find(turn.program);
+  const bool locked = co_await Lock(program, turn.deadline);
   if (!locked) co_return ReserveResult{};
-  Task<ReserveResult> step =
-      ReserveLocked(std::move(name), program, budget, tokens, deadline);
+  Task<ReserveResult> step = ReserveLocked(std::move(turn), program);
   co_return co_await ThenUnlock(program, std::move(step));
 }
 
-Task<ReserveResult> Budgets::ReserveLocked(std::string name, ProgramPtr program,
-                                           uint64_t budget, uint64_t tokens,
-                                           Ms deadline) {
-  ReserveResult result;
-  result.reservation = Reservation::kReserved;
+bool Budgets::MayBegin(const Program& program, const BudgetLease& lease,
+                       const TurnToReserve& turn) const {
   const bool lapsed =
-      clock_.Now() - program->allowed_at > kAllowanceTtl - kConfirmInterval;
-  if (lapsed ||
-      program->spent + program->running + tokens > program->allowance) {
-    result.reservation =
-        co_await Claim(name, program, budget, tokens, deadline);
+      clock_.Now() - program.allowed_at > kAllowanceTtl - kConfirmInterval;
+  const uint64_t used = program.spent + program.running + turn.max_tokens;
+  return !lapsed && used <= program.allowance && !program.lease_is_unsure &&
+         lease.number == program.lease.number;
+}
+
+Task<ReserveResult> Budgets::ReserveLocked(TurnToReserve turn,
+                                           ProgramPtr program) {
+  ReserveResult result;
+  ClaimResult claimed = ClaimResult::kLost;
+  for (int round = 0; claimed == ClaimResult::kLost && round < kMaxRounds;
+       ++round) {
+    BudgetLease lease = NextLease(*program, turn.runner);
+    Witness witness = turn.runner;
+    if (witness.empty()) {
+      witness = co_await TellTurn(turn, *program, &lease);
+      result.told = witness.address;
+    }
+    const bool is_listed = witness.empty()
+                               ? lease.is_unwitnessed
+                               : lease.Lists(witness.address, witness.process);
+    result.lease = {turn.program, gateway_, lease.number};
+    const bool may_begin = MayBegin(*program, lease, turn);
+    if (may_begin && is_listed) {
+      claimed = ClaimResult::kGranted;
+      break;
+    }
+    if (witness.empty()) {
+      lease.is_unwitnessed = true;
+    } else {
+      lease.witnesses[witness.address] = witness.process;
+    }
+    claimed = co_await Claim(turn, program, std::move(lease));
+    if (claimed == ClaimResult::kUnavailable && may_begin &&
+        result.told.port == 0) {
+      // The row can't be told of the runner now, but it lists other witnesses.
+      BudgetLease listed = program->lease;
+      const Witness other = co_await TellTurn(turn, *program, &listed);
+      const bool fits = MayBegin(*program, listed, turn) &&
+                        program->lease.Lists(other.address, other.process);
+      result.told = other.address;
+      result.lease.number = listed.number;
+      if (fits) claimed = ClaimResult::kGranted;
+    }
+    if (claimed != ClaimResult::kGranted && result.told.port != 0) {
+      Spawn(loop_, SettleTold(result.told, result.lease, turn.turn, 0));
+      result.told = {};
+    }
   }
+  result.reservation =
+      claimed == ClaimResult::kGranted       ? Reservation::kReserved
+      : claimed == ClaimResult::kExhausted   ? Reservation::kExhausted
+      : claimed == ClaimResult::kUnavailable ? Reservation::kUnavailable
+                                             : Reservation::kHeldElsewhere;
   result.begins_program =
       program->total_spent + program->spent + program->running == 0;
   if (program->first_asked_at == Ms{0}) {
     program->first_asked_at = clock_.Now();
   }
   result.waited = clock_.Now() - program->first_asked_at;
-  if (result.reservation == Reservation::kReserved) program->running += tokens;
+  if (result.reservation == Reservation::kReserved) {
+    program->running += turn.max_tokens;
+  }
   co_return result;
 }
 
-void Budgets::SettleHere(const std::string& name, uint64_t max_tokens,
-                         uint64_t spent) {
+void Budgets::SettleHere(const std::string& name, const LeaseKey& lease,
+                         uint64_t max_tokens, uint64_t spent) {
   const ProgramPtr program = Find(name);
+  if (lease.number < program->first_valid_lease) return;
   program->running -= std::min(max_tokens, program->running);
   program->spent += spent;
 }
@@ -236,6 +278,9 @@
   claim.gateway = gateway_;
   claim.spent = program->spent;
   claim.running = program->running;
+  claim.lease = program->lease;
+  bool is_lost = false;
+  std::optional<BudgetLease> lease;
   if (!release) {
     claim.running = std::max(
         claim.running,
@@ -243,18 +288,27 @@
   }
   const RowChange change = [&](nlohmann::json& json) {
     BudgetState state = DecodeBudget(json);
+    is_lost = is_lost || IsLost(*program, state);
+    if (is_lost) return false;
     claim.now = store_.StoreNow();
     ApplyClaim(claim, state);
+    const auto own = state.allowances.find(gateway_);
+    if (own != state.allowances.end()) lease = own->second.lease;
     program->total_spent = state.spent;
     json = EncodeBudget(state);
     return true;
   };
-  const RowKey key = KeyOf(name);
+  const RowKey key = BudgetKeyOf(name);
   const Ms deadline = clock_.Now() + kWriteBackTimeout;
   const UpdateOutcome outcome =
       co_await rows_.Update(key, program->row, change, deadline);
+  if (is_lost) {
+    LoseLease(*program);
+    co_return true;
+  }
   if (outcome == UpdateOutcome::kChanged) {
     program->spent -= claim.spent;
+    if (lease.has_value()) program->lease = *lease;
     program->allowance = claim.running;
     program->allowed_at = clock_.Now();
   } else {
