Read the start of a turn that its caller resumed before it is stored

What callers saw: on a route with keeps_history and resumable, a caller whose connection was reset took its stream up at another gateway and got the rest.

Cause: the second gateway sees only the events after the caller's position. It stored the turn without its output; the events before it lay nowhere.

Change: when a resumed stream has ended, the gateway runs the request once more from the start, at the upstream that answered if it can, reads the events up to the caller's position and drops the rest. Then the turn is stored whole and the stream ends. If the start can't be read the stream gets no end, so that its caller may resume it again.

Why this works: upstreams of one version make the same events, which is what lets a stream be resumed at all, and no state of the first gateway is needed, so it may be dead.

Cost: one run more, up to the caller's position, for a turn that a caller resumed; a permit for it; the end of that stream waits for it.

--- a/include/knapweed/gateway/call.h
+++ b/include/knapweed/gateway/call.h
@@ -67,6 +67,9 @@
   std::optional<int> priority;
   /// Id of the event after which the upstream should resume the stream.
   std::optional<uint64_t> resume_after;
+  /// The upstream should run the request from the start, although its caller
+  /// resumes a stream.
+  bool begins_anew = false;
 };
 
 /// Decoded header fields of an upstream's response.
--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -196,6 +196,17 @@
   Task<Step> OnBroken(StatePtr state, UpstreamPtr upstream,
                       std::string_view what);
   Task<Step> FinishStream(StatePtr state);
+  /// Returns whether a turn that has ended lacks the events that another
+  /// request of its caller brought.
+  static bool LacksStart(const State& state);
+  /// Reads these events from a run that begins anew, and ends the call.
+  Task<Step> OnStart(StatePtr state, UpstreamPtr upstream);
+  /// Appends the data of the events that are complete to `start`. Returns why
+  /// they can't be the start of the stream; empty if they can.
+  static std::string_view TakeStart(State& state, EventSplitter& splitter,
+                                    std::string* start);
+  /// Chooses an upstream for `OnStart`, like `ChooseWithGrant`.
+  Task<UpstreamPtr> ChooseForStart(StatePtr state);
   Task<void> Refuse(StatePtr state, unsigned status, Ms retry_after,
                     std::string_view reason);
   /// Counts an attempt in the load of its upstream.
--- a/include/knapweed/gateway/turns.h
+++ b/include/knapweed/gateway/turns.h
@@ -38,8 +38,8 @@
   std::string input;
   /// The data of each event, followed by a line feed.
   std::string output;
-  /// Its caller resumed it by another request, so the start of its output is
-  /// not known here, and no turn can continue it.
+  /// A process of an earlier build has stored it without the start of its
+  /// output, and no turn can continue it.
   bool lacks_start = false;
   /// It holds a part of the text of a turn that is too long for one commit, and
   /// is no turn that a caller can name.
@@ -64,7 +64,6 @@
   std::optional<size_t> history_bytes;
   /// The data of each event, followed by a line feed.
   std::string output;
-  bool lacks_start = false;
 };
 
 /// `kUnavailable`: the store did not answer, or the chain is damaged.
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -241,6 +241,9 @@
 Task<CallRunner::Step> CallRunner::OnStream(StatePtr state,
                                             UpstreamPtr upstream) {
   Attempt& attempt = *state->attempt;
+  if (state->reads_start) {
+    co_return co_await OnStart(state, upstream);
+  }
   RecordStreamVersion(*state, *upstream);
   if (!state->stream_begun) {
     state->stream_begun = true;
@@ -288,6 +291,65 @@
     co_return co_await OnBroken(state, upstream, "stream ended in an event");
   }
   RecordSuccess(upstream->breaker);
+  if (LacksStart(*state)) {
+    state->reads_start = true;
+    state->tried.clear();
+    co_return Step::kNext;
+  }
+  co_return co_await FinishStream(state);
+}
+
+bool CallRunner::LacksStart(const State& state) {
+  const CallHead& head = state.request.head;
+  return state.route->keeps_history && !head.request_id.empty() &&
+         head.resume_after.value_or(0) > 0;
+}
+
+std::string_view CallRunner::TakeStart(State& state, EventSplitter& splitter,
+                                       std::string* start) {
+  const uint64_t end = *state.request.head.resume_after;
+  StreamEvent event;
+  while (state.last_of_start < end && splitter.Next(&event)) {
+    if (!event.id.has_value() && !event.has_data) continue;
+    const uint64_t last = state.last_of_start;
+    const bool is_next =
+        event.id.has_value() && *event.id > last && *event.id <= end;
+    const bool skips =
+        is_next && last > 0 && state.ids_count_events && *event.id > last + 1;
+    if (!is_next || skips) return "start of the stream has a gap";
+    state.last_of_start = *event.id;
+    start->append(event.data).push_back('\n');
+    if (state.output.size() + start->size() > kMaxKeptOutputBytes) {
+      return "too much output";
+    }
+  }
+  return {};
+}
+
+Task<CallRunner::Step> CallRunner::OnStart(StatePtr state,
+                                           UpstreamPtr upstream) {
+  Attempt& attempt = *state->attempt;
+  const uint64_t end = *state->request.head.resume_after;
+  state->last_of_start = 0;
+  EventSplitter splitter;
+  std::string start;
+  std::string piece;
+  while (!state->caller_disconnected && state->last_of_start < end) {
+    const bool ok = co_await attempt.ReadSome(&piece);
+    if (state->caller_disconnected) break;
+    if (!ok || piece.empty() || !splitter.Feed(piece)) {
+      co_return co_await OnBroken(state, upstream, "start broke off");
+    }
+    state->held_answer.Set(state->output.size() + start.size() +
+                           splitter.size());
+    const std::string_view fault = TakeStart(*state, splitter, &start);
+    if (!fault.empty()) co_return co_await OnBroken(state, upstream, fault);
+  }
+  // The rest of the run was sent already.
+  if (!attempt.is_complete()) attempt.Abort();
+  if (state->caller_disconnected) co_return Step::kDone;
+  RecordSuccess(upstream->breaker);
+  state->output.insert(0, start);
   co_return co_await FinishStream(state);
 }
 
@@ -299,8 +361,7 @@
     if (state->workspace != nullptr) turn.workspace = state->workspace->name;
     turn.previous = head.previous_turn;
     turn.text = state->request.body;
-    turn.lacks_start = head.resume_after.value_or(0) > 0;
-    if (!turn.lacks_start) turn.output = std::move(state->output);
+    turn.output = std::move(state->output);
     const Ms ttl = state->route->history_ttl;
     const bool outlives = !turn.previous.empty() &&
                           deps_.turns.OutlivesChain(state->chain_until, ttl);
--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -90,6 +90,26 @@
   co_return nullptr;
 }
 
+Task<UpstreamPtr> CallRunner::ChooseForStart(StatePtr state) {
+  // The last one has the prompt in its cache, and no further upstream runs the
+  // call.
+  const UpstreamPtr& last = state->last_upstream;
+  const Ms now = deps_.clock.Now();
+  const bool is_free = last != nullptr && AcceptsCalls(*last) &&
+                       last->avoid_until <= now && !NeedsGrant(*last, now);
+  if (is_free) {
+    state->send_by = state->deadline;
+    state->has_grant = false;
+    co_return last;
+  }
+  if (state->is_probe || state->runs >= state->route->max_attempts) {
+    co_await Refuse(state, 502, Ms{0}, "start of the turn can't be read");
+    co_return nullptr;
+  }
+  UpstreamPtr chosen = co_await ChooseWithGrant(state);
+  co_return chosen;
+}
+
 Task<UpstreamPtr> CallRunner::WaitForGrant(StatePtr state,
                                            UpstreamPtr upstream) {
   LimitedCall call;
@@ -120,6 +140,14 @@
 void CallRunner::LogResume(const State& state, const Upstream& upstream) {
   const CallHead& head = state.request.head;
   if (!state.has_event && !head.resume_after.has_value()) return;
+  if (state.reads_start) {
+    kLog.Info("Reads the start of a turn that its caller resumed.",
+              {{"request", head.request_id},
+               {"begun_by", head.begun_by},
+               {"until_event", *head.resume_after},
+               {"upstream", upstream.entry.id}});
+    return;
+  }
   const bool is_own = !head.resume_after.has_value();
   const uint64_t after =
       state.has_event ? state.last_event : head.resume_after.value_or(0);
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -141,7 +141,12 @@
     Step step = co_await TakeAnotherPermit(state);
     if (step == Step::kDone) co_return;
     state->phase = CallPhase::kPlacement;
-    UpstreamPtr upstream = co_await ChooseWithGrant(state);
+    UpstreamPtr upstream;
+    if (state->reads_start) {
+      upstream = co_await ChooseForStart(state);
+    } else {
+      upstream = co_await ChooseWithGrant(state);
+    }
     if (upstream == nullptr) co_return;
     if (BeginsStream(*state)) {
       const RouteOrigin place = PlaceOf(*state, *upstream);
@@ -183,8 +188,11 @@
   if (state.service->is_engine) {
     dispatch.priority = PriorityFor(state);
   }
-  dispatch.resume_after =
-      state.has_event ? std::optional(state.last_event) : head.resume_after;
+  dispatch.begins_anew = state.reads_start;
+  if (!state.reads_start) {
+    dispatch.resume_after =
+        state.has_event ? std::optional(state.last_event) : head.resume_after;
+  }
   deps_.dialect.encode_dispatch(dispatch, out.fields);
   return out;
 }
--- a/src/gateway/call_state.h
+++ b/src/gateway/call_state.h
@@ -142,6 +142,11 @@
   /// has begun.
   std::optional<std::string> stream_version;
   uint64_t events_sent = 0;
+  /// All events were sent, and the present attempt reads those that another
+  /// request of the caller brought, since the turn is stored whole.
+  bool reads_start = false;
+  /// Id of the last event of that start; 0 before the first.
+  uint64_t last_of_start = 0;
   std::string output;
   bool stream_aborted = false;
   Ms first_event_at;
--- a/src/gateway/turns.cc
+++ b/src/gateway/turns.cc
@@ -71,7 +71,6 @@
                          {"output", bytes(turn.output)}};
   if (turn.history.has_value()) json["history"] = bytes(*turn.history);
   if (turn.is_section) json["section"] = true;
-  if (turn.lacks_start) json["lacks_start"] = true;
   std::string out = std::to_string(turn.rows_until.count) + '\n';
   nlohmann::json::to_cbor(json, out);
   return out;
@@ -347,7 +346,6 @@
   turn->workspace = std::move(finished.workspace);
   turn->previous = std::move(finished.previous);
   turn->output = std::move(finished.output);
-  turn->lacks_start = finished.lacks_start;
   turn->rows_until = store_.StoreNow() + ttl * kRowsStay;
   const std::string_view text = *finished.text;
   // The output is bounded; the rest of the text goes before it.
