Publish crashes at several gateways and take them over at a restart

Cause: a gateway published only the crashes that it had seen, its next process replaced that list by an empty one, and nobody else published what he knew. The same lost all records when all gateways restarted in turn, or when a gateway went for good.

Change: the records in the own row are taken over at the start. Each record is published by its author and by two keepers, the first in the order of its digest among the gateways that run; records of silent gateways count for their time. A crash that quarantines a request is announced at once.

Why this works: three rows have to be gone, or to be replaced by processes that have read none of them, before a record is lost within its ten minutes.

Cost: 160 records of about 50 bytes in a row at most, only while there are crashes.

--- a/include/knapweed/gateway/crash_watch.h
+++ b/include/knapweed/gateway/crash_watch.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "knapweed/gateway/net.h"
 #include "knapweed/gateway/upstreams.h"
@@ -13,7 +15,9 @@
 
 /// Quarantines requests that crash the upstreams they run on. Gateways publish
 /// crash records in the rows in which they announce themselves, so that every
-/// gateway recognizes such a request when it is retried.
+/// gateway recognizes such a request when it is retried. A record stands in the
+/// rows of several gateways, so that it outlives a restart of the one that saw
+/// the crash, and that gateway itself.
 namespace knapweed::gateway {
 
 /// What tells one request from another: the same caller may send it again with
@@ -50,19 +54,37 @@
   /// successfully.
   void OnSuccess(uint64_t digest);
 
-  /// Returns the recent records of this gateway for publication.
-  nlohmann::json OwnRecords();
+  /// Returns the recent records that this gateway publishes: its own, and those
+  /// of others that it keeps for them.
+  nlohmann::json RecordsToPublish();
   /// Adds the records published by another gateway.
   void MergeRecords(const nlohmann::json& records);
+  /// Takes over what the process before has published under this gateway's
+  /// name.
+  void Restore(const nlohmann::json& records);
+  /// Sets the names of the gateways that run, which share the keeping of all
+  /// records.
+  void SetGateways(std::string self, std::vector<std::string> others);
+  /// Sets a function that is called when a crash has quarantined a request.
+  void OnQuarantined(std::function<void()> callback) {
+    on_quarantined_ = std::move(callback);
+  }
 
  private:
+  /// Returns whether this gateway publishes the records of a request also if
+  /// another one has made them.
+  bool Keeps(uint64_t digest) const;
   Task<void> Confirm(uint64_t digest, UpstreamPtr upstream,
                      std::string request_id);
   void AddOwn(const CrashRecord& record);
 
   asio::io_context& loop_;
   Quarantine quarantine_;
+  /// Oldest first.
   std::deque<CrashRecord> own_;
+  std::string self_;
+  std::vector<std::string> others_;
+  std::function<void()> on_quarantined_;
   size_t confirming_ = 0;
 };
 
--- a/include/knapweed/gateway/fleet_watch.h
+++ b/include/knapweed/gateway/fleet_watch.h
@@ -159,6 +159,9 @@
   std::vector<Row> gateway_rows_;
   Ms gateways_read_at_;
   bool own_use_restored_ = false;
+  /// Set, and notified, when the row of this gateway is to be written at once.
+  bool announce_wanted_ = false;
+  Event announce_;
   uint64_t own_row_version_ = 0;
   /// This gateway grants no more permits.
   bool has_stopped_ = false;
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -1,5 +1,10 @@
 #include "knapweed/gateway/crash_watch.h"
 
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
+
 #include "knapweed/base/clock.h"
 #include "knapweed/base/ids.h"
 #include "knapweed/base/log.h"
@@ -25,10 +30,53 @@
 /// to come back and crash again.
 constexpr Ms kCrashSpan{1000};
 constexpr size_t kMaxDigests = 1024;
-/// Maximum number of published records, newest last.
+/// Maximum number of own records.
 constexpr size_t kMaxOwnRecords = 32;
+/// Maximum number of published records. A row has room for a multiple of them
+/// beside what else stands in it.
+constexpr size_t kMaxPublished = 160;
+/// Gateways that publish a record beside the one that made it, so that one of
+/// them may be gone.
+constexpr size_t kKeepers = 2;
 constexpr size_t kRecordFields = 4;
 
+/// Returns nothing if a record is malformed.
+std::optional<CrashRecord> DecodeRecord(const nlohmann::json& item) {
+  const bool readable =
+      item.is_array() && item.size() == kRecordFields &&
+      item[0].is_number_unsigned() && item[1].is_number_unsigned() &&
+      item[2].is_number_integer() && item[3].is_number_integer();
+  if (!readable) return std::nullopt;
+  CrashRecord record;
+  record.digest = item[0].get<uint64_t>();
+  record.upstream_hash = item[1].get<uint64_t>();
+  record.at = Ms{item[2].get<int64_t>()};
+  record.cleared = item[3].get<int>() != 0;
+  return record;
+}
+
+/// Decodes a list of records; skips malformed ones.
+std::vector<CrashRecord> DecodeRecords(const nlohmann::json& list) {
+  std::vector<CrashRecord> records;
+  if (!list.is_array()) return records;
+  for (const nlohmann::json& item : list) {
+    const std::optional<CrashRecord> record = DecodeRecord(item);
+    if (record.has_value()) {
+      records.push_back(*record);
+    } else {
+      kLog.Warning("Ignored a malformed crash record of a gateway.");
+    }
+  }
+  return records;
+}
+
+bool IsOlder(const CrashRecord& a, const CrashRecord& b) { return a.at < b.at; }
+
+auto IdentityOf(const CrashRecord& record) {
+  return std::tuple(record.digest, record.upstream_hash, record.at.count,
+                    record.cleared);
+}
+
 QuarantineOptions Options() {
   QuarantineOptions options;
   options.min_upstreams = kCrashesToQuarantine;
@@ -83,11 +131,13 @@
                 HashBytes(upstream->entry.id));
   record.at = WallTime();
   AddOwn(record);
+  const bool quarantined = IsQuarantined(digest);
   kLog.Warning("An upstream crashed while running a request.",
                {{"request", request_id},
                 {"digest", digest},
                 {"upstream", upstream->entry.id},
-                {"quarantined", IsQuarantined(digest) ? 1 : 0}});
+                {"quarantined", quarantined ? 1 : 0}});
+  if (quarantined && on_quarantined_) on_quarantined_();
 }
 
 void CrashWatch::OnSuccess(uint64_t digest) {
@@ -109,14 +159,40 @@
   if (own_.size() > kMaxOwnRecords) own_.pop_front();
 }
 
-nlohmann::json CrashWatch::OwnRecords() {
+bool CrashWatch::Keeps(uint64_t digest) const {
+  const uint64_t own = HashBytes(self_, digest);
+  const auto before = std::count_if(
+      others_.begin(), others_.end(),
+      [&](const auto& other) { return HashBytes(other, digest) > own; });
+  return static_cast<size_t>(before) < kKeepers;
+}
+
+nlohmann::json CrashWatch::RecordsToPublish() {
   const Ms now = WallTime();
   quarantine_.Expire(now);
   while (!own_.empty() && own_.front().at + kRecordTtl <= now) {
     own_.pop_front();
   }
+  std::vector<CrashRecord> published(own_.begin(), own_.end());
+  for (const CrashRecord& it : quarantine_.Records()) {
+    const bool counts = it.at + kRecordTtl > now;
+    if (counts && Keeps(it.digest)) published.push_back(it);
+  }
+  const auto by_identity = [](const CrashRecord& a, const CrashRecord& b) {
+    return IdentityOf(a) < IdentityOf(b);
+  };
+  std::sort(published.begin(), published.end(), by_identity);
+  const auto is_same = [](const CrashRecord& a, const CrashRecord& b) {
+    return IdentityOf(a) == IdentityOf(b);
+  };
+  published.erase(std::unique(published.begin(), published.end(), is_same),
+                  published.end());
+  std::stable_sort(published.begin(), published.end(), IsOlder);
+  const size_t first =
+      published.size() - std::min(published.size(), kMaxPublished);
   nlohmann::json records = nlohmann::json::array();
-  for (const CrashRecord& it : own_) {
+  for (size_t i = first; i < published.size(); ++i) {
+    const CrashRecord& it = published[i];
     records.push_back(
         {it.digest, it.upstream_hash, it.at.count, it.cleared ? 1 : 0});
   }
@@ -124,23 +200,21 @@
 }
 
 void CrashWatch::MergeRecords(const nlohmann::json& records) {
-  if (!records.is_array()) return;
-  for (const nlohmann::json& item : records) {
-    const bool readable =
-        item.is_array() && item.size() == kRecordFields &&
-        item[0].is_number_unsigned() && item[1].is_number_unsigned() &&
-        item[2].is_number_integer() && item[3].is_number_integer();
-    if (!readable) {
-      kLog.Warning("Ignored a malformed crash record of another gateway.");
-      continue;
-    }
-    CrashRecord record;
-    record.digest = item[0].get<uint64_t>();
-    record.upstream_hash = item[1].get<uint64_t>();
-    record.at = Ms{item[2].get<int64_t>()};
-    record.cleared = item[3].get<int>() != 0;
+  for (const CrashRecord& record : DecodeRecords(records)) {
     quarantine_.Merge(record);
   }
 }
 
+void CrashWatch::Restore(const nlohmann::json& records) {
+  std::vector<CrashRecord> restored = DecodeRecords(records);
+  std::stable_sort(restored.begin(), restored.end(), IsOlder);
+  for (const CrashRecord& record : restored) AddOwn(record);
+}
+
+void CrashWatch::SetGateways(std::string self,
+                             std::vector<std::string> others) {
+  self_ = std::move(self);
+  others_ = std::move(others);
+}
+
 }  // namespace knapweed::gateway
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -66,8 +66,13 @@
       stream_versions_(parts.stream_versions),
       crashes_(parts.crashes),
       self_(std::move(self)),
-      seeds_(std::move(seeds)) {
+      seeds_(std::move(seeds)),
+      announce_(parts.loop) {
   std::erase(seeds_, self_.peer_address);
+  crashes_.OnQuarantined([this] {
+    announce_wanted_ = true;
+    announce_.Notify();
+  });
   store_.SetPeers(seeds_);
 }
 
--- a/src/gateway/fleet_watch_gateways.cc
+++ b/src/gateway/fleet_watch_gateways.cc
@@ -37,10 +37,11 @@
 
 Task<bool> FleetWatch::Announce() {
   const Ms started_at = clock_.Now();
-  const Announcement announcement{self_.peer_address, store_.StoreNow(),
-                                  quotas_.OwnUse(),   crashes_.OwnRecords(),
-                                  LimitsToTell(),     permits_.book().Granted(),
-                                  has_stopped_};
+  const Announcement announcement{
+      self_.peer_address, store_.StoreNow(),
+      quotas_.OwnUse(),   crashes_.RecordsToPublish(),
+      LimitsToTell(),     permits_.book().Granted(),
+      has_stopped_};
   permits_.book().OnAnnouncing(started_at);
   const RowKey key{kGatewayTable, "", self_.name};
   Commit commit;
@@ -115,7 +116,6 @@
 }
 
 void FleetWatch::MergeRecords(Announcement& told, Ms now, Ms age) {
-  crashes_.MergeRecords(told.crashes);
   for (LimitRecord& record : told.limits) {
     // From the store's clock to that of this process.
     record.limit.observed_at += clock_.Now() - age - now;
@@ -125,6 +125,7 @@
 
 void FleetWatch::ApplyGateways(const std::vector<Row>& rows, Ms now, Ms age) {
   std::vector<Address> peers;
+  std::vector<std::string> names;
   std::map<Address, UseByWorkspace> uses;
   UseOfOthers others;
   gateway_rows_ = rows;
@@ -133,6 +134,9 @@
     RunStep("a row of a gateway", [&] {
       std::optional<Announcement> told = ReadAnnouncement(row);
       if (!told.has_value()) return;
+      // Crashes count for their own time, also if the gateway that saw them is
+      // gone.
+      crashes_.MergeRecords(told->crashes);
       const Ms silence = now - told->at;
       if (silence > LongestAnnouncementAge()) {
         if (silence <= kSilentTtl) AddSilent(told->use, others);
@@ -140,6 +144,7 @@
       }
       MergeRecords(*told, now, age);
       peers.push_back(told->peer_address);
+      names.push_back(row.key.key);
       uses[told->peer_address] = std::move(told->use);
     });
   }
@@ -151,6 +156,7 @@
   others.gateways = static_cast<uint32_t>(uses.size());
   quotas_.SetUseOfOthers(std::move(others), age);
   use_exchange_.SetStored(std::move(uses));
+  crashes_.SetGateways(self_.name, std::move(names));
   budgets_.SetOthers(peers);
   starts_.SetOthers(peers);
   send_limits_.SetOthers(peers, gateways_read_at_);
@@ -172,6 +178,7 @@
     const absl::StatusOr<Announcement> told = DecodeAnnouncement(row.value);
     if (!told.ok()) continue;
     quotas_.RestoreUse(told->use, now - told->at);
+    crashes_.Restore(told->crashes);
     if (told->granted.has_value()) {
       permits_.TakeOver(*told->granted, told->stopped, now - told->at);
     }
@@ -213,7 +220,12 @@
       co_await UpdateSlots(rows);
       ApplyGateways(rows, store_.StoreNow(), Ms{0});
     }
-    co_await Sleep(loop_, ok && read ? kAnnounceInterval : kRetry);
+    // A crash that quarantines a request is announced at once, before this
+    // process may end.
+    if (!announce_wanted_) {
+      co_await announce_.Wait(ok && read ? kAnnounceInterval : kRetry);
+    }
+    announce_wanted_ = false;
   }
 }
 
--- a/tests/gateway__crash_watch_test.cc
+++ b/tests/gateway__crash_watch_test.cc
@@ -55,8 +55,8 @@
                      it.request);
     }
     loop.run();
-    here.MergeRecords(there.OwnRecords());
-    there.MergeRecords(here.OwnRecords());
+    here.MergeRecords(there.RecordsToPublish());
+    there.MergeRecords(here.RecordsToPublish());
     CHECK(here.IsQuarantined(kDigest) == row.is_quarantined);
     CHECK(there.IsQuarantined(kDigest) == row.is_quarantined);
   }
