Treat answers with a status that HTTP does not define as broken

Cause: the parser takes any three digits; Attempt took all below 200 as interim and the rest as final, and read the body that an interim answer states as the next answer. The gateway's HttpClient took an interim answer as final, the daemons' passed 000 to 099, 600 and 999 on.

Change: base/http_status.h defines interim, final and invalid; the three readers use it. An invalid answer is a broken one: another attempt where allowed, else 502, no byte passed on, its connection closed. For a commit of the store it means in doubt.

--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "knapweed/base/http_status.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -68,7 +69,13 @@
        ++late_responses) {
     const bool ok = co_await ReadHead();
     if (!ok) co_return AttemptOutcome::kBroken;
-    if (status() < 200) continue;
+    const StatusKind kind = StatusKindOfHead(parser_->get());
+    if (kind == StatusKind::kInterim) continue;
+    if (kind == StatusKind::kInvalid) {
+      kLog.Warning("A response has a status that can't answer a request.",
+                   {{"request", request_id}, {"status", status()}});
+      co_return AttemptOutcome::kBroken;
+    }
     if (head_.request_id == request_id) co_return OutcomeOf(request_id);
     if (head_.request_id.empty()) {
       kLog.Warning("A response does not tell which request it answers.",
--- a/src/gateway/net.cc
+++ b/src/gateway/net.cc
@@ -5,6 +5,7 @@
 
 #include <exception>
 
+#include "knapweed/base/http_status.h"
 #include "knapweed/base/log.h"
 
 namespace knapweed::gateway {
@@ -230,7 +231,10 @@
   if (!ec) {
     ec = co_await ReadMessage(conn->stream, conn->buf, parser);
   }
-  if (ec) {
+  // An interim answer is not asked for, and its final one is not waited for.
+  const bool is_answer =
+      !ec && StatusKindOf(parser.get().result_int()) == StatusKind::kFinal;
+  if (!is_answer) {
     // What silenced this connection may have silenced the idle ones too; a new
     // one shows whether the peer is alive.
     idle_.clear();
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "knapweed/base/http_status.h"
 #include "timed_socket.h"
 
 namespace knapweed {
@@ -68,8 +69,9 @@
     HttpErrorCode ec;
     http::read_header(connection.socket, connection.buf, *parser, ec);
     if (ec) return ec;
-    const bool is_interim = parser->get().result_int() / 100 == 1;
-    if (!is_interim) return ec;
+    const StatusKind kind = StatusKindOfHead(parser->get());
+    if (kind == StatusKind::kFinal) return ec;
+    if (kind == StatusKind::kInvalid) return http::error::bad_status;
   }
   return http::error::bad_status;
 }
--- a/tests/http__endless_body_test.cc
+++ b/tests/http__endless_body_test.cc
@@ -70,5 +70,41 @@
   CHECK(server.WaitForClose());
 }
 
+// Guards against an answer that the parser takes and HTTP does not define, and
+// against a body behind an interim response that is read as the next one.
+TEST_CASE("HttpClient takes no response that can't answer its request") {
+  struct Row {
+    const char* head;
+    // 0 if there is none.
+    int status;
+  };
+  const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+  const Row rows[] = {
+      {"HTTP/1.1 000 X\r\n\r\n", 0},
+      {"HTTP/1.1 001 X\r\nContent-Length: 0\r\n\r\n", 0},
+      {"HTTP/1.1 099 X\r\n\r\n", 0},
+      {"HTTP/1.1 101 X\r\n\r\n", 0},
+      {"HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n", 0},
+      {"HTTP/1.1 199 X\r\n\r\n", 200},
+      {"HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n", 599},
+      {"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", 0},
+      {"HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n", 0},
+  };
+  for (const Row& row : rows) {
+    const std::string what = row.head;
+    CAPTURE(what);
+    const Address address = FreeLoopbackAddress();
+    EndlessServer server(address, row.head + last, "x");
+    {
+      HttpClient client(address);
+      const auto reply = client.Call({"GET", "/", "", {}, ""});
+      CHECK(reply.ok() == (row.status > 0));
+      if (reply.ok()) CHECK(reply->status == row.status);
+      if (!reply.ok()) CHECK(absl::IsUnknown(reply.status()));
+    }
+    CHECK(server.WaitForClose());
+  }
+}
+
 }  // namespace
 }  // namespace knapweed
