Satisfy the linter in the sources of budgets, answers and witnesses

Cause: clang-tidy takes co_await in a one-line branch for a branch without braces, a conversion in an initializer for a C-style cast, and clang 14 rejects a structured binding in a lambda.

Change: the same steps with braces, without the conversion, and with a named reference. Behaviour is unchanged.

--- a/src/gateway/budgets_peers.cc
+++ b/src/gateway/budgets_peers.cc
@@ -290,7 +290,8 @@
   bool all_told = true;
   for (const auto& [address, process] : lease.witnesses) {
     const Witness witness{address, process};
-    if (all_told) all_told = co_await AskWitness(witness, key, &taken);
+    if (!all_told) break;
+    all_told = co_await AskWitness(witness, key, &taken);
   }
   kLog.Info("Asked what was spent of another gateway's allowance.",
             {{"program", name},
@@ -322,15 +323,17 @@
   answer.status = 400;
   const nlohmann::json json = ParseJson(call.body);
   if (!json.is_object()) co_return answer;
-  const std::string_view path =
-      std::string_view(call.target).substr(kBudgetPrefix.size());
+  std::string_view path = call.target;
+  path.remove_prefix(kBudgetPrefix.size());
   if (path == "/take-over") co_return AnswerTakeOver(json);
   if (TextField(json, "turn").empty()) co_return answer;
   if (path == "/settle") co_return AnswerSettle(json);
   if (path == "/told") co_return AnswerTold(json);
   if (path == "/told-settled") co_return AnswerToldSettled(json);
-  if (path == "/reserve") co_return co_await AnswerReserve(json);
   answer.status = 404;
+  if (path == "/reserve") {
+    answer = co_await AnswerReserve(json);
+  }
   co_return answer;
 }
 
--- a/src/gateway/call_answers.cc
+++ b/src/gateway/call_answers.cc
@@ -343,7 +343,9 @@
     state->held_answer.Set(state->output.size() + start.size() +
                            splitter.size());
     const std::string_view fault = TakeStart(*state, splitter, &start);
-    if (!fault.empty()) co_return co_await OnBroken(state, upstream, fault);
+    if (!fault.empty()) {
+      co_return co_await OnBroken(state, upstream, fault);
+    }
   }
   // The rest of the run was sent already.
   if (!attempt.is_complete()) attempt.Abort();
--- a/src/gateway/turn_witness.cc
+++ b/src/gateway/turn_witness.cc
@@ -33,7 +33,8 @@
 }
 
 void TurnWitness::Expire(Ms now) {
-  for (auto& [key, lease] : leases_) {
+  for (auto& known : leases_) {
+    WitnessedLease& lease = known.second;
     std::erase_if(lease.running, [&](const auto& item) {
       const WitnessedTurn& turn = item.second;
       if (turn.expires_at > now) return false;
