Drop what is in the way of a claim when its lease has been lost

Cause, found by reading: a claim that finds leases of others in its way on a cached row, and then on a fresh one that its own lease has been taken over, asked for those leases and claimed again on the lease that had ended, with what had been written on it before. A later successor would have counted too little as spent.

Change: losing the lease clears the list, so that the reservation begins anew on another lease. The verdicts are mapped by two functions.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -230,6 +230,8 @@
     /// Another gateway has taken over the lease of the program.
     kLost,
   };
+  static ClaimResult ResultOf(ClaimVerdict verdict);
+  static Reservation ReservationOf(ClaimResult result);
   /// Claims tokens for a turn on `lease`, which lists its witness. Takes over
   /// the leases of others that are in the way.
   Task<ClaimResult> Claim(TurnToReserve turn, ProgramPtr program,
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -59,6 +59,33 @@
   program.unlocked.Notify();
 }
 
+Budgets::ClaimResult Budgets::ResultOf(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kGranted:
+      return ClaimResult::kGranted;
+    case ClaimVerdict::kExhausted:
+      return ClaimResult::kExhausted;
+    case ClaimVerdict::kHeldElsewhere:
+      break;
+  }
+  return ClaimResult::kHeldElsewhere;
+}
+
+Reservation Budgets::ReservationOf(ClaimResult result) {
+  switch (result) {
+    case ClaimResult::kGranted:
+      return Reservation::kReserved;
+    case ClaimResult::kExhausted:
+      return Reservation::kExhausted;
+    case ClaimResult::kUnavailable:
+      return Reservation::kUnavailable;
+    case ClaimResult::kHeldElsewhere:
+    case ClaimResult::kLost:
+      break;
+  }
+  return Reservation::kHeldElsewhere;
+}
+
 bool Budgets::IsLost(const Program& program, const BudgetState& state) const {
   const bool is_sure = !program.row_is_unsure && !program.lease_is_unsure;
   return program.allowance > 0 && is_sure &&
@@ -103,6 +130,8 @@
     if (IsLost(*program, state)) {
       LoseLease(*program);
       result = ClaimResult::kLost;
+      // The claim is on a lease that has ended, whatever was in its way.
+      to_ask->clear();
     }
     if (result == ClaimResult::kLost) return false;
     claim.spent = program->spent;
@@ -116,10 +145,7 @@
     if (!to_ask->empty()) return false;
     taken_over = TakenOverIn(claim, state);
     const ClaimVerdict verdict = ApplyClaim(claim, state);
-    result = verdict == ClaimVerdict::kGranted ? ClaimResult::kGranted
-             : verdict == ClaimVerdict::kExhausted
-                 ? ClaimResult::kExhausted
-                 : ClaimResult::kHeldElsewhere;
+    result = ResultOf(verdict);
     if (verdict != ClaimVerdict::kGranted) return false;
     allowance = state.allowances[gateway_];
     program->total_spent = state.spent;
@@ -240,11 +266,7 @@
       result.told = {};
     }
   }
-  result.reservation =
-      claimed == ClaimResult::kGranted       ? Reservation::kReserved
-      : claimed == ClaimResult::kExhausted   ? Reservation::kExhausted
-      : claimed == ClaimResult::kUnavailable ? Reservation::kUnavailable
-                                             : Reservation::kHeldElsewhere;
+  result.reservation = ReservationOf(claimed);
   result.begins_program =
       program->total_spent + program->spent + program->running == 0;
   if (program->first_asked_at == Ms{0}) {
