--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -8,7 +8,7 @@
 export FOLDER="$folder" RECORD="$here/record.txt" SEED="${SEED:-$RANDOM}"
 export GATEWAY=target/platform/knapweed-gateway
 [ -x "$GATEWAY" ] || exit 2
-target/review-3/case_routes
+target/review-3/case_settings
 code=$?
 [ $code -le 1 ] || exit 2
 exit $code
