Show that a crash among many requests is not put down to its cause

Cause: CrashWatch::OnBroken drops reports while 16 checks are under way. With more requests than that at a server that crashes, the request that crashed it may not be counted.

--- a/review/standin-3/standin.cpp
+++ b/review/standin-3/standin.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -395,32 +396,59 @@
 Task<void> Server::Beat() {
   while (true) {
     co_await Sleep(loop_, 1200);
-    Register(draining_);
+    if (acceptor_->is_open()) Register(draining_);
   }
 }
 
 Task<void> Server::Accept() {
-  while (true) {
-    asio::ip::tcp::socket socket =
-        co_await acceptor_->async_accept(asio::use_awaitable);
-    Spawn(loop_, Serve(std::move(socket)));
+  const auto acceptor = acceptor_;
+  while (acceptor->is_open()) {
+    Error ec;
+    asio::ip::tcp::socket socket = co_await acceptor->async_accept(
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec) Spawn(loop_, Serve(std::move(socket)));
+  }
+}
+
+void Server::Crash(int64_t for_ms) {
+  Note("server " + id_ + " crashes with " + std::to_string(open_.size()) +
+       " connections");
+  std::vector<beast::tcp_stream*> streams(open_.begin(), open_.end());
+  std::shuffle(streams.begin(), streams.end(), random_);
+  Error ec;
+  acceptor_->close(ec);
+  for (beast::tcp_stream* stream : streams) {
+    stream->socket().set_option(asio::socket_base::linger(true, 0), ec);
+    stream->close();
   }
+  Spawn(loop_, ComeBack(for_ms));
+}
+
+Task<void> Server::ComeBack(int64_t after_ms) {
+  co_await Sleep(loop_, after_ms);
+  acceptor_ = ListenAt(loop_, port_);
+  born_ms_ = EpochMs();
+  seq_ = 0;
+  Register();
+  Spawn(loop_, Accept());
 }
 
 Task<void> Server::Serve(asio::ip::tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
   stream.socket().set_option(asio::ip::tcp::no_delay(true));
+  open_.insert(&stream);
   beast::flat_buffer buf;
-  while (true) {
+  bool goes_on = true;
+  while (goes_on) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(64 << 20);
     Error ec;
     co_await http::async_read(stream, buf, parser,
                               asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) co_return;
-    const bool goes_on = co_await Answer(stream, parser.get());
-    if (!goes_on) co_return;
+    if (ec) break;
+    goes_on = co_await Answer(stream, parser.get());
   }
+  open_.erase(&stream);
 }
 
 Task<bool> Server::Answer(beast::tcp_stream& stream,
@@ -448,6 +476,10 @@
   runs.push_back(run);
   Note("server " + id_ + " runs " + id + " " + run.target +
        (run.last_event_id.empty() ? "" : " after event " + run.last_event_id));
+  if (reply.crashes_for_ms > 0) {
+    Crash(reply.crashes_for_ms);
+    co_return false;
+  }
   const std::string seal = "Server-Seal: s." + id_ + "." + id + "\r\n";
   co_await Sleep(loop_, reply.first_ms);
   if (!reply.is_stream) {
@@ -481,6 +513,7 @@
     }
     if (i < reply.events) co_await Sleep(loop_, reply.gap_ms);
     // A server drops a request whose connection is closed.
+    if (!stream.socket().is_open()) co_return false;
     char byte = 0;
     const ssize_t n = recv(stream.socket().native_handle(), &byte, 1,
                            MSG_PEEK | MSG_DONTWAIT);
--- a/review/standin-3/standin.hpp
+++ b/review/standin-3/standin.hpp
@@ -24,6 +24,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -140,6 +141,9 @@
   std::string body;
   /// Connection is closed after this event; 0 for never.
   int break_after = 0;
+  /// The server crashes as it begins to work, and is back so much later; 0 for
+  /// a request that crashes nothing.
+  int64_t crashes_for_ms = 0;
 };
 
 /// A server of a service, which registers itself in the store.
@@ -160,6 +164,10 @@
   Task<bool> Answer(beast::tcp_stream& stream,
                     const http::request<http::string_body>& request);
   Task<void> Beat();
+  /// Resets all connections in random order, refuses new ones, and comes back
+  /// under the same id.
+  void Crash(int64_t for_ms);
+  Task<void> ComeBack(int64_t after_ms);
 
   asio::io_context& loop_;
   Store& store_;
@@ -168,6 +176,8 @@
   std::string service_;
   std::string version_;
   std::shared_ptr<asio::ip::tcp::acceptor> acceptor_;
+  std::set<beast::tcp_stream*> open_;
+  std::mt19937_64 random_{1};
   bool draining_ = false;
   uint64_t seq_ = 0;
   int64_t born_ms_ = 0;
