Take every figure that the platform may write into the settings

What callers saw: nothing was served after a figure of the settings got a fraction.

Cause: the template renders "grace = {{bounds.grace_s}}s" and spans were read as whole numbers. Any fault in the settings ended the process.

Change: numbers and spans take decimals, "false" is 0 and a figure without a value is not set. Figures are rounded to the side that keeps what they state: grace, window, row size and memory down; permits rest 1 ms longer for the rounded window.

--- a/include/knapweed/base/parse.h
+++ b/include/knapweed/base/parse.h
@@ -18,9 +18,14 @@
   return ec == std::errc() && stop == end;
 }
 
-/// Parses a time span, a whole number with its unit: "250ms", "5s", "2m" or
-/// "24h". Returns false and leaves `span` unchanged if the text is anything
-/// else.
+/// Parses a number from 0 on, with or without a fraction or an exponent: "8",
+/// "8.0" or "1e1". Returns false and leaves `n` unchanged if the text is
+/// anything else.
+bool ParseDecimal(std::string_view text, double* n);
+
+/// Parses a time span, a decimal with its unit: "250ms", "7.5s", "2m" or "24h".
+/// Rounds down to whole milliseconds. Returns false and leaves `span` unchanged
+/// if the text is anything else.
 bool ParseSpan(std::string_view text, Ms* span);
 
 }  // namespace knapweed
--- a/include/knapweed/base/settings.h
+++ b/include/knapweed/base/settings.h
@@ -53,7 +53,13 @@
   int64_t GetInt(std::string_view section, std::string_view key,
                  int64_t fallback, int64_t low, int64_t high);
   bool GetBool(std::string_view section, std::string_view key, bool fallback);
-  /// Returns a time span given with its unit: "250ms", "5s", "2m" or "24h".
+  /// Returns a number, with or without a fraction, from `low` to `high`. One
+  /// that is empty is not set, and "false" is 0: so a template renders a figure
+  /// that has no value or is switched off.
+  double GetFigure(std::string_view section, std::string_view key,
+                   double fallback, double low, double high);
+  /// Returns a time span given with its unit: "250ms", "7.5s", "2m" or "24h".
+  /// Rounds down. The number may be empty or "false" as that of `GetFigure`.
   Ms GetMs(std::string_view section, std::string_view key, Ms fallback);
   Address GetAddress(std::string_view section, std::string_view key);
   std::vector<Address> GetAddresses(std::string_view section,
@@ -64,11 +70,21 @@
   /// what is wrong; what was expected". A key that no getter has read counts as
   /// unknown, so call this after all getters.
   absl::Status Check() const;
+  /// The same without the faults of figures, spans and numbers, whose fallbacks
+  /// are in place.
+  absl::Status CheckWithoutFigures() const;
+  /// Faults of figures, spans and numbers, in the form of `Check`.
+  const std::vector<std::string>& figure_faults() const {
+    return figure_faults_;
+  }
 
   /// Adds a fault found by the caller, such as two settings that contradict
   /// each other. The message is "'SECTION.KEY' FAULT".
   void AddFault(std::string_view section, std::string_view key,
                 std::string_view fault);
+  /// The same for a figure, span or number that has a fallback.
+  void AddFigureFault(std::string_view section, std::string_view key,
+                      std::string_view fault);
 
  private:
   struct Value {
@@ -90,11 +106,16 @@
                      const char* value);
   Value* Find(std::string_view section, std::string_view key);
   /// Adds a fault at a line; 0 if it belongs to no line.
-  void Fault(int line, std::string text);
+  void Fault(int line, std::string_view text);
+  /// Returns a message that names the setting and its line.
+  std::string Describe(std::string_view section, std::string_view key,
+                       std::string_view fault);
+  absl::Status StatusOf(std::vector<std::string> faults) const;
 
   std::string name_;
   std::map<std::string, Value> values_;
   std::vector<std::string> faults_;
+  std::vector<std::string> figure_faults_;
   bool unreadable_ = false;
 };
 
--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -34,7 +34,8 @@
   bool order_by_slack = false;
   /// Refuses first turns of programs while the service is overloaded.
   bool admit_programs = false;
-  /// Time from the stop signal to the forced end of the process.
+  /// Time from the stop signal to the forced end of the process; never longer
+  /// than stated.
   Ms grace{8000};
   /// Memory that the process may use, in MB; 0 if there is no bound.
   uint64_t memory_mb = 0;
@@ -45,6 +46,20 @@
 /// and its line number.
 absl::StatusOr<GatewayConfig> ReadGatewayConfig(const std::string& path);
 
+/// Settings with which a gateway can run.
+struct UsableSettings {
+  GatewayConfig config;
+  /// What is wrong with figures that are not used, one message each.
+  std::vector<std::string> unused_figures;
+};
+
+/// Reads the settings file for a gateway that runs or is to run: a figure that
+/// can't be used keeps its value in `in_force`, so that one of them does not
+/// keep every gateway from starting. Returns InvalidArgument with every other
+/// fault.
+absl::StatusOr<UsableSettings> ReadUsableSettings(
+    const std::string& path, const GatewayConfig& in_force);
+
 /// One gateway. It runs on the given loop, so that programs and tests can embed
 /// it. Not thread-safe.
 class Gateway {
@@ -65,6 +80,8 @@
   /// Applies the settings that can change at run time: quota tolerance and log
   /// level.
   void Reload(const GatewayConfig& config);
+  /// Returns the settings in force.
+  const GatewayConfig& config() const;
   /// Returns whether the tables have been read, the store is reachable and the
   /// gateway is not shutting down.
   bool IsReady() const;
@@ -73,6 +90,8 @@
   const Metrics& metrics() const;
 
  private:
+  /// Logs the figures of the settings in force.
+  void LogFigures() const;
   /// Tells the store that this gateway stops, and what it has granted.
   Task<void> AnnounceStop(Ms deadline);
 
--- a/include/knapweed/policy/fleet_quota.h
+++ b/include/knapweed/policy/fleet_quota.h
@@ -13,6 +13,7 @@
 /// How far the platform lets a workspace exceed its rate and burst within a
 /// window: by a fraction of them and a number of calls.
 struct QuotaTolerance {
+  /// Rounded down, so that it holds no more calls than stated.
   Ms window{5000};
   double over_share = 0.1;
   double slack_calls = 20;
--- a/src/base/parse.cc
+++ b/src/base/parse.cc
@@ -1,8 +1,28 @@
 #include "knapweed/base/parse.h"
 
+#include <cmath>
 #include <cstdint>
+#include <limits>
 
 namespace knapweed {
+namespace {
+
+/// Rounds down, but takes what a decimal's binary form misses for whole: 1.001
+/// seconds are 1001 ms.
+int64_t RoundDown(double n) {
+  constexpr double kBinaryError = 1e-6;
+  return static_cast<int64_t>(std::floor(n + kBinaryError));
+}
+
+}  // namespace
+
+bool ParseDecimal(std::string_view text, double* n) {
+  double parsed = 0;
+  const bool is_number =
+      ParseNumber(text, &parsed) && std::isfinite(parsed) && parsed >= 0;
+  if (is_number) *n = parsed;
+  return is_number;
+}
 
 bool ParseSpan(std::string_view text, Ms* span) {
   struct Unit {
@@ -15,9 +35,10 @@
   for (const Unit& unit : kUnits) {
     if (!text.ends_with(unit.suffix)) continue;
     text.remove_suffix(unit.suffix.size());
-    uint32_t n = 0;
-    if (!ParseNumber(text, &n)) return false;
-    *span = Ms{n * unit.ms};
+    double n = 0;
+    if (!ParseDecimal(text, &n)) return false;
+    if (n > std::numeric_limits<uint32_t>::max()) return false;
+    *span = Ms{RoundDown(n * static_cast<double>(unit.ms))};
     return true;
   }
   return false;
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "knapweed/base/parse.h"
@@ -21,6 +22,23 @@
   return full_key;
 }
 
+std::string AtLine(const std::string& file, int line, std::string_view text) {
+  return file + ":" + std::to_string(line) + ": " + std::string(text);
+}
+
+/// Returns the text of a figure with a leading "false" read as 0.
+std::string FigureText(std::string_view text) {
+  constexpr std::string_view kOff = "false";
+  if (!text.starts_with(kOff)) return std::string(text);
+  return "0" + std::string(text.substr(kOff.size()));
+}
+
+/// Returns whether nothing stands before the unit of a span.
+bool HasNoNumber(std::string_view span) {
+  return span.empty() || span == "ms" || span == "s" || span == "m" ||
+         span == "h";
+}
+
 }  // namespace
 
 bool ParseAddress(std::string_view text, Address* address) {
@@ -92,16 +110,25 @@
   return &it->second;
 }
 
-void Settings::Fault(int line, std::string text) {
-  faults_.push_back(name_ + ":" + std::to_string(line) + ": " +
-                    std::move(text));
+void Settings::Fault(int line, std::string_view text) {
+  faults_.push_back(AtLine(name_, line, text));
+}
+
+std::string Settings::Describe(std::string_view section, std::string_view key,
+                               std::string_view fault) {
+  const Value* value = Find(section, key);
+  return AtLine(name_, value == nullptr ? 0 : value->line,
+                "'" + FullKey(section, key) + "' " + std::string(fault));
 }
 
 void Settings::AddFault(std::string_view section, std::string_view key,
                         std::string_view fault) {
-  const Value* value = Find(section, key);
-  Fault(value == nullptr ? 0 : value->line,
-        "'" + FullKey(section, key) + "' " + std::string(fault));
+  faults_.push_back(Describe(section, key, fault));
+}
+
+void Settings::AddFigureFault(std::string_view section, std::string_view key,
+                              std::string_view fault) {
+  figure_faults_.push_back(Describe(section, key, fault));
 }
 
 std::string Settings::GetString(std::string_view section,
@@ -136,9 +163,22 @@
   if (value == nullptr) return fallback;
   int64_t n = 0;
   if (ParseNumber(value->text, &n) && n >= low && n <= high) return n;
-  AddFault(section, key,
-           "is '" + value->text + "'; expected a whole number from " +
-               std::to_string(low) + " to " + std::to_string(high));
+  AddFigureFault(section, key,
+                 "is '" + value->text + "'; expected a whole number from " +
+                     std::to_string(low) + " to " + std::to_string(high));
+  return fallback;
+}
+
+double Settings::GetFigure(std::string_view section, std::string_view key,
+                           double fallback, double low, double high) {
+  const Value* value = Find(section, key);
+  if (value == nullptr || value->text.empty()) return fallback;
+  double n = 0;
+  const bool is_number = ParseDecimal(FigureText(value->text), &n);
+  if (is_number && n >= low && n <= high) return n;
+  AddFigureFault(section, key,
+                 "is '" + value->text + "'; expected a number from " +
+                     absl::StrCat(low, " to ", high));
   return fallback;
 }
 
@@ -155,10 +195,10 @@
 Ms Settings::GetMs(std::string_view section, std::string_view key,
                    Ms fallback) {
   const Value* value = Find(section, key);
-  if (value == nullptr) return fallback;
+  if (value == nullptr || HasNoNumber(value->text)) return fallback;
   Ms span;
-  if (ParseSpan(value->text, &span)) return span;
-  AddFault(
+  if (ParseSpan(FigureText(value->text), &span)) return span;
+  AddFigureFault(
       section, key,
       "is '" + value->text +
           "'; expected a number with its unit: ms, s, m or h, as in 250ms");
@@ -192,18 +232,25 @@
   return addresses;
 }
 
-absl::Status Settings::Check() const {
+absl::Status Settings::StatusOf(std::vector<std::string> faults) const {
   // If the file could not be read, every required setting is missing; the read
   // error is the only useful message.
   if (unreadable_) return absl::InvalidArgumentError(faults_.front());
-  std::vector<std::string> faults = faults_;
   for (const auto& [key, value] : values_) {
     if (value.used) continue;
-    faults.push_back(name_ + ":" + std::to_string(value.line) + ": '" + key +
-                     "' is not a known setting");
+    faults.push_back(
+        AtLine(name_, value.line, "'" + key + "' is not a known setting"));
   }
   if (faults.empty()) return absl::OkStatus();
   return absl::InvalidArgumentError(absl::StrJoin(faults, "\n"));
 }
 
+absl::Status Settings::Check() const {
+  std::vector<std::string> faults = faults_;
+  faults.insert(faults.end(), figure_faults_.begin(), figure_faults_.end());
+  return StatusOf(std::move(faults));
+}
+
+absl::Status Settings::CheckWithoutFigures() const { return StatusOf(faults_); }
+
 }  // namespace knapweed
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,9 +1,6 @@
 #include "knapweed/gateway/gateway.h"
 
 #include <algorithm>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
-#include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -145,7 +142,7 @@
 
   Clock clock = Clock::Steady();
   asio::io_context& loop;
-  const GatewayConfig& config;
+  GatewayConfig config;
   const Dialect& dialect;
   Metrics metrics;
   FleetView view;
@@ -304,8 +301,24 @@
   parts_->quotas.SetTolerance(config.quota);
   parts_->permits.SetTolerance(config.quota);
   SetLogLevel(config.log_level);
+  parts_->config.quota = config.quota;
+  parts_->config.log_level = config.log_level;
+  LogFigures();
 }
 
+void Gateway::LogFigures() const {
+  const GatewayConfig& config = parts_->config;
+  kLog.Info("Figures in force.",
+            {{"grace_ms", config.grace.count},
+             {"quota_window_ms", config.quota.window.count},
+             {"quota_over_share", std::to_string(config.quota.over_share)},
+             {"quota_slack_calls", std::to_string(config.quota.slack_calls)},
+             {"row_bytes", config.row_bytes},
+             {"memory_mb", config.memory_mb}});
+}
+
+const GatewayConfig& Gateway::config() const { return parts_->config; }
+
 bool Gateway::Start() {
   Parts& parts = *parts_;
   const GatewayConfig& config = parts.config;
@@ -342,6 +355,7 @@
   kLog.Info("Started.", {{"name", config.name},
                          {"callers", config.callers.ToString()},
                          {"version", kVersionText}});
+  LogFigures();
   parts.store.Start();
   parts.watch.Start();
   SpawnForever(parts.loop, "exchanging use",
@@ -372,7 +386,8 @@
 Task<void> Gateway::Shutdown() {
   Parts& parts = *parts_;
   const Ms started_at = parts.clock.Now();
-  const Ms stop_at = started_at + parts.config.grace - kShutdownMargin;
+  const Ms killed_at = started_at + parts.config.grace;
+  const Ms stop_at = killed_at - kShutdownMargin;
   parts.shutting_down = true;
   parts.front.BeginDraining();
   parts.runner.EndAt(stop_at);
@@ -392,92 +407,12 @@
     parts.front.CloseIdle();
     co_await Sleep(parts.loop, kPollInterval);
   }
-  co_await parts.budgets.Flush(true,
-                               started_at + parts.config.grace - kExitTime);
-  co_await AnnounceStop(std::min(parts.clock.Now() + kMaxStopNotice,
-                                 started_at + parts.config.grace - kExitTime));
+  co_await parts.budgets.Flush(true, killed_at - kExitTime);
+  co_await AnnounceStop(
+      std::min(parts.clock.Now() + kMaxStopNotice, killed_at - kExitTime));
   parts.runner.ReportCut();
   kLog.Info("Stopped.", {{"under_way", parts.runner.under_way()},
                          {"connections", parts.front.connections()}});
 }
 
-namespace {
-
-Task<void> ShutdownAndStopLoop(asio::io_context& loop, Gateway& gateway) {
-  co_await gateway.Shutdown();
-  loop.stop();
-}
-
-/// Reads the settings again on SIGHUP. Only the log level and the quota
-/// tolerance can change at run time; addresses and names can't.
-Task<void> ReloadOnHangup(Gateway& gateway, asio::signal_set& hangup,
-                          std::string path) {
-  while (true) {
-    NetErrorCode ec;
-    co_await hangup.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) co_return;
-    const absl::StatusOr<GatewayConfig> config = ReadGatewayConfig(path);
-    if (!config.ok()) {
-      kLog.Error("Keeping the settings: the new ones are invalid.",
-                 {{"error", config.status().ToString()}});
-      continue;
-    }
-    gateway.Reload(*config);
-    kLog.Info("Settings reloaded.", {{"path", path}});
-  }
-}
-
-}  // namespace
-
-namespace {
-
-/// The loop of a process, and the signals that it handles. From its
-/// construction on they wait for their handlers in place of ending the process.
-struct SignalledLoop {
-  SignalledLoop() { std::signal(SIGPIPE, SIG_IGN); }
-  asio::io_context loop{1};
-  asio::signal_set stop{loop, SIGTERM, SIGINT};
-  asio::signal_set hangup{loop, SIGHUP};
-};
-
-int RunGatewayOn(SignalledLoop& process, const GatewayConfig& config,
-                 const std::string& path, const Dialect& dialect) {
-  asio::io_context& loop = process.loop;
-  Gateway gateway(loop, config, dialect);
-  process.stop.async_wait([&](const NetErrorCode& ec, int) {
-    if (!ec) Spawn(loop, ShutdownAndStopLoop(loop, gateway));
-  });
-  SpawnForever(loop, "reloading settings",
-               [&] { return ReloadOnHangup(gateway, process.hangup, path); });
-  if (!gateway.Start()) return kExitFailed;
-  // What escapes a completion handler ends `run`, which can be called again.
-  while (!loop.stopped()) RunStep("the loop", [&] { loop.run(); });
-  FlushLog();
-  return kExitOk;
-}
-
-}  // namespace
-
-int RunGateway(const GatewayConfig& config, const std::string& path,
-               const Dialect& dialect) {
-  SignalledLoop process;
-  return RunGatewayOn(process, config, path, dialect);
-}
-
-int GatewayMain(int argc, const char** argv, const Dialect& dialect) {
-  const DaemonArgs args =
-      ParseDaemonArgs(argc, argv, "serves callers over the platform's store");
-  if (args.exit_now) return args.exit_code;
-  SignalledLoop process;
-  const absl::StatusOr<GatewayConfig> config =
-      ReadGatewayConfig(args.config_path);
-  if (!config.ok()) {
-    std::cerr << config.status().message() << "\n";
-    return kExitBadConfig;
-  }
-  if (args.check_only) return kExitOk;
-  StartStructuredLog(config->log_level);
-  return RunGatewayOn(process, *config, args.config_path, dialect);
-}
-
 }  // namespace knapweed::gateway
--- a/src/gateway/gateway_config.cc
+++ b/src/gateway/gateway_config.cc
@@ -1,4 +1,6 @@
-#include "knapweed/base/parse.h"
+#include <algorithm>
+#include <limits>
+
 #include "knapweed/base/settings.h"
 #include "knapweed/gateway/gateway.h"
 #include "knapweed/policy/memory_guard.h"
@@ -16,12 +18,50 @@
   return order == "slack";
 }
 /// 1 TB; a larger number is most likely meant in another unit.
-constexpr int64_t kMaxMemoryMb = 1 << 20;
+constexpr double kMaxMemoryMb = 1 << 20;
+constexpr double kMinRowBytes = 1024;
+/// Longer rows are not written, whatever the store takes.
+constexpr double kMaxRowBytes = 8 << 20;
+constexpr double kMaxFigure = std::numeric_limits<uint32_t>::max();
 
-}  // namespace
+QuotaTolerance ReadTolerance(Settings& settings, QuotaTolerance tolerance) {
+  const Ms window = settings.GetMs("quota", "window", tolerance.window);
+  if (window > Ms{0}) {
+    tolerance.window = window;
+  } else {
+    settings.AddFigureFault("quota", "window", "expected more than 0");
+  }
+  tolerance.over_share = settings.GetFigure(
+      "quota", "over_share", tolerance.over_share, 0, kMaxFigure);
+  tolerance.slack_calls = settings.GetFigure(
+      "quota", "slack_calls", tolerance.slack_calls, 0, kMaxFigure);
+  return tolerance;
+}
 
-absl::StatusOr<GatewayConfig> ReadGatewayConfig(const std::string& path) {
-  Settings settings = Settings::Load(path);
+/// Rounds down to whole bytes: the store refuses longer rows.
+size_t ReadRowBytes(Settings& settings, size_t in_force) {
+  const double stated =
+      settings.GetFigure("store", "row_bytes", static_cast<double>(in_force),
+                         kMinRowBytes, kMaxFigure);
+  return static_cast<size_t>(std::min(stated, kMaxRowBytes));
+}
+
+/// Rounds down to whole MB: the process may use no more than is stated.
+uint64_t ReadMemoryMb(Settings& settings, uint64_t in_force) {
+  const double stated = settings.GetFigure(
+      "gateway", "memory_mb", static_cast<double>(in_force), 0, kMaxMemoryMb);
+  const auto memory_mb = static_cast<int64_t>(stated);
+  if (memory_mb == 0 || memory_mb >= kMinMemoryMb) {
+    return static_cast<uint64_t>(memory_mb);
+  }
+  settings.AddFigureFault(
+      "gateway", "memory_mb",
+      "expected 0 (no bound) or at least " + std::to_string(kMinMemoryMb));
+  return in_force;
+}
+
+/// Reads all settings; figures that can't be used keep those of `in_force`.
+GatewayConfig ReadAll(Settings& settings, const GatewayConfig& in_force) {
   GatewayConfig config;
   config.name = settings.GetString("gateway", "name");
   config.failure_domain = settings.GetString("gateway", "failure_domain");
@@ -31,38 +71,39 @@
   config.seeds = settings.GetAddresses("gateway", "seeds", "");
   config.metrics = settings.GetAddress("metrics", "listen");
   config.store = settings.GetAddress("store", "address");
-  constexpr int64_t kMinRowBytes = 1024;
-  constexpr int64_t kMaxRowBytes = 8 << 20;
-  config.row_bytes = static_cast<size_t>(
-      settings.GetInt("store", "row_bytes", 65536, kMinRowBytes, kMaxRowBytes));
-  config.quota.window = settings.GetMs("quota", "window", config.quota.window);
-  config.quota.slack_calls = static_cast<double>(
-      settings.GetInt("quota", "slack_calls", 20, 0, 1000000));
-  const std::string over = settings.GetString("quota", "over_share", "0.1");
-  double share = 0;
-  if (!ParseNumber(over, &share) || share < 0 || share > 1) {
-    settings.AddFault("quota", "over_share", "expected a share from 0 to 1");
-  }
-  config.quota.over_share = share;
+  config.row_bytes = ReadRowBytes(settings, in_force.row_bytes);
+  config.quota = ReadTolerance(settings, in_force.quota);
   config.placement.learn_speeds =
       settings.GetBool("placement", "learn_speeds", false);
   config.placement.prefix_homes =
       settings.GetBool("placement", "prefix_homes", false);
   config.order_by_slack = ReadOrder(settings);
   config.admit_programs = settings.GetBool("overload", "admission", false);
-  config.grace = settings.GetMs("shutdown", "grace", config.grace);
-  const int64_t memory_mb =
-      settings.GetInt("gateway", "memory_mb", 0, 0, kMaxMemoryMb);
-  if (memory_mb > 0 && memory_mb < kMinMemoryMb) {
-    settings.AddFault(
-        "gateway", "memory_mb",
-        "expected 0 (no bound) or at least " + std::to_string(kMinMemoryMb));
-  }
-  config.memory_mb = static_cast<uint64_t>(memory_mb);
+  config.grace = settings.GetMs("shutdown", "grace", in_force.grace);
+  config.memory_mb = ReadMemoryMb(settings, in_force.memory_mb);
   config.log_level = ReadLogLevel(settings);
+  return config;
+}
+
+}  // namespace
+
+absl::StatusOr<GatewayConfig> ReadGatewayConfig(const std::string& path) {
+  Settings settings = Settings::Load(path);
+  GatewayConfig config = ReadAll(settings, GatewayConfig{});
   const absl::Status status = settings.Check();
   if (!status.ok()) return status;
   return config;
 }
 
+absl::StatusOr<UsableSettings> ReadUsableSettings(
+    const std::string& path, const GatewayConfig& in_force) {
+  Settings settings = Settings::Load(path);
+  UsableSettings usable;
+  usable.config = ReadAll(settings, in_force);
+  const absl::Status status = settings.CheckWithoutFigures();
+  if (!status.ok()) return status;
+  usable.unused_figures = settings.figure_faults();
+  return usable;
+}
+
 }  // namespace knapweed::gateway
--- a/src/gateway/permit_book.cc
+++ b/src/gateway/permit_book.cc
@@ -7,8 +7,8 @@
 namespace {
 
 /// Two readings of a clock in whole milliseconds differ by up to one more than
-/// the time between them, at each end.
-constexpr Ms kClockRounding{2};
+/// the time between them, at each end, and the window is rounded down.
+constexpr Ms kRounding{3};
 /// More than any workspace uses; keeps the numbers that follow in range.
 constexpr double kMaxPermits = 1e9;
 
@@ -27,7 +27,7 @@
 }  // namespace
 
 Ms PermitSpan(const QuotaTolerance& tolerance) {
-  return tolerance.window + kPermitTimeout + kClockRounding;
+  return tolerance.window + kPermitTimeout + kRounding;
 }
 
 size_t PermitsOf(const Workspace& workspace, const QuotaTolerance& tolerance) {
