End a stop within the grace period that the settings state now

What callers see: a gateway whose grace period was shortened goes on for as long as the earlier one allowed, and is killed while it answers.

Cause: a reload applied the quota tolerance and the log level only, and the platform may change the settings file without a signal.

Change: a reload takes the grace period as well, and a stop reads the file once more before it begins. A stop that has begun keeps its end.

Why it works: the end of a stop is computed from the settings in force when it begins.

--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -77,8 +77,8 @@
   /// calls in progress and writes unsettled budgets to the store. Returns when
   /// no connection is left or the grace period is over.
   Task<void> Shutdown();
-  /// Applies the settings that can change at run time: quota tolerance and log
-  /// level.
+  /// Applies the settings that can change at run time: quota tolerance, grace
+  /// period and log level.
   void Reload(const GatewayConfig& config);
   /// Returns the settings in force.
   const GatewayConfig& config() const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -302,6 +302,7 @@
   parts_->permits.SetTolerance(config.quota);
   SetLogLevel(config.log_level);
   parts_->config.quota = config.quota;
+  parts_->config.grace = config.grace;
   parts_->config.log_level = config.log_level;
   LogFigures();
 }
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -26,8 +26,8 @@
   }
 }
 
-/// Reads the settings file again. Only the log level and the quota
-/// tolerance can change at run time; addresses and names can't.
+/// Reads the settings file again. Only the log level, the quota tolerance and
+/// the grace period can change at run time; addresses and names can't.
 void ReloadSettings(Gateway& gateway, const std::string& path) {
   const absl::StatusOr<UsableSettings> usable =
       ReadUsableSettings(path, gateway.config());
@@ -73,6 +73,8 @@
   Gateway gateway(loop, config, dialect);
   process.stop.async_wait([&](const NetErrorCode& ec, int) {
     if (ec) return;
+    // They may have changed without a signal.
+    ReloadSettings(gateway, path);
     Spawn(loop, ShutdownAndStopLoop(loop, gateway));
   });
   SpawnForever(loop, "reloading settings",
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -228,5 +228,26 @@
   CHECK(gateway.Log().find(kUnused) != std::string::npos);
 }
 
+// Guards against a stop that lasts as long as an earlier grace period allowed,
+// so that the process is killed while it answers.
+TEST_CASE("a stop ends within the grace period that the settings state now") {
+  for (const bool sends_signal : {true, false}) {
+    CAPTURE(sends_signal);
+    Fields fields = PlainFields();
+    RenderedGateway gateway(fields);
+    REQUIRE(gateway.WaitForLog("Figures in force."));
+    fields["bounds.grace_s"] = "1.5";
+    gateway.Write(fields);
+    if (sends_signal) {
+      kill(gateway.child().pid(), SIGHUP);
+      CHECK(gateway.WaitForLog("grace_ms=1500"));
+    }
+    const Clock clock = Clock::Steady();
+    const Ms started_at = clock.Now();
+    CHECK(gateway.child().Stop(Seconds(8)) == 0);
+    CHECK(clock.Now() - started_at <= Ms{1500});
+  }
+}
+
 }  // namespace
 }  // namespace knapweed::testing
