Keep both states of a budget's row until a write's outcome is known

Cause: after a write of unknown outcome a gateway went on with the state before it. If the write had taken over another gateway's allowance and was made, the turns that run on that allowance were held nowhere, and the next claim wrote an allowance without them. A write-back that was made counted twice, and a claim that made an allowance smaller left the larger one in use.

Change: SharedRows keeps a change of unknown outcome and resolves it before anything else is written, by sending the same commit once more; its condition lets only one of the two be made. Budgets keeps what the write changes: a turn begins only if both states allow it, turns that are taken over are held from the start, and what is settled of them counts with the write. An allowance counts as confirmed from the time at which it was prepared. If the writer's mark was evicted, the allowance in the row tells.

Why it works: until the row has been read there is no state of which it is known that it holds, so both bound what is spent; the second commit decides which.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -140,6 +141,23 @@
   Task<void> Flush(bool all, Ms until);
 
  private:
+  /// What a write of a program's row changes here once it was made.
+  struct RowWrite {
+    /// Tokens that it adds to those spent.
+    uint64_t spent = 0;
+    /// This gateway's allowance after it; of no tokens if there is none.
+    BudgetState::Allowance allowance;
+    /// When it was prepared, on the local clock.
+    Ms prepared_at;
+    /// Leases that it takes over, with the turns that have not ended since.
+    std::vector<TakenOverLease> taken_over;
+    /// Tokens of those that have ended since.
+    uint64_t settled = 0;
+
+    /// Returns the token limits of the turns that it takes over.
+    uint64_t RunningTokens() const;
+  };
+
   struct Program {
     explicit Program(asio::io_context& loop) : unlocked(loop) {}
     CachedRow row;
@@ -148,9 +166,10 @@
     /// Reservations on earlier leases are void: another gateway has taken over
     /// what was left of them.
     uint64_t first_valid_lease = 0;
-    /// The row may hold another lease than `lease`, so that no turn may begin
-    /// before the next claim is granted.
-    bool lease_is_unsure = false;
+    /// The last write of the row, while it is not known whether it was made.
+    /// The other fields tell the state before it; a turn may begin only if both
+    /// states allow it, and nothing else is written before it is known.
+    std::optional<RowWrite> unknown;
     /// This gateway's allowance in tokens, as last written.
     uint64_t allowance = 0;
     /// When the allowance was last written.
@@ -163,8 +182,6 @@
     uint64_t running = 0;
     Ms first_asked_at;
     Ms used_at;
-    /// The outcome of the last write is not known.
-    bool row_is_unsure = false;
     /// The last claim was granted more tokens than its turns needed.
     bool has_headroom = false;
     bool locked = false;
@@ -181,6 +198,9 @@
     LeaseKey lease;
     /// As in `ReserveResult`.
     Address told;
+    /// It runs on a lease of another gateway whose takeover is the program's
+    /// unknown write.
+    bool is_unknown = false;
   };
 
   /// Programs that are due, shared by the coroutines that write them.
@@ -204,6 +224,9 @@
   /// Settles a reservation that is held for another gateway. Returns false if
   /// there is none.
   bool SettleRemote(const std::string& turn, uint64_t spent);
+  /// Ends a reservation that is no longer among `remote_turns_`.
+  void EndRemote(const RemoteTurn& held, const std::string& turn,
+                 uint64_t spent);
   /// Sends a message until the peer has taken it, a few times at most.
   Task<bool> SendUntilTaken(Address peer, HttpRequest call);
   Task<void> SettleAt(Address home, std::string turn, uint64_t spent);
@@ -241,9 +264,23 @@
   Task<ClaimResult> ClaimOnce(TurnToReserve turn, ProgramPtr program,
                               const BudgetClaim& base,
                               std::map<std::string, BudgetLease>* to_ask);
-  /// Holds the turns that run on a lease that was taken over.
-  void HoldTurnsOf(const std::string& name, Program& program,
-                   const TakenOverLease& taken);
+  /// Returns a lease as a claim asks for it, after a write that was unknown
+  /// when the claim was prepared.
+  static BudgetLease Rebase(const Program& program, BudgetLease asked);
+  /// Applies a write that was made.
+  void Adopt(const std::string& name, Program& program, const RowWrite& write);
+  /// Keeps a write of which it is not known whether it was made.
+  void KeepUnknown(const std::string& name, Program& program, RowWrite write);
+  /// Finds out what became of the unknown write of a program, if there is one.
+  /// Returns false if it can't be told.
+  Task<bool> Resolve(std::string name, ProgramPtr program);
+  /// Returns whether the row holds the allowance of the unknown write.
+  bool HasAllowanceOf(const Program& program) const;
+  /// Holds the turns that run on the leases that a write takes over.
+  void HoldTurnsOf(const std::string& name, const Program& program,
+                   const RowWrite& write);
+  /// Drops those that are held for a write that was not made.
+  void DropTurnsOf(const RowWrite& write);
   /// Asks the witnesses of a lease what was spent of it. Returns nothing unless
   /// all of them answer.
   Task<std::optional<TakenOverLease>> TakeOver(std::string name,
@@ -266,7 +303,7 @@
   bool IsLost(const Program& program, const BudgetState& state) const;
   /// Voids what is held of a program of which `IsLost`.
   void LoseLease(Program& program) const;
-  /// Returns whether a turn with this witness may begin without a claim.
+  /// Returns whether a turn may begin on this lease without a claim.
   bool MayBegin(const Program& program, const BudgetLease& lease,
                 const TurnToReserve& turn) const;
   HttpResponse AnswerSettle(const nlohmann::json& json);
--- a/include/knapweed/gateway/shared_row.h
+++ b/include/knapweed/gateway/shared_row.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "knapweed/gateway/store.h"
@@ -14,6 +15,15 @@
 /// whether its change was made.
 namespace knapweed::gateway {
 
+/// A change that was sent to the store and whose outcome is not known.
+struct UnknownChange {
+  uint64_t sequence = 0;
+  Commit commit;
+  /// The row's content if the change was made.
+  nlohmann::json state;
+  nlohmann::json marks;
+};
+
 /// A row as last read or written by this process.
 struct CachedRow {
   /// The row's content without the marks; null when the row is absent.
@@ -23,6 +33,9 @@
   /// When the store last confirmed this state, on the local clock.
   Ms confirmed_at;
   bool confirmed = false;
+  /// The last change, while it is not known whether it was or will be made. The
+  /// fields above tell the state before it.
+  std::optional<UnknownChange> unknown;
 };
 
 /// Changes a state in place. Returns false to leave the row unchanged when the
@@ -40,6 +53,14 @@
   kUnknown,
 };
 
+/// What became of a change whose outcome was not known.
+enum class ChangeFate : uint8_t {
+  kMade,
+  /// It was not made, and never will be.
+  kNotMade,
+  kUnknown,
+};
+
 /// Updates shared rows under one writer name. At most one update may be in
 /// progress on a `CachedRow`.
 class SharedRows {
@@ -51,15 +72,24 @@
   /// Applies `change` to the row and writes it, again after each conflict,
   /// until the write succeeds, `change` returns false or `deadline` passes.
   /// `row` is brought up to date. When `change` returns false on a state that
-  /// was confirmed less than `fresh` ago, the row is not read again.
+  /// was confirmed less than `fresh` ago, the row is not read again. Does
+  /// nothing while `row` has an unknown change.
   Task<UpdateOutcome> Update(const RowKey& key, CachedRow& row,
                              const RowChange& change, Ms deadline,
                              Ms fresh = Ms{0});
+  /// Finds out what became of the row's unknown change, by sending it once
+  /// more: only one of the two can be made. Brings `row` up to date unless the
+  /// fate stays unknown. A change counts as not made if its mark has been
+  /// evicted meanwhile.
+  Task<ChangeFate> Resolve(const RowKey& key, CachedRow& row);
 
  private:
   Task<StoreOutcome> Refresh(const RowKey& key, CachedRow& row);
   void LoadAnswer(const StoreAnswer& answer, const RowKey& key, CachedRow& row);
   bool HasMark(const CachedRow& row, uint64_t sequence) const;
+  /// Sets a row to what was written.
+  void SetMade(nlohmann::json state, nlohmann::json marks, uint64_t version,
+               CachedRow& row);
 
   Store& store_;
   const Clock& clock_;
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -87,9 +87,7 @@
 }
 
 bool Budgets::IsLost(const Program& program, const BudgetState& state) const {
-  const bool is_sure = !program.row_is_unsure && !program.lease_is_unsure;
-  return program.allowance > 0 && is_sure &&
-         !state.allowances.contains(gateway_);
+  return program.allowance > 0 && !state.allowances.contains(gateway_);
 }
 
 void Budgets::LoseLease(Program& program) const {
@@ -112,8 +110,7 @@
   const auto known = last.witnesses.find(runner.address);
   const bool has_restarted =
       known != last.witnesses.end() && known->second != runner.process;
-  const bool goes_on = program.allowance > 0 && !program.lease_is_unsure &&
-                       !has_restarted &&
+  const bool goes_on = program.allowance > 0 && !has_restarted &&
                        store_.StoreNow() - last.since <= kMaxLeaseAge;
   return goes_on ? last : NewLease(program);
 }
@@ -123,8 +120,7 @@
     std::map<std::string, BudgetLease>* to_ask) {
   BudgetClaim claim = base;
   ClaimResult result = ClaimResult::kGranted;
-  BudgetState::Allowance allowance;
-  std::vector<TakenOverLease> taken_over;
+  RowWrite write;
   const RowChange change = [&](nlohmann::json& json) {
     BudgetState state = DecodeBudget(json);
     if (IsLost(*program, state)) {
@@ -143,11 +139,14 @@
       to_ask->emplace(holder, *state.allowances[holder].lease);
     }
     if (!to_ask->empty()) return false;
-    taken_over = TakenOverIn(claim, state);
+    write = RowWrite();
+    write.spent = claim.spent;
+    write.prepared_at = clock_.Now();
+    write.taken_over = TakenOverIn(claim, state);
     const ClaimVerdict verdict = ApplyClaim(claim, state);
     result = ResultOf(verdict);
     if (verdict != ClaimVerdict::kGranted) return false;
-    allowance = state.allowances[gateway_];
+    write.allowance = state.allowances[gateway_];
     program->total_spent = state.spent;
     json = EncodeBudget(state);
     return true;
@@ -156,25 +155,11 @@
   const UpdateOutcome outcome = co_await rows_.Update(
       key, program->row, change, turn.deadline, kRefusalCacheTtl);
   if (outcome == UpdateOutcome::kDeclined) co_return result;
-  if (outcome != UpdateOutcome::kChanged) {
-    // After an unknown outcome the row may hold a larger allowance than
-    // `program->allowance`, or another lease; the next write corrects it.
-    const bool changes_lease =
-        program->allowance > 0 && program->lease.number != claim.lease->number;
-    if (outcome == UpdateOutcome::kUnknown && changes_lease) {
-      program->lease_is_unsure = true;
-    }
-    co_return ClaimResult::kUnavailable;
-  }
-  program->spent -= claim.spent;
-  program->row_is_unsure = false;
-  program->lease_is_unsure = false;
-  program->allowance = allowance.tokens;
-  program->lease = *allowance.lease;
-  program->allowed_at = clock_.Now();
-  for (const TakenOverLease& taken : taken_over) {
-    HoldTurnsOf(turn.program, *program, taken);
+  if (outcome == UpdateOutcome::kUnknown) {
+    KeepUnknown(turn.program, *program, std::move(write));
   }
+  if (outcome != UpdateOutcome::kChanged) co_return ClaimResult::kUnavailable;
+  Adopt(turn.program, *program, write);
   program->has_headroom =
       program->allowance > program->running + turn.max_tokens;
   co_return ClaimResult::kGranted;
@@ -183,6 +168,11 @@
 Task<Budgets::ClaimResult> Budgets::Claim(TurnToReserve turn,
                                           ProgramPtr program,
                                           BudgetLease lease) {
+  if (program->unknown.has_value()) {
+    const bool resolved = co_await Resolve(turn.program, program);
+    if (!resolved) co_return ClaimResult::kUnavailable;
+    lease = Rebase(*program, std::move(lease));
+  }
   BudgetClaim claim;
   claim.gateway = gateway_;
   claim.budget = turn.budget;
@@ -219,8 +209,16 @@
   const bool lapsed =
       clock_.Now() - program.allowed_at > kAllowanceTtl - kConfirmInterval;
   const uint64_t used = program.spent + program.running + turn.max_tokens;
-  return !lapsed && used <= program.allowance && !program.lease_is_unsure &&
-         lease.number == program.lease.number;
+  const bool fits =
+      used <= program.allowance && lease.number == program.lease.number;
+  if (lapsed || !fits) return false;
+  if (!program.unknown.has_value()) return true;
+  const RowWrite& write = *program.unknown;
+  const uint64_t used_after =
+      used - write.spent + write.RunningTokens() + write.settled;
+  return used_after <= write.allowance.tokens &&
+         write.allowance.lease.has_value() &&
+         write.allowance.lease->number == lease.number;
 }
 
 Task<ReserveResult> Budgets::ReserveLocked(TurnToReserve turn,
@@ -229,6 +227,14 @@
   ClaimResult claimed = ClaimResult::kLost;
   for (int round = 0; claimed == ClaimResult::kLost && round < kMaxRounds;
        ++round) {
+    const bool is_unknown = program->unknown.has_value();
+    if (is_unknown && !MayBegin(*program, program->lease, turn)) {
+      const bool resolved = co_await Resolve(turn.program, program);
+      if (!resolved) {
+        claimed = ClaimResult::kUnavailable;
+        break;
+      }
+    }
     BudgetLease lease = NextLease(*program, turn.runner);
     Witness witness = turn.runner;
     if (witness.empty()) {
@@ -296,13 +302,15 @@
 
 Task<bool> Budgets::WriteLocked(std::string name, ProgramPtr program,
                                 bool release) {
+  const bool resolved = co_await Resolve(name, program);
+  if (!resolved) co_return false;
   BudgetClaim claim;
   claim.gateway = gateway_;
   claim.spent = program->spent;
   claim.running = program->running;
   claim.lease = program->lease;
   bool is_lost = false;
-  std::optional<BudgetLease> lease;
+  RowWrite write;
   if (!release) {
     claim.running = std::max(
         claim.running,
@@ -314,8 +322,11 @@
     if (is_lost) return false;
     claim.now = store_.StoreNow();
     ApplyClaim(claim, state);
+    write = RowWrite();
+    write.spent = claim.spent;
+    write.prepared_at = clock_.Now();
     const auto own = state.allowances.find(gateway_);
-    if (own != state.allowances.end()) lease = own->second.lease;
+    if (own != state.allowances.end()) write.allowance = own->second;
     program->total_spent = state.spent;
     json = EncodeBudget(state);
     return true;
@@ -328,22 +339,17 @@
     LoseLease(*program);
     co_return true;
   }
-  if (outcome == UpdateOutcome::kChanged) {
-    program->spent -= claim.spent;
-    if (lease.has_value()) program->lease = *lease;
-    program->allowance = claim.running;
-    program->allowed_at = clock_.Now();
-  } else {
-    // The row may have given back what is beyond this.
-    program->allowance = std::min(program->allowance, claim.running);
+  if (outcome == UpdateOutcome::kUnknown) {
+    KeepUnknown(name, *program, std::move(write));
   }
-  program->row_is_unsure = outcome != UpdateOutcome::kChanged;
-  co_return outcome == UpdateOutcome::kChanged;
+  if (outcome != UpdateOutcome::kChanged) co_return false;
+  Adopt(name, *program, write);
+  co_return true;
 }
 
 bool Budgets::HoldsMoreThanNeeded(const Program& program) {
   return program.spent > 0 || program.allowance > program.running ||
-         program.row_is_unsure;
+         program.unknown.has_value();
 }
 
 bool Budgets::IsIdle(const Program& program) const {
@@ -393,7 +399,7 @@
     const bool idle = all || hands_over || IsIdle(*program);
     const bool old = now - program->allowed_at >= kConfirmInterval;
     const bool is_written =
-        program->allowance + program->spent > 0 || program->row_is_unsure;
+        program->allowance + program->spent > 0 || program->unknown.has_value();
     if (is_written && (idle || old)) {
       run->due.emplace_back(name, program);
     }
@@ -411,9 +417,9 @@
   const Ms before = clock_.Now() - kDropIdleAfter;
   std::erase_if(programs_, [&](const auto& item) {
     const Program& program = *item.second;
-    return !program.locked && !program.row_is_unsure && program.running == 0 &&
-           program.spent == 0 && program.allowance == 0 &&
-           program.used_at < before;
+    return !program.locked && !program.unknown.has_value() &&
+           program.running == 0 && program.spent == 0 &&
+           program.allowance == 0 && program.used_at < before;
   });
 }
 
--- a/src/gateway/budgets_peers.cc
+++ b/src/gateway/budgets_peers.cc
@@ -183,7 +183,7 @@
   if (it == remote_turns_.end()) return false;
   const RemoteTurn held = std::move(it->second);
   remote_turns_.erase(it);
-  SettleHere(held.program, held.lease, held.max_tokens, spent);
+  EndRemote(held, turn, spent);
   if (held.told != Address{}) {
     Spawn(loop_, SettleTold(held.told, held.lease, turn, spent));
   }
@@ -306,18 +306,6 @@
   co_return taken;
 }
 
-void Budgets::HoldTurnsOf(const std::string& name, Program& program,
-                          const TakenOverLease& taken) {
-  program.running += taken.RunningTokens();
-  for (const auto& [turn, held] : taken.running) {
-    remote_turns_[turn] = {name,
-                           held.max_tokens,
-                           held.expires_at,
-                           {name, gateway_, program.lease.number},
-                           {}};
-  }
-}
-
 Task<HttpResponse> Budgets::AnswerPeer(const HttpRequest& call) {
   HttpResponse answer;
   answer.status = 400;
@@ -430,9 +418,9 @@
       ++it;
       continue;
     }
-    const RemoteTurn& held = it->second;
-    SettleHere(held.program, held.lease, held.max_tokens, held.max_tokens);
-    it = remote_turns_.erase(it);
+    const auto expired = remote_turns_.extract(it++);
+    const RemoteTurn& held = expired.mapped();
+    EndRemote(held, expired.key(), held.max_tokens);
   }
 }
 
--- a/src/gateway/shared_row.cc
+++ b/src/gateway/shared_row.cc
@@ -58,6 +58,36 @@
   }
 }
 
+void SharedRows::SetMade(nlohmann::json state, nlohmann::json marks,
+                         uint64_t version, CachedRow& row) {
+  row = CachedRow{};
+  row.state = std::move(state);
+  row.marks = std::move(marks);
+  row.version = version;
+  row.confirmed = true;
+  row.confirmed_at = clock_.Now();
+}
+
+Task<ChangeFate> SharedRows::Resolve(const RowKey& key, CachedRow& row) {
+  UnknownChange change = *row.unknown;
+  const StoreAnswer answer = co_await store_.Apply(change.commit);
+  switch (answer.outcome) {
+    case StoreOutcome::kDone:
+      SetMade(std::move(change.state), std::move(change.marks), answer.version,
+              row);
+      co_return ChangeFate::kMade;
+    case StoreOutcome::kConflict:
+      LoadAnswer(answer, key, row);
+      co_return HasMark(row, change.sequence) ? ChangeFate::kMade
+                                              : ChangeFate::kNotMade;
+    case StoreOutcome::kRejected:
+      row.unknown.reset();
+      co_return ChangeFate::kNotMade;
+    default:
+      co_return ChangeFate::kUnknown;
+  }
+}
+
 Task<StoreOutcome> SharedRows::Refresh(const RowKey& key, CachedRow& row) {
   RowRange range;
   range.table = key.table;
@@ -73,6 +103,7 @@
 Task<UpdateOutcome> SharedRows::Update(const RowKey& key, CachedRow& row,
                                        const RowChange& change, Ms deadline,
                                        Ms fresh) {
+  if (row.unknown.has_value()) co_return UpdateOutcome::kNotDone;
   bool read_now = row.confirmed && clock_.Now() - row.confirmed_at < fresh;
   bool in_doubt = false;
   while (true) {
@@ -96,13 +127,17 @@
       if (answer.outcome == StoreOutcome::kUnknown) in_doubt = true;
     } while (answer.outcome == StoreOutcome::kUnknown &&
              clock_.Now() < deadline);
+    const bool is_answered = answer.outcome == StoreOutcome::kDone ||
+                             answer.outcome == StoreOutcome::kConflict ||
+                             answer.outcome == StoreOutcome::kRejected;
+    if (in_doubt && !is_answered) {
+      row.unknown =
+          UnknownChange{sequence, std::move(commit), std::move(next), marks};
+      co_return UpdateOutcome::kUnknown;
+    }
     switch (answer.outcome) {
       case StoreOutcome::kDone:
-        row.state = std::move(next);
-        row.marks = marks;
-        row.version = answer.version;
-        row.confirmed = true;
-        row.confirmed_at = clock_.Now();
+        SetMade(std::move(next), marks, answer.version, row);
         co_return UpdateOutcome::kChanged;
       case StoreOutcome::kConflict:
         LoadAnswer(answer, key, row);
@@ -112,16 +147,15 @@
         if (HasMark(row, sequence)) co_return UpdateOutcome::kChanged;
         in_doubt = false;
         break;
-      case StoreOutcome::kNotDone:
-      case StoreOutcome::kBusy:
-        co_return in_doubt ? UpdateOutcome::kUnknown : UpdateOutcome::kNotDone;
       case StoreOutcome::kRejected:
         kLog.Error("The store rejected a commit as malformed.",
                    {{"table", key.table}, {"key", key.key}});
         co_return UpdateOutcome::kNotDone;
+      case StoreOutcome::kNotDone:
+      case StoreOutcome::kBusy:
       case StoreOutcome::kUnknown:
       case StoreOutcome::kHistoryLost:
-        co_return UpdateOutcome::kUnknown;
+        co_return UpdateOutcome::kNotDone;
     }
     if (clock_.Now() >= deadline) co_return UpdateOutcome::kNotDone;
   }
--- a/tests/platform/fake_store.cc
+++ b/tests/platform/fake_store.cc
@@ -143,6 +143,22 @@
   return response;
 }
 
+FakeStore::Key FakeStore::KeyOf(const json& item) {
+  return {item["table"], item["part"], item["key"]};
+}
+
+bool FakeStore::ConditionsHold(const json& commit, json* current) const {
+  bool all_hold = true;
+  for (const json& condition : commit["expected_rev"]) {
+    const auto it = rows_.find(KeyOf(condition));
+    const bool exists = it != rows_.end() && !it->second.deleted;
+    if (exists) current->push_back(RowJson(it->first, it->second));
+    const uint64_t version = exists ? it->second.version : 0;
+    if (condition["ver"].get<uint64_t>() != version) all_hold = false;
+  }
+  return all_hold;
+}
+
 HttpResponse FakeStore::Apply(const std::string& body) {
   ++commits;
   if (body.size() > kMaxCommitBytes) return MakeResponse(413, json::object());
@@ -150,25 +166,16 @@
   const size_t entries = call["expected_rev"].size() + call["writes"].size() +
                          call["remove"].size();
   if (entries > kMaxCommitEntries) return MakeResponse(413, json::object());
-  const auto key_of = [](const json& item) {
-    return Key{item["table"], item["part"], item["key"]};
-  };
   json current = json::array();
-  bool conditions_hold = true;
-  for (const json& condition : call["expected_rev"]) {
-    const auto it = rows_.find(key_of(condition));
-    const bool exists = it != rows_.end() && !it->second.deleted;
-    if (exists) current.push_back(RowJson(it->first, it->second));
-    const uint64_t version = exists ? it->second.version : 0;
-    if (condition["ver"].get<uint64_t>() != version) conditions_hold = false;
+  if (!ConditionsHold(call, &current)) {
+    return MakeResponse(412, {{"rows", current}});
   }
-  if (!conditions_hold) return MakeResponse(412, {{"rows", current}});
   ++version_;
   for (const json& write : call["writes"]) {
-    rows_[key_of(write)] = {FromBase64(write["value"]), version_, false};
+    rows_[KeyOf(write)] = {FromBase64(write["value"]), version_, false};
   }
   for (const json& removal : call["remove"]) {
-    rows_[key_of(removal)] = {"", version_, true};
+    rows_[KeyOf(removal)] = {"", version_, true};
   }
   return MakeResponse(200, json::object());
 }
@@ -256,20 +263,38 @@
     response.status = 404;
     co_return response;
   }
-  if (RandomBool(faults.late_commit_rate)) {
-    Spawn(loop_, [](FakeStore& store, std::string body) -> Task<void> {
-      co_await Sleep(store.loop_, store.faults.late_commit_delay);
-      store.Apply(body);
-    }(*this, call.body));
+  const CommitFate fate = FateOf(call.body);
+  if (fate == CommitFate::kLate) Spawn(loop_, ApplyLate(call.body));
+  if (fate == CommitFate::kLate || fate == CommitFate::kDropped) {
     co_return response;
   }
   const HttpResponse done = Apply(call.body);
   if (faults.commit_delay > Ms{0}) {
     co_await Sleep(loop_, faults.commit_delay);
   }
-  if (done.status == 200 && RandomBool(faults.lost_response_rate))
-    co_return response;
+  const bool may_be_lost = done.status == 200;
+  if (may_be_lost && fate == CommitFate::kLost) co_return response;
+  if (may_be_lost && RandomBool(faults.lost_response_rate)) co_return response;
   co_return done;
 }
 
+Task<void> FakeStore::ApplyLate(std::string body) {
+  co_await Sleep(loop_, faults.late_commit_delay);
+  Apply(body);
+}
+
+CommitFate FakeStore::FateOf(const std::string& body) {
+  if (RandomBool(faults.late_commit_rate)) return CommitFate::kLate;
+  // A copy, since it may unset itself.
+  const auto decide_fate = faults.decide_fate;
+  if (!decide_fate) return CommitFate::kAnswered;
+  const json commit = json::parse(body);
+  json current = json::array();
+  const bool is_applied =
+      !commit["writes"].empty() && ConditionsHold(commit, &current);
+  if (!is_applied) return CommitFate::kAnswered;
+  const json& write = commit["writes"][0];
+  return decide_fate(write["table"], FromBase64(write["value"]));
+}
+
 }  // namespace knapweed::testing
--- a/tests/platform/fake_store.h
+++ b/tests/platform/fake_store.h
@@ -15,6 +15,18 @@
 /// protocol and injects faults.
 namespace knapweed::testing {
 
+/// What becomes of a commit.
+enum class CommitFate {
+  kAnswered,
+  /// It is applied, its response is lost.
+  kLost,
+  /// It is not applied, and has no response.
+  kDropped,
+  /// It has no response, and is applied `late_commit_delay` later, if its
+  /// conditions still hold then.
+  kLate,
+};
+
 /// Faults that a test sets on a running store.
 struct StoreFaults {
   /// Rejects every call with 503.
@@ -29,6 +41,10 @@
   /// `late_commit_delay` later, if their conditions still hold then.
   double late_commit_rate = 0;
   Ms late_commit_delay{300};
+  /// Decides on each commit whose conditions hold, by the table and the value
+  /// of its first write. Unset for none.
+  std::function<CommitFate(const std::string& table, const std::string& value)>
+      decide_fate;
   /// Time until the response to a commit that is applied at once.
   Ms commit_delay;
   /// Feeds that start before this version get 410.
@@ -84,11 +100,19 @@
   gateway::Task<gateway::HttpResponse> Feed(const std::string& target);
   gateway::HttpResponse Apply(const std::string& body);
   gateway::HttpResponse Range(const std::string& target);
+  static Key KeyOf(const nlohmann::json& item);
+  /// Adds the rows that a commit expects to `current`.
+  bool ConditionsHold(const nlohmann::json& commit,
+                      nlohmann::json* current) const;
   nlohmann::json RowJson(const Key& key, const Value& value) const;
   gateway::HttpResponse MakeResponse(unsigned status,
                                      nlohmann::json body) const;
   /// Returns true with the given probability.
   bool RandomBool(double probability);
+  /// Applies a commit `late_commit_delay` later.
+  gateway::Task<void> ApplyLate(std::string body);
+  /// Returns what `faults` make of a commit.
+  CommitFate FateOf(const std::string& body);
 
   gateway::asio::io_context& loop_;
   std::mt19937_64 random_;
