Let a stream go on at its service whatever the route's weights are

Cause: a call was dealt to a service by the weights in force before anyone asked where its stream had begun, and was refused where the two differed.

Change: CallRunner::ChooseService chooses once, by the weights for a call that begins, by the origin for a stream that is taken up again. DecideResume gets all services that the route names and tells the service as well as the version. A service that the route no longer names gets no stream.

Why it works: the place of a stream is decided when it begins, and nothing that changes later decides it again.

--- a/include/knapweed/gateway/call_runner.h
+++ b/include/knapweed/gateway/call_runner.h
@@ -162,8 +162,11 @@
   Task<Step> CheckQuarantine(StatePtr state);
   /// Lets a quarantined call run if it gets the permission for a probe.
   Task<Step> ClaimProbe(StatePtr state);
-  /// Finds the version at which a stream that the caller resumes may go on.
-  Task<Step> FindStreamVersion(StatePtr state);
+  /// Chooses a service by the route's weights; for a stream that the caller
+  /// resumes, the one that began it, with the version at which it goes on.
+  Task<Step> ChooseService(StatePtr state);
+  /// Refuses the call if the configuration has no such service.
+  Task<Step> SetService(StatePtr state, std::string_view name);
   Task<Step> ReserveBudget(StatePtr state);
   /// Refuses the first turn of a program while the service is overloaded.
   Task<Step> AdmitProgram(StatePtr state);
--- a/include/knapweed/gateway/fleet_config.h
+++ b/include/knapweed/gateway/fleet_config.h
@@ -132,6 +132,10 @@
 /// the same one. Returns an empty string if the weights sum to 0.
 std::string_view PickService(const Route& route, uint64_t hash);
 
+/// Returns the services that the route names, also those of weight 0, which get
+/// no new calls.
+std::vector<std::string> ServicesOf(const Route& route);
+
 /// Returns the priority of a call: the workspace's if set, otherwise the
 /// route's. `workspace` may be null.
 int PriorityOf(const Route& route, const Workspace* workspace);
--- a/include/knapweed/gateway/stream_versions.h
+++ b/include/knapweed/gateway/stream_versions.h
@@ -31,10 +31,10 @@
 /// Returns the name of a route in records of origins: its host and path prefix.
 std::string RouteKeyOf(const Route& route);
 
-/// Whether a stream may go on, and at which version.
+/// Whether a stream may go on, and where.
 struct StreamResume {
   bool may_go_on = false;
-  std::string version;
+  StreamOrigin origin;
 };
 
 /// A stream that a caller resumes.
@@ -43,8 +43,8 @@
   std::string begun_by;
   /// Host and path prefix of its route.
   std::string route;
-  /// The service that the route leads to now.
-  std::string service;
+  /// The services that the route leads to now.
+  std::vector<std::string> services;
   /// Longest time in which the route's upstreams answer.
   Ms timeout;
 };
--- a/src/gateway/call_admission.cc
+++ b/src/gateway/call_admission.cc
@@ -108,15 +108,6 @@
       co_return Step::kDone;
     }
   }
-  const uint64_t split_hash =
-      HashBytes(!head.line.empty() ? head.line : head.request_id);
-  const std::string_view name = PickService(route, split_hash);
-  const auto service = state->config->services.find(name);
-  if (service == state->config->services.end()) {
-    co_await Refuse(state, 503, kRetryNoUpstream, "route without a service");
-    co_return Step::kDone;
-  }
-  state->service = &service->second;
   co_return Step::kNext;
 }
 
@@ -189,27 +180,43 @@
   co_return Step::kDone;
 }
 
-Task<CallRunner::Step> CallRunner::FindStreamVersion(StatePtr state) {
+Task<CallRunner::Step> CallRunner::ChooseService(StatePtr state) {
   const CallHead& head = state->request.head;
   if (state->route->streaming && head.has_malformed_position) {
     // Taken for a new stream, it might go on at any version.
     co_await Refuse(state, 400, Ms{0}, "malformed position in a stream");
     co_return Step::kDone;
   }
-  const bool resumes = state->route->streaming && head.resume_after.has_value();
-  if (!resumes) co_return Step::kNext;
+  const Route& route = *state->route;
+  const bool resumes = route.streaming && head.resume_after.has_value();
+  if (!resumes) {
+    const uint64_t split_hash =
+        HashBytes(!head.line.empty() ? head.line : head.request_id);
+    co_return co_await SetService(state, PickService(route, split_hash));
+  }
   StreamToResume resumed;
   resumed.begun_by = head.begun_by;
-  resumed.route = RouteKeyOf(*state->route);
-  resumed.service = state->service->name;
-  resumed.timeout = state->route->timeout;
+  resumed.route = RouteKeyOf(route);
+  resumed.services = ServicesOf(route);
+  resumed.timeout = route.timeout;
   const StreamResume resume =
       co_await deps_.stream_versions.Resume(std::move(resumed));
   if (!resume.may_go_on) {
     co_await Refuse(state, 503, Ms{0}, "version of the stream is unknown");
     co_return Step::kDone;
   }
-  state->stream_version = resume.version;
+  state->stream_version = resume.origin.version;
+  co_return co_await SetService(state, resume.origin.service);
+}
+
+Task<CallRunner::Step> CallRunner::SetService(StatePtr state,
+                                              std::string_view name) {
+  const auto service = state->config->services.find(name);
+  if (service == state->config->services.end()) {
+    co_await Refuse(state, 503, kRetryNoUpstream, "route without a service");
+    co_return Step::kDone;
+  }
+  state->service = &service->second;
   co_return Step::kNext;
 }
 
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -101,7 +101,7 @@
   if (step == Step::kDone) co_return;
   step = co_await RefuseIfStopping(state);
   if (step == Step::kDone) co_return;
-  step = co_await FindStreamVersion(state);
+  step = co_await ChooseService(state);
   if (step == Step::kDone) co_return;
   step = co_await PrependHistory(state);
   if (step == Step::kDone) co_return;
--- a/src/gateway/fleet_config.cc
+++ b/src/gateway/fleet_config.cc
@@ -52,6 +52,14 @@
   return {};
 }
 
+std::vector<std::string> ServicesOf(const Route& route) {
+  std::vector<std::string> services;
+  for (const WeightedService& it : route.services) {
+    services.push_back(it.service);
+  }
+  return services;
+}
+
 int PriorityOf(const Route& route, const Workspace* workspace) {
   if (workspace != nullptr && workspace->priority >= 0) {
     return workspace->priority;
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -221,19 +221,24 @@
   const std::vector<PossibleOrigin> possible =
       records_.PossibleOrigins(resumed.route);
   stream.possible = possible;
-  stream.service = resumed.service;
+  const std::vector<std::string_view> services(resumed.services.begin(),
+                                               resumed.services.end());
+  stream.services = services;
   stream.longest_span = resumed.timeout + kLongestInterruption;
   stream.now = clock_.Now();
   const ResumeDecision decision = DecideResume(stream);
   kLog.Info("A caller resumes a stream.",
             {{"begun_by", resumed.begun_by},
-             {"service", resumed.service},
+             {"begun_service", origin.has_value() ? origin->service : ""},
              {"begun_version", origin.has_value() ? origin->version : ""},
              {"records_read", stream.knows_all ? 1 : 0},
              {"possible_origins", possible.size()},
              {"goes_on", decision.may_go_on ? 1 : 0},
+             {"service", std::string(decision.service)},
              {"version", std::string(decision.version)}});
-  co_return StreamResume{decision.may_go_on, std::string(decision.version)};
+  co_return StreamResume{
+      decision.may_go_on,
+      {std::string(decision.service), std::string(decision.version)}};
 }
 
 }  // namespace knapweed::gateway
--- a/src/policy/stream_version.cc
+++ b/src/policy/stream_version.cc
@@ -1,5 +1,7 @@
 #include "knapweed/policy/stream_version.h"
 
+#include <algorithm>
+
 namespace knapweed {
 namespace {
 
@@ -23,21 +25,25 @@
   return only;
 }
 
+/// Returns the decision for a stream that began at `origin`.
+ResumeDecision GoOnAt(const PossibleOrigin& origin,
+                      const ResumedStream& stream) {
+  const bool leads_there =
+      std::find(stream.services.begin(), stream.services.end(),
+                origin.service) != stream.services.end();
+  if (!leads_there) return {};
+  return {true, origin.service, origin.version};
+}
+
 }  // namespace
 
 ResumeDecision DecideResume(const ResumedStream& stream) {
-  if (stream.begun.has_value()) {
-    // The route may lead to another service now.
-    if (stream.begun->service != stream.service) return {};
-    return {true, stream.begun->version};
-  }
+  if (stream.begun.has_value()) return GoOnAt(*stream.begun, stream);
   if (!stream.knows_all) return {};
   const OnlyOrigin only =
       FindOnly(stream.possible, stream.longest_span, stream.now);
-  const bool fits = only.origin != nullptr && only.is_only &&
-                    only.origin->service == stream.service;
-  if (!fits) return {};
-  return {true, only.origin->version};
+  if (only.origin == nullptr || !only.is_only) return {};
+  return GoOnAt(*only.origin, stream);
 }
 
 }  // namespace knapweed
--- a/tests/gateway__stream_records_test.cc
+++ b/tests/gateway__stream_records_test.cc
@@ -46,7 +46,7 @@
     fleet.RunFor(Ms{50});
     for (const std::string& version : row.begins_at) {
       const StreamResume resume = fleet.Resume(1, "of-" + version);
-      CHECK((!resume.may_go_on || resume.version == version));
+      CHECK((!resume.may_go_on || resume.origin.version == version));
     }
   }
 }
@@ -79,7 +79,7 @@
     fleet.store().is_up = row.store_is_up;
     const StreamResume named = fleet.Resume(2, "s");
     CHECK(named.may_go_on == !row.goes_on_at.empty());
-    CHECK(named.version == row.goes_on_at);
+    CHECK(named.origin.version == row.goes_on_at);
     CHECK_FALSE(fleet.Resume(2, "").may_go_on);
   }
 }
@@ -178,7 +178,7 @@
   fleet.Begin(0, "t", "v2");
   CHECK_FALSE(fleet.Resume(1, "").may_go_on);
   fleet.StartAgain(1);
-  CHECK(fleet.Resume(1, "s").version == "v1");
+  CHECK(fleet.Resume(1, "s").origin.version == "v1");
 }
 
 TEST_CASE("records are written when places change, not for each stream") {
--- a/tests/gateway__stream_versions_test.cc
+++ b/tests/gateway__stream_versions_test.cc
@@ -56,7 +56,7 @@
         const StreamResume resume = fleet.Resume(asked, id + std::to_string(i));
         if (!resume.may_go_on) continue;
         ++went_on;
-        CHECK(resume.version == version);
+        CHECK(resume.origin.version == version);
       }
     }
     CHECK(went_on >= row.least * kStreams);
@@ -136,7 +136,7 @@
       const StreamResume resume =
           fleet.Resume(i, row.names_beginning ? "s0" : "");
       CHECK(resume.may_go_on == !row.goes_on_at.empty());
-      CHECK(resume.version == row.goes_on_at);
+      CHECK(resume.origin.version == row.goes_on_at);
     }
   }
 }
--- a/tests/policy__stream_version_test.cc
+++ b/tests/policy__stream_version_test.cc
@@ -25,6 +25,9 @@
     std::vector<PossibleOrigin> possible;
     // Empty if it may not go on.
     std::string version;
+    // The services that the route leads to.
+    std::vector<std::string_view> services = {"engines"};
+    std::string service = "engines";
   };
   const PossibleOrigin v1{"engines", "v1", kLately};
   const PossibleOrigin v2{"engines", "v2", kNow};
@@ -39,6 +42,44 @@
        kKnowsAll,
        {v1},
        ""},
+      // The route's weights do not matter.
+      {"known, one of two services",
+       "engines",
+       "v1",
+       kKnowsAll,
+       {v1, other_service},
+       "v1",
+       {"others", "engines"}},
+      {"known, the other of two services",
+       "others",
+       "v1",
+       false,
+       {},
+       "v1",
+       {"engines", "others"},
+       "others"},
+      {"known, the route leads nowhere",
+       "engines",
+       "v1",
+       kKnowsAll,
+       {v1},
+       "",
+       {}},
+      {"unknown, one place of two services",
+       "",
+       "",
+       kKnowsAll,
+       {other_service},
+       "v1",
+       {"engines", "others"},
+       "others"},
+      {"unknown, at two services of the route",
+       "",
+       "",
+       kKnowsAll,
+       {v1, other_service},
+       "",
+       {"engines", "others"}},
       {"unknown, one place", "", "", kKnowsAll, {v1}, "v1"},
       {"unknown, the same place of two gateways",
        "",
@@ -70,12 +111,13 @@
     }
     stream.possible = row.possible;
     stream.knows_all = row.knows_all;
-    stream.service = "engines";
+    stream.services = row.services;
     stream.longest_span = kSpan;
     stream.now = kNow;
     const ResumeDecision decision = DecideResume(stream);
     CHECK(decision.may_go_on == !row.version.empty());
     CHECK(decision.version == row.version);
+    CHECK(decision.service == (row.version.empty() ? "" : row.service));
   }
 }
 
--- a/tests/stream_fleet.h
+++ b/tests/stream_fleet.h
@@ -155,7 +155,7 @@
                       const std::string& route = kRoute) {
     StreamResume result;
     const auto resume = [&]() -> Task<void> {
-      const StreamToResume stream{id, route, service, kTimeout};
+      const StreamToResume stream{id, route, {service}, kTimeout};
       result = co_await At(i).Resume(stream);
     };
     RunUntilDone(resume());
