Set the grace period of a running gateway by Reload in its tests

Cause: a gateway has its own copy of the settings since it takes a new grace period by a reload. Two cases of users_platform__stop_test changed the settings object behind a gateway that runs, which no longer has an effect: the first whole run of the tests failed in both (200 where 503 was expected).

Change: they hand the changed settings to Gateway::Reload, as a process does. What they check is unchanged. users_platform__stop_test: 469 of 469.

--- a/include/knapweed/gateway/gateway.h
+++ b/include/knapweed/gateway/gateway.h
@@ -64,7 +64,7 @@
 /// it. Not thread-safe.
 class Gateway {
  public:
-  /// `config` and `dialect` must outlive the gateway.
+  /// `dialect` must outlive the gateway.
   Gateway(asio::io_context& loop, const GatewayConfig& config,
           const Dialect& dialect);
   Gateway(const Gateway&) = delete;
--- a/tests/platform/stop_test.cc
+++ b/tests/platform/stop_test.cc
@@ -270,6 +270,7 @@
       config.grace = kGrace;
     };
     cluster.configs[0].grace = kGrace;
+    cluster.gateways[0]->Reload(cluster.configs[0]);
     for (auto& engine : cluster.engines) {
       engine->default_script = {Script::Kind::kEvents, 3, -1, Ms{900}};
     }
@@ -351,6 +352,7 @@
     CAPTURE(what);
     TestCluster cluster(1);
     cluster.configs[0].grace = row.grace;
+    cluster.gateways[0]->Reload(cluster.configs[0]);
     for (int i = 0; i < row.programs; ++i) {
       const std::string n = std::to_string(i);
       CHECK(cluster.Call(TurnCall("t" + n, "prog" + n, 1000, 20)).complete);
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -97,7 +97,7 @@
   std::vector<std::unique_ptr<FakeServer>> engines;
   /// Upstreams of the service "plain".
   std::vector<std::unique_ptr<FakeServer>> plain;
-  /// A deque, because the gateways refer to their elements.
+  /// A deque, so that its elements stay where they are.
   std::deque<gateway::GatewayConfig> configs;
   std::vector<std::unique_ptr<gateway::Gateway>> gateways;
   uint64_t config_version = 1;
