Split three functions of several jobs

Budgets::ReserveLocked into a round and its way without a listed runner, CrashWatch::RecordsToPublish into what is in force, without duplicates, and encoded, and the ten repeated steps of CallRunner::RunChecked into a list.

--- a/include/knapweed/gateway/budgets.h
+++ b/include/knapweed/gateway/budgets.h
@@ -254,6 +254,14 @@
     kLost,
   };
   static ClaimResult ResultOf(ClaimVerdict verdict);
+  /// One round of a reservation. Sets the lease of the turn and the gateway
+  /// that was told of it.
+  Task<ClaimResult> ReserveOnce(TurnToReserve turn, ProgramPtr program,
+                                ReserveResult* result);
+  /// Reserves without a claim by telling a witness that the row lists: it can't
+  /// be told of the turn's runner now.
+  Task<ClaimResult> ReserveByListed(TurnToReserve turn, ProgramPtr program,
+                                    ReserveResult* result);
   static Reservation ReservationOf(ClaimResult result);
   /// Claims tokens for a turn on `lease`, which lists its witness. Takes over
   /// the leases of others that are in the way.
--- a/include/knapweed/gateway/crash_watch.h
+++ b/include/knapweed/gateway/crash_watch.h
@@ -71,6 +71,9 @@
   }
 
  private:
+  /// Drops what has expired. Returns the own records, and those of others that
+  /// this gateway keeps.
+  std::vector<CrashRecord> RecordsInForce();
   /// Returns whether this gateway publishes the records of a request also if
   /// another one has made them.
   bool Keeps(uint64_t digest) const;
--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -221,56 +221,63 @@
          write.allowance.lease->number == lease.number;
 }
 
+Task<Budgets::ClaimResult> Budgets::ReserveByListed(TurnToReserve turn,
+                                                    ProgramPtr program,
+                                                    ReserveResult* result) {
+  BudgetLease listed = program->lease;
+  const Witness other = co_await TellTurn(turn, *program, &listed);
+  result->told = other.address;
+  result->lease.number = listed.number;
+  const bool fits = MayBegin(*program, listed, turn) &&
+                    program->lease.Lists(other.address, other.process);
+  co_return fits ? ClaimResult::kGranted : ClaimResult::kUnavailable;
+}
+
+Task<Budgets::ClaimResult> Budgets::ReserveOnce(TurnToReserve turn,
+                                                ProgramPtr program,
+                                                ReserveResult* result) {
+  const bool is_unknown = program->unknown.has_value();
+  if (is_unknown && !MayBegin(*program, program->lease, turn)) {
+    const bool resolved = co_await Resolve(turn.program, program);
+    if (!resolved) co_return ClaimResult::kUnavailable;
+  }
+  BudgetLease lease = NextLease(*program, turn.runner);
+  Witness witness = turn.runner;
+  if (witness.empty()) {
+    witness = co_await TellTurn(turn, *program, &lease);
+    result->told = witness.address;
+  }
+  const bool is_listed = witness.empty()
+                             ? lease.is_unwitnessed
+                             : lease.Lists(witness.address, witness.process);
+  result->lease = {turn.program, gateway_, lease.number};
+  const bool may_begin = MayBegin(*program, lease, turn);
+  if (may_begin && is_listed) co_return ClaimResult::kGranted;
+  if (witness.empty()) {
+    lease.is_unwitnessed = true;
+  } else {
+    lease.witnesses[witness.address] = witness.process;
+  }
+  ClaimResult claimed = co_await Claim(turn, program, std::move(lease));
+  const bool lacks_listing = claimed == ClaimResult::kUnavailable &&
+                             may_begin && result->told.port == 0;
+  if (lacks_listing) {
+    claimed = co_await ReserveByListed(turn, program, result);
+  }
+  if (claimed != ClaimResult::kGranted && result->told.port != 0) {
+    Spawn(loop_, SettleTold(result->told, result->lease, turn.turn, 0));
+    result->told = {};
+  }
+  co_return claimed;
+}
+
 Task<ReserveResult> Budgets::ReserveLocked(TurnToReserve turn,
                                            ProgramPtr program) {
   ReserveResult result;
   ClaimResult claimed = ClaimResult::kLost;
   for (int round = 0; claimed == ClaimResult::kLost && round < kMaxRounds;
        ++round) {
-    const bool is_unknown = program->unknown.has_value();
-    if (is_unknown && !MayBegin(*program, program->lease, turn)) {
-      const bool resolved = co_await Resolve(turn.program, program);
-      if (!resolved) {
-        claimed = ClaimResult::kUnavailable;
-        break;
-      }
-    }
-    BudgetLease lease = NextLease(*program, turn.runner);
-    Witness witness = turn.runner;
-    if (witness.empty()) {
-      witness = co_await TellTurn(turn, *program, &lease);
-      result.told = witness.address;
-    }
-    const bool is_listed = witness.empty()
-                               ? lease.is_unwitnessed
-                               : lease.Lists(witness.address, witness.process);
-    result.lease = {turn.program, gateway_, lease.number};
-    const bool may_begin = MayBegin(*program, lease, turn);
-    if (may_begin && is_listed) {
-      claimed = ClaimResult::kGranted;
-      break;
-    }
-    if (witness.empty()) {
-      lease.is_unwitnessed = true;
-    } else {
-      lease.witnesses[witness.address] = witness.process;
-    }
-    claimed = co_await Claim(turn, program, std::move(lease));
-    if (claimed == ClaimResult::kUnavailable && may_begin &&
-        result.told.port == 0) {
-      // The row can't be told of the runner now, but it lists other witnesses.
-      BudgetLease listed = program->lease;
-      const Witness other = co_await TellTurn(turn, *program, &listed);
-      const bool fits = MayBegin(*program, listed, turn) &&
-                        program->lease.Lists(other.address, other.process);
-      result.told = other.address;
-      result.lease.number = listed.number;
-      if (fits) claimed = ClaimResult::kGranted;
-    }
-    if (claimed != ClaimResult::kGranted && result.told.port != 0) {
-      Spawn(loop_, SettleTold(result.told, result.lease, turn.turn, 0));
-      result.told = {};
-    }
+    claimed = co_await ReserveOnce(turn, program, &result);
   }
   result.reservation = ReservationOf(claimed);
   result.begins_program =
--- a/src/gateway/call_runner.cc
+++ b/src/gateway/call_runner.cc
@@ -93,27 +93,19 @@
 }
 
 Task<void> CallRunner::RunChecked(StatePtr state) {
-  Step step = co_await CheckFields(state);
-  if (step == Step::kDone) co_return;
-  step = co_await ResolveRoute(state);
-  if (step == Step::kDone) co_return;
-  step = co_await CheckQuarantine(state);
-  if (step == Step::kDone) co_return;
-  step = co_await RefuseIfStopping(state);
-  if (step == Step::kDone) co_return;
-  step = co_await ChooseService(state);
-  if (step == Step::kDone) co_return;
-  step = co_await PrependHistory(state);
-  if (step == Step::kDone) co_return;
-  step = co_await ReserveBudget(state);
-  if (step == Step::kDone) co_return;
-  step = co_await AdmitProgram(state);
-  if (step == Step::kDone) co_return;
-  step = co_await TakeRateToken(state);
-  if (step == Step::kDone) co_return;
-  // Last, since what refuses the call must not use up a probe.
-  step = co_await ClaimProbe(state);
-  if (step == Step::kDone) co_return;
+  using Check = Task<Step> (CallRunner::*)(StatePtr);
+  // The claim of a probe comes last, since what refuses the call must not use
+  // up a probe.
+  static constexpr Check kChecks[] = {
+      &CallRunner::CheckFields,     &CallRunner::ResolveRoute,
+      &CallRunner::CheckQuarantine, &CallRunner::RefuseIfStopping,
+      &CallRunner::ChooseService,   &CallRunner::PrependHistory,
+      &CallRunner::ReserveBudget,   &CallRunner::AdmitProgram,
+      &CallRunner::TakeRateToken,   &CallRunner::ClaimProbe};
+  for (const Check check : kChecks) {
+    const Step step = co_await (this->*check)(state);
+    if (step == Step::kDone) co_return;
+  }
   StartDeadlineTimer(state);
   co_await RunAttempts(state);
 }
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -77,6 +78,28 @@
                     record.cleared);
 }
 
+/// Leaves one of the records that are the same.
+void DropDuplicates(std::vector<CrashRecord>& records) {
+  const auto by_identity = [](const CrashRecord& a, const CrashRecord& b) {
+    return IdentityOf(a) < IdentityOf(b);
+  };
+  std::sort(records.begin(), records.end(), by_identity);
+  const auto is_same = [](const CrashRecord& a, const CrashRecord& b) {
+    return IdentityOf(a) == IdentityOf(b);
+  };
+  records.erase(std::unique(records.begin(), records.end(), is_same),
+                records.end());
+}
+
+nlohmann::json EncodeRecords(std::span<const CrashRecord> records) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const CrashRecord& it : records) {
+    list.push_back(
+        {it.digest, it.upstream_hash, it.at.count, it.cleared ? 1 : 0});
+  }
+  return list;
+}
+
 QuarantineOptions Options() {
   QuarantineOptions options;
   options.min_upstreams = kCrashesToQuarantine;
@@ -167,36 +190,27 @@
   return static_cast<size_t>(before) < kKeepers;
 }
 
-nlohmann::json CrashWatch::RecordsToPublish() {
+std::vector<CrashRecord> CrashWatch::RecordsInForce() {
   const Ms now = WallTime();
   quarantine_.Expire(now);
   while (!own_.empty() && own_.front().at + kRecordTtl <= now) {
     own_.pop_front();
   }
-  std::vector<CrashRecord> published(own_.begin(), own_.end());
+  std::vector<CrashRecord> records(own_.begin(), own_.end());
   for (const CrashRecord& it : quarantine_.Records()) {
     const bool counts = it.at + kRecordTtl > now;
-    if (counts && Keeps(it.digest)) published.push_back(it);
+    if (counts && Keeps(it.digest)) records.push_back(it);
   }
-  const auto by_identity = [](const CrashRecord& a, const CrashRecord& b) {
-    return IdentityOf(a) < IdentityOf(b);
-  };
-  std::sort(published.begin(), published.end(), by_identity);
-  const auto is_same = [](const CrashRecord& a, const CrashRecord& b) {
-    return IdentityOf(a) == IdentityOf(b);
-  };
-  published.erase(std::unique(published.begin(), published.end(), is_same),
-                  published.end());
+  return records;
+}
+
+nlohmann::json CrashWatch::RecordsToPublish() {
+  std::vector<CrashRecord> published = RecordsInForce();
+  DropDuplicates(published);
   std::stable_sort(published.begin(), published.end(), IsOlder);
-  const size_t first =
+  const size_t dropped =
       published.size() - std::min(published.size(), kMaxPublished);
-  nlohmann::json records = nlohmann::json::array();
-  for (size_t i = first; i < published.size(); ++i) {
-    const CrashRecord& it = published[i];
-    records.push_back(
-        {it.digest, it.upstream_hash, it.at.count, it.cleared ? 1 : 0});
-  }
-  return records;
+  return EncodeRecords(std::span(published).subspan(dropped));
 }
 
 void CrashWatch::MergeRecords(const nlohmann::json& records) {
