--- a/src/gateway/budgets.cc
+++ b/src/gateway/budgets.cc
@@ -157,6 +157,7 @@
   if (outcome == UpdateOutcome::kDeclined) co_return result;
   if (outcome == UpdateOutcome::kUnknown) {
     KeepUnknown(turn.program, *program, std::move(write));
+    co_return ClaimResult::kUnavailable;
   }
   if (outcome != UpdateOutcome::kChanged) co_return ClaimResult::kUnavailable;
   Adopt(turn.program, *program, write);
@@ -348,6 +349,7 @@
   }
   if (outcome == UpdateOutcome::kUnknown) {
     KeepUnknown(name, *program, std::move(write));
+    co_return false;
   }
   if (outcome != UpdateOutcome::kChanged) co_return false;
   Adopt(name, *program, write);
--- a/tests/platform/budget_unknown_test.cc
+++ b/tests/platform/budget_unknown_test.cc
@@ -68,8 +68,9 @@
   }
   // Lets the store be away right after the first write of the program's row
   // that `matches` it, which has the given fate.
-  void LoseWrite(CommitFate fate,
-                 std::function<bool(const nlohmann::json& state)> matches) {
+  void LoseWrite(
+      CommitFate fate,
+      const std::function<bool(const nlohmann::json& state)>& matches) {
     cluster.store.faults.decide_fate = [this, fate, matches](
                                            const std::string& table,
                                            const std::string& value) {
@@ -142,6 +143,7 @@
     CHECK(world.RunTurn(0));
     // They run on the allowance of the home, and outlive it.
     std::vector<std::shared_ptr<CallerResponse>> running;
+    running.reserve(kRunning);
     for (int i = 0; i < kRunning; ++i) {
       running.push_back(world.StartTurn(0, row.event_gap));
     }
