--- a/tests/platform/budget_takeover_test.cc
+++ b/tests/platform/budget_takeover_test.cc
@@ -4,7 +4,6 @@
 #include <cstdlib>
 #include <random>
 
-#include "knapweed/gateway/peers.h"
 #include "tests/platform/killable_gateway.h"
 
 namespace knapweed::testing {
@@ -23,15 +22,9 @@
   }
 
   // Returns a program whose home is the gateway `home`.
-  std::string ProgramOfHome(int number) {
-    const Clock clock = Clock::Steady();
-    gateway::Peers peers(clock, PeersOf(home.index()));
-    peers.SetOthers(std::vector<Address>{PeersOf(0), PeersOf(other.index())});
-    for (int i = 0;; ++i) {
-      std::string name =
-          "prog" + std::to_string(number) + "-" + std::to_string(i);
-      if (peers.HomeOf("ws2/" + name).is_self) return name;
-    }
+  std::string ProgramOfHome(int number) const {
+    return testing::ProgramOfHome(cluster, home.index(),
+                                  "prog" + std::to_string(number));
   }
   const Address& PeersOf(int gateway) const {
     return cluster.configs[static_cast<size_t>(gateway)].peers;
--- a/tests/platform/budget_unknown_test.cc
+++ b/tests/platform/budget_unknown_test.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 
 #include "knapweed/gateway/budget_row.h"
-#include "knapweed/gateway/peers.h"
 #include "tests/platform/killable_gateway.h"
 
 namespace knapweed::testing {
@@ -22,21 +21,9 @@
 struct World {
   World() : cluster(1, 2), home(cluster, "home"), next(cluster, "next") {
     cluster.RunFor(Ms{1500});
-    program = ProgramOfHome();
+    program = ProgramOfHome(cluster, home.index());
   }
 
-  std::string ProgramOfHome() const {
-    const Clock clock = Clock::Steady();
-    gateway::Peers peers(clock, PeersOf(home.index()));
-    peers.SetOthers(std::vector<Address>{PeersOf(0), PeersOf(next.index())});
-    for (int i = 0;; ++i) {
-      std::string name = "prog-" + std::to_string(i);
-      if (peers.HomeOf("ws2/" + name).is_self) return name;
-    }
-  }
-  const Address& PeersOf(int gateway) const {
-    return cluster.configs[static_cast<size_t>(gateway)].peers;
-  }
   std::string RowKey() const { return "ws2/" + program; }
   std::shared_ptr<CallerResponse> StartTurn(int gateway, Ms event_gap) {
     for (auto& engine : cluster.engines) {
--- a/tests/platform/world.cc
+++ b/tests/platform/world.cc
@@ -1,5 +1,7 @@
 #include "tests/platform/world.h"
 
+#include "knapweed/gateway/peers.h"
+
 namespace knapweed::testing {
 namespace {
 
@@ -271,6 +273,22 @@
   return n;
 }
 
+std::string ProgramOfHome(const TestCluster& cluster, int home,
+                          const std::string& prefix) {
+  const Clock clock = Clock::Steady();
+  const Address& self = cluster.configs[static_cast<size_t>(home)].peers;
+  std::vector<Address> others;
+  for (const gateway::GatewayConfig& config : cluster.configs) {
+    if (config.peers != self) others.push_back(config.peers);
+  }
+  gateway::Peers peers(clock, self);
+  peers.SetOthers(others);
+  for (int i = 0;; ++i) {
+    std::string name = prefix + "-" + std::to_string(i);
+    if (peers.HomeOf("ws2/" + name).is_self) return name;
+  }
+}
+
 CallerRequest PlainCall(const std::string& path, const std::string& id) {
   CallerRequest call;
   call.path = path;
--- a/tests/platform/world.h
+++ b/tests/platform/world.h
@@ -116,6 +116,10 @@
   Address store_address_;
 };
 
+/// Returns the name of a program of "ws2" whose budget has a gateway of the
+/// cluster as its home while all others run.
+std::string ProgramOfHome(const TestCluster& cluster, int home,
+                          const std::string& prefix = "prog");
 /// Returns a call of no program with the given request ID.
 CallerRequest PlainCall(const std::string& path, const std::string& id = "p1");
 /// Returns a turn of a program with a token budget and a prompt of 100 tokens.
