--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -73,7 +73,7 @@
   Gateway gateway(loop, config, dialect);
   process.stop.async_wait([&](const NetErrorCode& ec, int) {
     if (ec) return;
-    // They may have changed without a signal.
+    // The file may have changed without a signal.
     ReloadSettings(gateway, path);
     Spawn(loop, ShutdownAndStopLoop(loop, gateway));
   });
